Workspace, design page, model, wire types and policy interfaces

Cause: an empty repository. Change: eight crates with the interfaces that later work builds on; checked configuration and settings; log records with checksums; bounded peer frames; numbered result codes; home instances and owners by rendezvous hashing. Conclusion: the parts can now be written against fixed interfaces.

--- /dev/null
+++ b/crates/model/src/code.rs
@@ -0,0 +1,232 @@
+//! Numbered result codes. `docs/codes.md` lists each with what to do.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $text:literal;)*) => {
+        /// A numbered result.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Serialize, Deserialize)]
+        #[serde(try_from = "u16", into = "u16")]
+        pub enum Code {
+            $($(#[$doc])* $name,)*
+        }
+
+        /// All codes in rising order.
+        pub const ALL_CODES: &[Code] = &[$(Code::$name),*];
+
+        impl Code {
+            /// The number in logs, headers and documents.
+            #[must_use]
+            pub const fn number(self) -> u16 {
+                match self { $(Self::$name => $number,)* }
+            }
+
+            /// A short description.
+            #[must_use]
+            pub const fn text(self) -> &'static str {
+                match self { $(Self::$name => $text,)* }
+            }
+        }
+    };
+}
+
+codes! {
+    /// The whole answer was passed on.
+    Served = 1000, "served";
+
+    /// The request's framing or head is not valid HTTP/1.1.
+    BadRequest = 2001, "malformed request";
+    /// No such service is configured.
+    UnknownService = 2002, "unknown service";
+    /// The service has no such class.
+    UnknownClass = 2003, "unknown class";
+    /// The head is larger than allowed.
+    HeadTooLarge = 2004, "request head too large";
+    /// The caller sent its head or body too slowly.
+    SlowSender = 2005, "request arrived too slowly";
+    /// The idempotency key was used before.
+    RepeatedKey = 2006, "idempotency key was used before";
+    /// A header of the protocol has an invalid value.
+    BadHeader = 2007, "invalid header value";
+
+    /// The class's target or delay cannot be met now.
+    CannotMeet = 3001, "cannot start within the allowed delay";
+    /// The queue is full.
+    QueueFull = 3002, "queue full";
+    /// No target of the service may be used.
+    NoTarget = 3003, "no usable target";
+    /// The caller has more calls waiting than its fair share.
+    FairShare = 3005, "caller exceeds its fair share";
+    /// The upstream refused the call without running it.
+    UpstreamRefused = 3006, "upstream refused without running";
+    /// The instance has no configuration yet.
+    NotReady = 3007, "instance has no configuration yet";
+    /// The call's deadline passed before it started.
+    DeadlinePassed = 3008, "deadline passed before the start";
+    /// A holder of the idempotency key did not answer.
+    KeyUnchecked = 3009, "idempotency key could not be checked";
+    /// No connection to the target could be opened.
+    ConnectFailed = 3010, "could not connect to the target";
+    /// The caller went away before the call started.
+    CancelledEarly = 3011, "caller went away before the start";
+
+    /// The upstream closed the connection before the whole answer.
+    UpstreamClosed = 4001, "upstream closed before the whole answer";
+    /// The upstream did not answer in time.
+    UpstreamTimeout = 4002, "upstream did not answer in time";
+    /// The answer's body was shorter than announced.
+    ShortBody = 4003, "answer shorter than announced";
+    /// The answer belongs to another call.
+    CrossedAnswer = 4004, "answer belongs to another call";
+    /// The caller went away while the call ran.
+    CallerGone = 4005, "caller went away while the call ran";
+    /// The request body failed after part of it had left.
+    BodyFailed = 4006, "request body failed midway";
+    /// The upstream's answer is not valid HTTP/1.1.
+    BadAnswer = 4007, "malformed answer";
+
+    /// The document is not valid TOML.
+    Syntax = 5001, "not valid TOML";
+    /// The document has a key that does not exist.
+    UnknownKey = 5002, "unknown key";
+    /// A required key is missing.
+    MissingKey = 5003, "missing key";
+    /// A value is outside its allowed range.
+    BadValue = 5004, "value not allowed";
+    /// A name is used twice.
+    Duplicate = 5005, "name used twice";
+    /// A name refers to nothing.
+    Dangling = 5006, "name refers to nothing";
+    /// The document is too large.
+    TooLarge = 5007, "document too large";
+
+    /// The proposal is in force at its offset.
+    Accepted = 6001, "accepted";
+    /// The log has not answered yet.
+    Pending = 6002, "pending";
+    /// The proposal was made against an older revision.
+    Stale = 6003, "made against an older revision";
+    /// The proposal was seen before.
+    Repeated = 6004, "proposal seen before";
+    /// The proposal's content is not valid.
+    Invalid = 6005, "proposal not valid";
+    /// The operator may not do this.
+    Forbidden = 6006, "not permitted";
+    /// The service has a move in progress.
+    MoveConflict = 6007, "service has a move in progress";
+    /// The deadline is too near.
+    DeadlineTooNear = 6008, "deadline too near";
+    /// The version was taken back before and `retry` is not set.
+    VersionBarred = 6009, "version was taken back before";
+    /// The service belongs to another tenant.
+    OtherTenant = 6010, "service belongs to another tenant";
+    /// The operator is not known.
+    Unauthenticated = 6011, "unknown operator";
+    /// The move was decided before.
+    Decided = 6012, "move already decided";
+
+    /// The record is cut short or not a record of the system.
+    Foreign = 7001, "not a record of the system";
+    /// The record's checksum does not match.
+    Checksum = 7002, "record checksum does not match";
+    /// The record's schema or kind is not known.
+    UnknownKind = 7003, "unknown record schema or kind";
+    /// The record is larger than allowed.
+    RecordTooLarge = 7004, "record too large";
+    /// Records were removed before they were read.
+    Expired = 7005, "records expired before they were read";
+    /// Not all parts of a snapshot are there.
+    SnapshotIncomplete = 7006, "snapshot incomplete";
+    /// The log service cannot be reached.
+    LogDown = 7007, "log service unreachable";
+
+    /// A peer sent a frame that cannot be decoded.
+    BadFrame = 8001, "malformed peer frame";
+    /// A peer speaks another schema version.
+    PeerSchema = 8002, "unknown peer schema";
+    /// A peer was silent too long.
+    PeerSilent = 8003, "peer silent";
+
+    /// Measuring load exceeded its budget.
+    BudgetExceeded = 9001, "invariant: measuring budget exceeded";
+    /// A cold target was given more than its limit.
+    ColdOverrun = 9002, "invariant: cold target over its limit";
+    /// Work was started in an availability zone that is out.
+    ZoneOutStart = 9003, "invariant: start in a zone that is out";
+    /// Work was started on a version that was stopped.
+    StoppedStart = 9004, "invariant: start on a stopped version";
+    /// An answer was passed to a call that it does not belong to.
+    AnswerMixed = 9005, "invariant: answer passed to another call";
+    /// A call that had left was reported as not run.
+    FalseNotRun = 9006, "invariant: run call reported as not run";
+    /// A non-idempotent call was sent twice.
+    SentTwice = 9007, "invariant: non-idempotent call sent twice";
+    /// Work was started on a target that is leaving.
+    LeavingStart = 9008, "invariant: start on a leaving target";
+    /// A planned stop cut a call.
+    StopCut = 9009, "invariant: planned stop cut a call";
+    /// The configuration went back.
+    Reverted = 9010, "invariant: configuration went back";
+}
+
+/// What a caller may conclude about a call that was not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// The upstream ran the call and the whole answer was passed on.
+    Served,
+    /// No upstream ran the call.
+    NotRun,
+    /// An upstream may have run the call.
+    Unknown,
+}
+
+impl Outcome {
+    /// The value of the `hw-outcome` header.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Code {
+    /// What a caller may conclude from a code of the call path.
+    #[must_use]
+    pub const fn outcome(self) -> Outcome {
+        match self.number() / 1000 {
+            1 => Outcome::Served,
+            2 | 3 => Outcome::NotRun,
+            _ => Outcome::Unknown,
+        }
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.number(), self.text())
+    }
+}
+
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
+
+impl TryFrom<u16> for Code {
+    type Error = String;
+
+    fn try_from(number: u16) -> Result<Self, Self::Error> {
+        let found = ALL_CODES.iter().copied().find(|c| c.number() == number);
+        found.ok_or_else(|| format!("result code {number} does not exist"))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/model/src/hash.rs
@@ -0,0 +1,25 @@
+//! Rendezvous hashing. All instances compute the same ranks from the same names.
+
+use std::hash::Hasher;
+
+use twox_hash::XxHash64;
+
+/// Weight of `node` for `key`; the highest weight ranks first.
+#[must_use]
+pub fn rendezvous(key: &str, node: &str) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    hasher.write(key.as_bytes());
+    hasher.write_u8(0);
+    hasher.write(node.as_bytes());
+    hasher.finish()
+}
+
+/// Sorts `nodes` by falling weight for `key`; equal weights by name.
+pub fn rendezvous_rank<T: AsRef<str>>(key: &str, nodes: &mut [T]) {
+    nodes.sort_by(|a, b| {
+        let (a, b) = (a.as_ref(), b.as_ref());
+        rendezvous(key, b)
+            .cmp(&rendezvous(key, a))
+            .then_with(|| a.cmp(b))
+    });
+}
--- /dev/null
+++ b/crates/model/src/ids.rs
@@ -0,0 +1,106 @@
+//! Identifiers as cheap-to-clone strings. The types differ so that a zone cannot be passed as a
+//! service. Validity of the text is checked where outside input enters, by [`is_valid`].
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// Longest identifier accepted from outside, in bytes.
+pub(crate) const MAX_ID_BYTES: usize = 64;
+
+macro_rules! string_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Wraps `text` without checking it.
+            #[must_use]
+            pub fn new(text: &str) -> Self {
+                Self(text.into())
+            }
+
+            /// The identifier as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+
+            /// Whether the text is an acceptable identifier.
+            #[must_use]
+            pub fn is_valid(&self) -> bool {
+                is_valid(&self.0)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Debug::fmt(&*self.0, f)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+    };
+}
+
+string_id!(
+    /// An entry process of the system.
+    InstanceId
+);
+string_id!(
+    /// A service behind the balancer.
+    ServiceName
+);
+string_id!(
+    /// A class of work within a service.
+    ClassName
+);
+string_id!(
+    /// One upstream process of a service.
+    TargetId
+);
+string_id!(
+    /// A version label of a service.
+    Version
+);
+string_id!(
+    /// An availability zone.
+    Zone
+);
+string_id!(
+    /// A region, made of availability zones.
+    Region
+);
+string_id!(
+    /// An organisation that owns services on the shared platform.
+    Tenant
+);
+string_id!(
+    /// A person or program that uses the administration API.
+    OperatorName
+);
+
+/// Accepts 1 to 64 ASCII letters, digits, `-`, `_` and `.`, starting with a letter or digit.
+pub(crate) fn is_valid(text: &str) -> bool {
+    let bytes = text.as_bytes();
+    let Some(first) = bytes.first() else {
+        return false;
+    };
+    bytes.len() <= MAX_ID_BYTES
+        && first.is_ascii_alphanumeric()
+        && bytes
+            .iter()
+            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(b))
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,34 @@
+//! Plain data shared by all crates: identifiers, times, classes, configuration, settings and result
+//! codes. Nothing here performs I/O or reads a clock.
+
+mod class;
+mod code;
+mod config;
+mod config_error;
+mod document;
+mod duration;
+mod hash;
+mod ids;
+mod move_plan;
+mod operator;
+mod service;
+mod settings;
+mod time;
+
+pub use crate::{
+    class::Class,
+    code::{ALL_CODES, Code, Outcome},
+    config::{Config, MAX_CONFIG_BYTES},
+    config_error::ConfigError,
+    document::Document,
+    duration::{MAX_DELAY_MS, MAX_TARGET_MS, MAX_TIMEOUT_MS},
+    hash::{rendezvous, rendezvous_rank},
+    ids::{
+        ClassName, InstanceId, OperatorName, Region, ServiceName, TargetId, Tenant, Version, Zone,
+    },
+    move_plan::MovePlan,
+    operator::{Operator, Role},
+    service::Service,
+    settings::Settings,
+    time::{Time, Wall},
+};
--- /dev/null
+++ b/crates/model/src/service.rs
@@ -0,0 +1,24 @@
+//! A service and its classes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Class, ClassName, ServiceName, Version};
+
+/// A service as configured by its tenant.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Service {
+    /// Name, unique over all tenants.
+    pub name: ServiceName,
+    /// Version that serves when the service is first published; later ones come by moves.
+    pub version: Version,
+    /// Classes of work, at least one.
+    pub classes: Vec<Class>,
+}
+
+impl Service {
+    /// The class called `name`.
+    #[must_use]
+    pub fn class(&self, name: &ClassName) -> Option<&Class> {
+        self.classes.iter().find(|c| c.name == *name)
+    }
+}
--- /dev/null
+++ b/crates/model/src/settings/tests.rs
@@ -0,0 +1,65 @@
+//! Guards against settings files that are accepted with mistakes in them.
+
+use super::*;
+
+const GOOD: &str = r#"
+instance = "i-1"
+zone = "a"
+region = "r1"
+listen = "127.0.0.1:8080"
+peer = "127.0.0.1:8081"
+admin = "127.0.0.1:8082"
+log = "127.0.0.1:9000"
+list = "127.0.0.1:9001"
+
+[[operator]]
+name = "ana"
+tenant = "sacaria"
+role = "publish"
+token_sha256 = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+"#;
+
+fn first_error(text: &str) -> String {
+    Settings::parse("i-1.toml", text).expect_err("the file is wrong")[0].to_string()
+}
+
+#[test]
+fn parse_whole_file() {
+    let settings = Settings::parse("i-1.toml", GOOD).unwrap();
+    assert_eq!(settings.stream, "hibiscusway");
+    assert_eq!(settings.stop_ms, DEFAULT_STOP_MS);
+    assert_eq!(settings.operators[0].role, Role::Publish);
+}
+
+#[test]
+fn parse_host_name_as_address() {
+    let error = first_error(&GOOD.replace("127.0.0.1:9000", "log.example:9000"));
+    assert!(
+        error.starts_with("5004: i-1.toml: log: got \"log.example:9000\";"),
+        "{error}"
+    );
+}
+
+#[test]
+fn parse_missing_zone() {
+    let error = first_error(&GOOD.replace("zone = \"a\"", ""));
+    assert!(
+        error.starts_with("5003: i-1.toml: zone: got nothing;"),
+        "{error}"
+    );
+}
+
+#[test]
+fn parse_platform_operator_with_tenant() {
+    let error = first_error(&GOOD.replace("\"publish\"", "\"platform\""));
+    assert!(
+        error.contains("operator[0].tenant: got sacaria;"),
+        "{error}"
+    );
+}
+
+#[test]
+fn parse_plain_token() {
+    let error = first_error(&GOOD.replace("0123456789abcdef0123456789abcdef0", "secret"));
+    assert!(error.contains("operator[0].token_sha256"), "{error}");
+}
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/wire/src/list_entry.rs
@@ -0,0 +1,66 @@
+//! Entries of the platform's instance list.
+
+use std::net::SocketAddr;
+
+use model::{Region, ServiceName, Version, Zone};
+use serde::{Deserialize, Serialize};
+
+/// What an entry stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EntryKind {
+    /// An instance of the system.
+    Entry,
+    /// An upstream process.
+    Upstream,
+}
+
+/// State of an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum EntryState {
+    /// May receive new work.
+    Live,
+    /// Must receive no new work.
+    Leaving,
+}
+
+/// One instance or upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListEntry {
+    /// Unique id.
+    pub id: String,
+    /// What the entry stands for.
+    pub kind: EntryKind,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Region.
+    pub region: Region,
+    /// Address for calls.
+    pub addr: SocketAddr,
+    /// Address for other instances; instances only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<SocketAddr>,
+    /// Service; upstreams only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub service: Option<ServiceName>,
+    /// Version; upstreams only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Version>,
+    /// Calls that the upstream runs at a time; upstreams only.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
+    /// State.
+    pub state: EntryState,
+    /// Distinguishes successive processes with the same id; later ones are larger.
+    pub incarnation: u64,
+}
+
+/// Answer of `GET /v1/instances`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListAnswer {
+    /// Rises with each change of the list.
+    pub version: u64,
+    /// All entries.
+    pub entries: Vec<ListEntry>,
+}
--- /dev/null
+++ b/crates/wire/src/peer_msg.rs
@@ -0,0 +1,193 @@
+//! Frames between instances: bincode bodies carried in h2 streams.
+
+use model::{InstanceId, Region, ServiceName, TargetId, Version, Zone};
+use serde::{Deserialize, Serialize};
+
+use crate::{LoanMsg, LogEntry, WireError};
+
+/// Schema version that this build speaks.
+pub const PEER_SCHEMA: u16 = 1;
+/// Largest frame body in bytes.
+pub const MAX_FRAME_BYTES: usize = 256 * 1024;
+
+/// A statement that only ever becomes true, sent to all peers at once.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Fact {
+    /// A version must receive no work for the rest of a move.
+    Stop {
+        /// Service.
+        service: ServiceName,
+        /// Version.
+        version: Version,
+        /// Move id.
+        plan: String,
+        /// Why.
+        reason: String,
+    },
+    /// An availability zone is out since a log offset, or since the proposal with this base.
+    ZoneOut {
+        /// Zone.
+        zone: Zone,
+        /// Offset of the zone's previous change.
+        base: u64,
+    },
+    /// An upstream process is draining.
+    Draining {
+        /// Target.
+        target: TargetId,
+        /// Process of the target.
+        incarnation: u64,
+    },
+}
+
+/// Monotonic counters of one version on one route, as counted by one process.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteCounts {
+    /// Calls that ended.
+    pub calls: u64,
+    /// Calls that failed.
+    pub errors: u64,
+    /// Good calls slower than the old version's p95.
+    pub slow: u64,
+}
+
+/// State of an idempotency key at a holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyState {
+    /// The key was not held before and now belongs to the claimant.
+    Fresh,
+    /// The first call is running.
+    Running,
+    /// The first call was served.
+    Done,
+    /// The first call's outcome is unknown.
+    Unknown,
+}
+
+/// One frame.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMsg {
+    /// First frame of a stream.
+    Hello {
+        /// Schema version of the sender.
+        schema: u16,
+        /// Sender.
+        instance: InstanceId,
+        /// Its availability zone.
+        zone: Zone,
+        /// Its region.
+        region: Region,
+        /// Its process.
+        incarnation: u64,
+    },
+    /// Proof of life.
+    Heartbeat {
+        /// Last log offset that the sender has applied.
+        offset: u64,
+        /// Whether the sender is leaving.
+        leaving: bool,
+        /// Version of the sender's membership view.
+        view: u64,
+    },
+    /// Slots of one service.
+    Loan {
+        /// Service.
+        service: ServiceName,
+        /// Message.
+        msg: LoanMsg,
+    },
+    /// Counters that changed since the last frame of this kind.
+    Evidence {
+        /// Instance that counted.
+        instance: InstanceId,
+        /// Its process.
+        incarnation: u64,
+        /// Move id.
+        plan: String,
+        /// Counters by version and route.
+        routes: Vec<(Version, String, RouteCounts)>,
+    },
+    /// A monotonic fact.
+    Fact(Fact),
+    /// Asks for log records from an offset on.
+    Fetch {
+        /// First offset wanted.
+        from: u64,
+    },
+    /// Log records, or a snapshot's records when the ones asked for are gone.
+    Records {
+        /// Records in offset order.
+        records: Vec<LogEntry>,
+    },
+    /// Claims an idempotency key.
+    KeyClaim {
+        /// Matches the reply.
+        seq: u64,
+        /// Service, class and key joined by `/`.
+        key: String,
+    },
+    /// Answer to a claim.
+    KeyReply {
+        /// From the claim.
+        seq: u64,
+        /// State of the key.
+        state: KeyState,
+    },
+    /// Tells the holder how the call with a key ended.
+    KeyEnd {
+        /// Service, class and key joined by `/`.
+        key: String,
+        /// How it ended; [`KeyState::Fresh`] frees a key whose call was not run.
+        state: KeyState,
+    },
+}
+
+impl PeerMsg {
+    /// The frame body.
+    ///
+    /// # Errors
+    ///
+    /// [`model::Code::BadFrame`] if the body would exceed [`MAX_FRAME_BYTES`].
+    pub fn encode(&self) -> Result<Vec<u8>, WireError> {
+        let bytes = bincode::serde::encode_to_vec(self, config())
+            .map_err(|e| WireError::new(model::Code::BadFrame, e.to_string()))?;
+        if bytes.len() > MAX_FRAME_BYTES {
+            let detail = format!("{} bytes, at most {MAX_FRAME_BYTES}", bytes.len());
+            return Err(WireError::new(model::Code::BadFrame, detail));
+        }
+        Ok(bytes)
+    }
+
+    /// Reads a frame body. Trailing bytes are an error.
+    ///
+    /// # Errors
+    ///
+    /// [`model::Code::BadFrame`] for anything that is not exactly one message.
+    pub fn decode(bytes: &[u8]) -> Result<Self, WireError> {
+        let bad = |detail: String| WireError::new(model::Code::BadFrame, detail);
+        if bytes.len() > MAX_FRAME_BYTES {
+            return Err(bad(format!(
+                "{} bytes, at most {MAX_FRAME_BYTES}",
+                bytes.len()
+            )));
+        }
+        let (msg, used) =
+            bincode::serde::decode_from_slice(bytes, config()).map_err(|e| bad(e.to_string()))?;
+        if used != bytes.len() {
+            return Err(bad(format!("{} trailing bytes", bytes.len() - used)));
+        }
+        Ok(msg)
+    }
+}
+
+/// The limit keeps a forged length from reserving memory.
+fn config() -> bincode::config::Configuration<
+    bincode::config::LittleEndian,
+    bincode::config::Varint,
+    bincode::config::Limit<MAX_FRAME_BYTES>,
+> {
+    bincode::config::standard().with_limit::<MAX_FRAME_BYTES>()
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/wire/src/record.rs
@@ -0,0 +1,88 @@
+//! One record of the log as a line of text: schema mark, checksum, JSON.
+
+use model::{Code, OperatorName, Wall};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::{Body, WireError};
+
+/// Largest record in bytes.
+pub const MAX_RECORD_BYTES: usize = 64 * 1024;
+
+const SCHEMA_MARK: &str = "hw1 ";
+const CHECKSUM_BYTES: usize = 8;
+
+/// A proposal or statement in the log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Record {
+    /// Unique id of the proposal. Repeats with the same id are no-ops.
+    pub id: String,
+    /// Operator or instance that made it.
+    pub author: OperatorName,
+    /// Author's wall-clock time.
+    pub at: Wall,
+    /// Content.
+    pub body: Body,
+}
+
+impl Record {
+    /// The record as a line of text.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::RecordTooLarge`] if the line is longer than [`MAX_RECORD_BYTES`].
+    pub fn encode(&self) -> Result<String, WireError> {
+        let json = serde_json::to_string(self)
+            .map_err(|e| WireError::new(Code::Foreign, e.to_string()))?;
+        let line = format!("{SCHEMA_MARK}{} {json}", checksum(json.as_bytes()));
+        if line.len() > MAX_RECORD_BYTES {
+            return Err(too_large(line.len()));
+        }
+        Ok(line)
+    }
+
+    /// Reads a line of text.
+    ///
+    /// # Errors
+    ///
+    /// A 7xxx code that tells foreign, torn, unknown and oversized records apart.
+    pub fn decode(line: &str) -> Result<Self, WireError> {
+        if line.len() > MAX_RECORD_BYTES {
+            return Err(too_large(line.len()));
+        }
+        let Some(rest) = line.strip_prefix(SCHEMA_MARK) else {
+            return Err(WireError::new(Code::Foreign, "no schema mark"));
+        };
+        let Some((sum, json)) = rest.split_once(' ') else {
+            return Err(WireError::new(Code::Foreign, "no checksum"));
+        };
+        if sum != checksum(json.as_bytes()) {
+            return Err(WireError::new(Code::Checksum, format!("got {sum}")));
+        }
+        serde_json::from_str(json).map_err(|e| WireError::new(Code::UnknownKind, e.to_string()))
+    }
+}
+
+fn too_large(len: usize) -> WireError {
+    WireError::new(
+        Code::RecordTooLarge,
+        format!("{len} bytes, at most {MAX_RECORD_BYTES}"),
+    )
+}
+
+fn checksum(bytes: &[u8]) -> String {
+    use std::fmt::Write as _;
+
+    let digest = Sha256::digest(bytes);
+    digest
+        .iter()
+        .take(CHECKSUM_BYTES)
+        .fold(String::new(), |mut text, byte| {
+            let _ = write!(text, "{byte:02x}");
+            text
+        })
+}
+
+#[cfg(test)]
+mod tests;
