Thin whole path: addresses, call, answer, configuration from the log

Cause: nothing carried a call yet. Change: clients of the log service and the instance list, test doubles of the platform and of upstreams, an instance that follows both, answers address questions, queues calls for a service's dispatcher task and passes answers on.

--- /dev/null
+++ b/crates/node/src/dispatch/mod.rs
@@ -0,0 +1,9 @@
+//! One task for each service owns that service's dispatcher; calls reach it over a channel.
+
+mod msg;
+mod task;
+
+pub use self::{
+    msg::{DispatchMsg, Reply},
+    task::spawn_dispatcher,
+};
--- /dev/null
+++ b/crates/node/src/dispatch/msg.rs
@@ -0,0 +1,32 @@
+//! Messages of a dispatcher task.
+
+use std::sync::Arc;
+
+use async_std::channel::Sender;
+use model::Code;
+use policy::{Call, Event, TargetView};
+
+/// What a dispatcher task is told.
+#[derive(Debug)]
+pub enum DispatchMsg {
+    /// A call arrived; its replies go to the sender.
+    Arrive(Call, Sender<Reply>),
+    /// Any other event.
+    Event(Event),
+}
+
+/// What a call is told.
+#[derive(Clone, Debug)]
+pub enum Reply {
+    /// Send the call to this target.
+    Start(Arc<TargetView>),
+    /// Answer that the call was not run.
+    Refuse {
+        /// Result code.
+        code: Code,
+        /// When another try makes sense, in milliseconds.
+        retry_ms: u32,
+    },
+    /// No further attempt follows the one reported last.
+    GiveUp,
+}
--- /dev/null
+++ b/crates/node/src/dispatch/task.rs
@@ -0,0 +1,142 @@
+//! The task that drives a service's dispatcher.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use async_std::{
+    channel::{Receiver, Sender, unbounded},
+    future::timeout,
+    task,
+};
+use model::TargetId;
+use policy::{Action, CallId, Dispatcher, Event, ServiceView, TargetView};
+
+use crate::{
+    Token,
+    context::Context,
+    control::ControlEvent,
+    dispatch::{DispatchMsg, Reply},
+};
+
+/// Interval of ticks while calls are in progress.
+const BUSY_TICK: Duration = Duration::from_millis(5);
+/// Interval of ticks otherwise.
+const IDLE_TICK: Duration = Duration::from_millis(100);
+
+struct Task {
+    ctx: Arc<Context>,
+    view: Arc<ServiceView>,
+    dispatcher: Dispatcher,
+    replies: HashMap<CallId, Sender<Reply>>,
+    out: Vec<Action>,
+}
+
+/// Starts the task of a service and returns the way to it.
+pub fn spawn_dispatcher(
+    ctx: &Arc<Context>,
+    cancel: &Token,
+    view: Arc<ServiceView>,
+) -> Sender<DispatchMsg> {
+    let (sender, receiver) = unbounded();
+    let seed = model::rendezvous(view.name.as_str(), ctx.settings.instance.as_str());
+    let task = Task {
+        ctx: Arc::clone(ctx),
+        dispatcher: Dispatcher::new(Arc::clone(&view), seed),
+        view,
+        replies: HashMap::new(),
+        out: Vec::new(),
+    };
+    let cancel = cancel.clone();
+    task::spawn(async move {
+        cancel.run(run(task, receiver)).await;
+    });
+    sender
+}
+
+async fn run(mut task: Task, receiver: Receiver<DispatchMsg>) {
+    loop {
+        let tick = if task.replies.is_empty() {
+            IDLE_TICK
+        } else {
+            BUSY_TICK
+        };
+        match timeout(tick, receiver.recv()).await {
+            Ok(Ok(msg)) => step(&mut task, msg),
+            Ok(Err(_)) => return,
+            Err(_) => step(&mut task, DispatchMsg::Event(Event::Tick)),
+        }
+    }
+}
+
+fn step(task: &mut Task, msg: DispatchMsg) {
+    let now = task.ctx.clock.now();
+    let event = match msg {
+        DispatchMsg::Arrive(call, reply) => {
+            task.replies.insert(call.id, reply);
+            Event::Arrive(call)
+        }
+        DispatchMsg::Event(event) => event,
+    };
+    if let Event::View(view) = &event {
+        task.view = Arc::clone(view);
+    }
+    if let Event::Cancel { call } = &event {
+        task.replies.remove(call);
+    }
+    task.dispatcher.handle(now, event, &mut task.out);
+    let mut out = std::mem::take(&mut task.out);
+    for action in out.drain(..) {
+        act(task, action);
+    }
+    task.out = out;
+}
+
+fn act(task: &mut Task, action: Action) {
+    match action {
+        Action::Start { call, target } => {
+            let Some(target) = find(&task.view, &target) else {
+                return;
+            };
+            reply(task, call, Reply::Start(target));
+        }
+        Action::Refuse {
+            call,
+            code,
+            retry_ms,
+        } => {
+            reply(task, call, Reply::Refuse { code, retry_ms });
+            task.replies.remove(&call);
+        }
+        Action::GiveUp { call } => {
+            reply(task, call, Reply::GiveUp);
+            task.replies.remove(&call);
+        }
+        Action::Send { to, msg } => {
+            let service = task.view.name.clone();
+            let _ = task
+                .ctx
+                .control
+                .try_send(ControlEvent::SendLoan { to, service, msg });
+        }
+        Action::Draining {
+            target,
+            incarnation,
+        } => {
+            let fact = wire::Fact::Draining {
+                target,
+                incarnation,
+            };
+            let _ = task.ctx.control.try_send(ControlEvent::Fact(fact));
+        }
+    }
+}
+
+/// Passes a reply on. A call that has gone away is not an error: its end was reported.
+fn reply(task: &Task, call: CallId, reply: Reply) {
+    if let Some(sender) = task.replies.get(&call) {
+        let _ = sender.try_send(reply);
+    }
+}
+
+fn find(view: &ServiceView, id: &TargetId) -> Option<Arc<TargetView>> {
+    view.targets.iter().find(|t| t.id == *id).cloned()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! The instance: listeners, connection pools, dispatcher tasks and the control thread. Decisions
+//! are made by `policy` and `state`; this crate moves bytes and events.
+
+mod addresses;
+mod call;
+mod cancel;
+mod clock;
+mod context;
+mod control;
+mod dispatch;
+mod listener;
+mod logging;
+mod node;
+mod pool;
+mod snapshot;
+
+pub use crate::{
+    cancel::Token,
+    logging::init_logging,
+    node::{Node, NodeError},
+};
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,106 @@
+//! One running instance.
+
+use std::{io, net::SocketAddr, sync::Arc, thread};
+
+use async_std::{channel::unbounded, net::TcpListener, task};
+use model::Settings;
+use platform::{ListClient, PlatformError};
+use thiserror::Error;
+use tracing::info;
+use wire::{EntryKind, EntryState, ListEntry};
+
+use crate::{
+    Token,
+    context::Context,
+    control::{read_list, read_log, spawn_control},
+    listener::serve_callers,
+};
+
+/// Why an instance could not start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// An address could not be bound.
+    #[error("cannot listen on {addr}: {error}")]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// What the system reported.
+        error: io::Error,
+    },
+    /// The control thread could not be started.
+    #[error("cannot start the control thread: {0}")]
+    Thread(io::Error),
+    /// The instance list could not be told of this instance.
+    #[error("cannot register in the instance list: {0}")]
+    Register(#[from] PlatformError),
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Node {
+    ctx: Arc<Context>,
+    cancel: Token,
+    control: Option<thread::JoinHandle<()>>,
+}
+
+impl Node {
+    /// Starts an instance that ends with `cancel`.
+    ///
+    /// # Errors
+    ///
+    /// If an address cannot be bound or the instance cannot be registered.
+    pub async fn start(settings: Settings, cancel: &Token) -> Result<Self, NodeError> {
+        let cancel = cancel.child();
+        let (sender, receiver) = unbounded();
+        let ctx = Context::new(settings, sender);
+        let addr = ctx.settings.listen;
+        let listener = TcpListener::bind(addr)
+            .await
+            .map_err(|error| NodeError::Listen { addr, error })?;
+        let control =
+            spawn_control(Arc::clone(&ctx), cancel.child(), receiver).map_err(NodeError::Thread)?;
+        let node = Self {
+            ctx,
+            cancel,
+            control: Some(control),
+        };
+        register(&node.ctx, EntryState::Live).await?;
+        let ctx = &node.ctx;
+        task::spawn(read_log(Arc::clone(ctx), node.cancel.child()));
+        task::spawn(read_list(Arc::clone(ctx), node.cancel.child()));
+        task::spawn(serve_callers(
+            Arc::clone(ctx),
+            node.cancel.child(),
+            listener,
+        ));
+        info!(instance = %ctx.settings.instance, %addr, "event=started");
+        Ok(node)
+    }
+
+    /// Ends the instance at once.
+    pub fn kill(mut self) {
+        self.cancel.cancel();
+        if let Some(control) = self.control.take() {
+            let _ = control.join();
+        }
+    }
+}
+
+/// Announces this instance in the platform's list.
+async fn register(ctx: &Context, state: EntryState) -> Result<(), PlatformError> {
+    let settings = &ctx.settings;
+    let entry = ListEntry {
+        id: settings.instance.as_str().to_owned(),
+        kind: EntryKind::Entry,
+        zone: settings.zone.clone(),
+        region: settings.region.clone(),
+        addr: settings.listen,
+        peer: Some(settings.peer),
+        service: None,
+        version: None,
+        slots: None,
+        state,
+        incarnation: ctx.incarnation,
+    };
+    ListClient::new(settings.list).register(&entry).await
+}
--- /dev/null
+++ b/crates/node/src/snapshot.rs
@@ -0,0 +1,35 @@
+//! What traffic threads see of the control state: immutable, replaced as a whole.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use model::{ServiceName, Zone};
+use policy::ServiceView;
+
+/// An address that callers may connect to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryAddr {
+    /// Address for calls.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: Zone,
+}
+
+/// One service in a snapshot.
+#[derive(Clone, Debug)]
+pub struct ServiceSnapshot {
+    /// View passed to the dispatcher.
+    pub view: Arc<ServiceView>,
+    /// Addresses of the home instances in rank order, then a spare.
+    pub entries: Vec<EntryAddr>,
+}
+
+/// Control state at one log offset and membership view.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// Last log offset applied.
+    pub offset: u64,
+    /// Whether a configuration was ever applied.
+    pub ready: bool,
+    /// Services by name.
+    pub services: BTreeMap<ServiceName, ServiceSnapshot>,
+}
--- /dev/null
+++ b/crates/platform/src/log_client.rs
@@ -0,0 +1,109 @@
+//! Client of the platform's log service.
+
+use std::net::SocketAddr;
+
+use http_types::Method;
+use serde::de::DeserializeOwned;
+use wire::{AppendAnswer, AppendRequest, ReadAnswer};
+
+use crate::{HttpRequest, PlatformError, exchange};
+
+/// Time limit of an append, in milliseconds.
+const APPEND_LIMIT_MS: u64 = 2_000;
+/// Time limit of a read beyond the time that it waits for records, in milliseconds.
+const READ_LIMIT_MS: u64 = 2_000;
+
+/// One stream of the log service.
+#[derive(Clone, Debug)]
+pub struct LogClient {
+    addr: SocketAddr,
+    stream: String,
+}
+
+impl LogClient {
+    /// A client of `stream` at `addr`.
+    #[must_use]
+    pub fn new(addr: SocketAddr, stream: &str) -> Self {
+        Self {
+            addr,
+            stream: stream.to_owned(),
+        }
+    }
+
+    /// Reads up to `limit` records from offset `from` on, waiting up to `wait_ms` for the first.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`].
+    pub async fn read(
+        &self,
+        from: u64,
+        limit: u32,
+        wait_ms: u64,
+    ) -> Result<ReadAnswer, PlatformError> {
+        let stream = &self.stream;
+        let path =
+            format!("/v1/streams/{stream}/records?from={from}&limit={limit}&wait_ms={wait_ms}");
+        self.call(Method::Get, &path, &[], wait_ms + READ_LIMIT_MS)
+            .await
+    }
+
+    /// Appends records and returns the offset of the first.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`]; the records may have been appended all the same.
+    pub async fn append(&self, records: Vec<String>) -> Result<u64, PlatformError> {
+        let path = format!("/v1/streams/{}/records", self.stream);
+        let body = to_json(self.addr, &AppendRequest { records })?;
+        let answer: AppendAnswer = self
+            .call(Method::Post, &path, &body, APPEND_LIMIT_MS)
+            .await?;
+        Ok(answer.offset)
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        limit_ms: u64,
+    ) -> Result<T, PlatformError> {
+        let request = HttpRequest {
+            addr: self.addr,
+            method,
+            path,
+            token: None,
+            body,
+            limit_ms,
+        };
+        json_exchange(&request).await
+    }
+}
+
+pub(crate) fn to_json<T: serde::Serialize>(
+    addr: SocketAddr,
+    value: &T,
+) -> Result<Vec<u8>, PlatformError> {
+    serde_json::to_vec(value).map_err(|e| PlatformError::Body {
+        addr,
+        detail: e.to_string(),
+    })
+}
+
+/// An exchange whose answer must have status 200 and a JSON body.
+pub(crate) async fn json_exchange<T: DeserializeOwned>(
+    request: &HttpRequest<'_>,
+) -> Result<T, PlatformError> {
+    let answer = exchange(request).await?;
+    if answer.status != 200 {
+        return Err(PlatformError::Status {
+            addr: request.addr,
+            status: answer.status,
+        });
+    }
+    serde_json::from_slice(&answer.body).map_err(|e| PlatformError::Body {
+        addr: request.addr,
+        detail: e.to_string(),
+    })
+}
--- /dev/null
+++ b/crates/testkit/src/caller.rs
@@ -0,0 +1,67 @@
+//! A caller: one call on a connection of its own or a given one.
+
+use std::net::SocketAddr;
+
+use async_std::{io::ReadExt, net::TcpStream};
+use http_types::{Method, Request, Url};
+
+/// A call to send.
+#[derive(Clone, Debug)]
+pub struct CallSpec<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Class.
+    pub class: &'a str,
+    /// Path.
+    pub path: &'a str,
+    /// Request body.
+    pub body: &'a [u8],
+    /// Further headers.
+    pub headers: &'a [(&'a str, &'a str)],
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of `hw-code`.
+    pub code: Option<u16>,
+    /// Value of `hw-outcome`.
+    pub outcome: Option<String>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Sends a call on `stream` and reads the whole answer.
+///
+/// # Errors
+///
+/// If the connection breaks or the answer is malformed.
+pub async fn send_call(
+    stream: TcpStream,
+    addr: SocketAddr,
+    spec: &CallSpec<'_>,
+) -> http_types::Result<CallAnswer> {
+    let url = Url::parse(&format!("http://{addr}{}", spec.path))?;
+    let mut req = Request::new(Method::Post, url);
+    req.insert_header("hw-service", spec.service);
+    req.insert_header("hw-class", spec.class);
+    for (name, value) in spec.headers {
+        req.insert_header(*name, *value);
+    }
+    req.set_body(spec.body);
+    let mut answer = async_h1::connect(stream, req).await?;
+    let text = |name: &str| answer.header(name).map(|v| v.as_str().to_owned());
+    let code = text("hw-code").and_then(|c| c.parse().ok());
+    let outcome = text("hw-outcome");
+    let status = u16::from(answer.status());
+    let mut body = Vec::new();
+    answer.take_body().read_to_end(&mut body).await?;
+    Ok(CallAnswer {
+        status,
+        code,
+        outcome,
+        body,
+    })
+}
