policy: evidence and sequential tests for version moves

Instances count calls, errors and slow calls by version and route; counters merge by maximum, so repeated messages are harmless. Each line of comparison (the whole service and each route) has two sequential tests for each rate, one for the smallest bad rate and one for gross faults. A test that accepts starts again, with a bound that rises with the logarithm of the runs, so that a late fault is found after a long good history while false alarms stay within 1 in 1,000 moves.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod dispatcher;
 mod event;
 mod homes;
+pub mod moves;
 mod report;
 mod service_view;
 mod target_view;
--- /dev/null
+++ b/crates/policy/src/moves/opinion.rs
@@ -0,0 +1,16 @@
+//! What the evidence says about a move.
+
+/// Result of [`crate::moves::judge`].
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Opinion {
+    /// Not enough evidence at the current share.
+    #[default]
+    Continue,
+    /// The new version is as good as the old one at the current share.
+    Good,
+    /// The new version is worse. Final for the move.
+    Bad {
+        /// `errors` or `slow`, followed by `:route` if one route showed it.
+        reason: String,
+    },
+}
--- /dev/null
+++ b/crates/policy/src/moves/trial.rs
@@ -0,0 +1,130 @@
+//! Judges a move from the merged counters: one line of comparison for the whole service and one for
+//! each route, each against the old version at the same time.
+
+use std::collections::BTreeMap;
+
+use model::Time;
+use wire::RouteCounts;
+
+use super::{Evidence, Opinion, Side, line::Line};
+
+/// Chance of a false alarm over a whole move for each test.
+const ALPHA: f64 = 0.000_1;
+/// Chance of a false alarm over a whole move for all routes together, for errors and for slowness
+/// each. With the two tests of the whole service a good move is taken back wrongly in fewer than
+/// 2 x 0.0001 + 2 x 0.0004 = 1 in 1,000 cases however many routes there are.
+const ALL_ROUTES_ALPHA: f64 = 0.000_4;
+/// Shortest time between two observations in microseconds. Counters arrive every 250 ms from each
+/// instance; more observations than this would only cost time.
+const MIN_GAP_US: u64 = 100_000;
+/// Calls on the new version at a share before it is called good there.
+const MIN_GOOD_CALLS: u64 = 50;
+
+/// Progress of the tests of one move in one instance.
+#[derive(Clone, Debug, Default)]
+pub struct Trial {
+    share: u16,
+    last: Option<Time>,
+    seen: [BTreeMap<String, RouteCounts>; 2],
+    whole: Line,
+    routes: BTreeMap<String, Line>,
+    opinion: Opinion,
+}
+
+impl Trial {
+    /// What the last call of [`judge`] found.
+    #[must_use]
+    pub const fn opinion(&self) -> &Opinion {
+        &self.opinion
+    }
+
+    /// Whether some test leans towards a fault without being sure.
+    #[must_use]
+    pub fn is_suspicious(&self) -> bool {
+        self.whole.is_suspicious() || self.routes.values().any(Line::is_suspicious)
+    }
+}
+
+/// Adds what `evidence` holds beyond the last call and returns what it says at `share`. To be called
+/// about every 250 ms while the move is in progress.
+pub fn judge<'a>(trial: &'a mut Trial, evidence: &Evidence, share: u16, now: Time) -> &'a Opinion {
+    if trial.share != share {
+        trial.share = share;
+        trial.whole.restart();
+        trial.opinion = match std::mem::take(&mut trial.opinion) {
+            bad @ Opinion::Bad { .. } => bad,
+            _ => Opinion::Continue,
+        };
+    }
+    let early = trial.last.is_some_and(|t| now.since_us(t) < MIN_GAP_US);
+    if early || matches!(trial.opinion, Opinion::Bad { .. }) {
+        return &trial.opinion;
+    }
+    trial.last = Some(now);
+    trial.opinion = observe(trial, evidence);
+    &trial.opinion
+}
+
+fn observe(trial: &mut Trial, evidence: &Evidence) -> Opinion {
+    let mut sums = [RouteCounts::default(), RouteCounts::default()];
+    let mut found = None;
+    let routes = evidence.totals(Side::New).len().max(1);
+    let routes = f64::from(u32::try_from(routes).unwrap_or(u32::MAX));
+    let route_alpha = ALPHA.min(ALL_ROUTES_ALPHA / routes);
+    for route in evidence.totals(Side::Old).keys() {
+        let old = trial.rise(evidence, Side::Old, route);
+        let new = trial.rise(evidence, Side::New, route);
+        add(&mut sums[0], &old);
+        add(&mut sums[1], &new);
+        let line = trial.routes.entry(route.clone()).or_default();
+        if let Some(test) = line.observe(old, &new, route_alpha) {
+            found.get_or_insert(format!("{test}:{route}"));
+        }
+    }
+    for route in evidence.totals(Side::New).keys() {
+        let new = trial.rise(evidence, Side::New, route);
+        add(&mut sums[1], &new);
+    }
+    let [old, new] = sums;
+    if let Some(test) = trial.whole.observe(old, &new, ALPHA) {
+        found = Some(test.to_owned());
+    }
+    if let Some(reason) = found {
+        return Opinion::Bad { reason };
+    }
+    if !trial.is_suspicious() && trial.whole.is_accepted(MIN_GOOD_CALLS) {
+        Opinion::Good
+    } else {
+        Opinion::Continue
+    }
+}
+
+impl Trial {
+    /// Counts beyond those seen before, which are then counted as seen.
+    fn rise(&mut self, evidence: &Evidence, side: Side, route: &str) -> RouteCounts {
+        let Some(total) = evidence.totals(side).get(route) else {
+            return RouteCounts::default();
+        };
+        let seen = &mut self.seen[side.index()];
+        if !seen.contains_key(route) {
+            seen.insert(route.to_owned(), RouteCounts::default());
+        }
+        let seen = seen.get_mut(route).expect("inserted above");
+        let rise = RouteCounts {
+            calls: total.calls - seen.calls,
+            errors: total.errors - seen.errors,
+            slow: total.slow - seen.slow,
+        };
+        seen.clone_from(total);
+        rise
+    }
+}
+
+fn add(sum: &mut RouteCounts, more: &RouteCounts) {
+    sum.calls += more.calls;
+    sum.errors += more.errors;
+    sum.slow += more.slow;
+}
+
+#[cfg(test)]
+mod tests;
