--- /dev/null
+++ b/crates/state/src/driver/input.rs
@@ -0,0 +1,37 @@
+//! What the driver decides from.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::{Time, Wall};
+use policy::moves::Opinion;
+use wire::Fact;
+
+use crate::{Fold, MembersView};
+
+/// Evidence about one move as this instance merged it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MoveEvidence {
+    /// Result of [`policy::moves::judge`].
+    pub opinion: Opinion,
+    /// Whether a test leans towards a fault, see [`policy::moves::Trial::is_suspicious`].
+    pub suspicious: bool,
+    /// Calls on the new version, over all instances.
+    pub calls: u64,
+}
+
+/// Input of [`crate::Driver::tick`].
+#[derive(Clone, Copy, Debug)]
+pub struct DriverInput<'a> {
+    /// Monotonic time.
+    pub now: Time,
+    /// Wall-clock time, compared with deadlines only.
+    pub wall: Wall,
+    /// Shared state.
+    pub fold: &'a Fold,
+    /// Membership.
+    pub members: &'a MembersView,
+    /// Facts that were heard or told.
+    pub facts: &'a BTreeSet<Fact>,
+    /// Evidence by move id.
+    pub evidence: &'a BTreeMap<String, MoveEvidence>,
+}
--- /dev/null
+++ b/crates/state/src/members/instance_view.rs
@@ -0,0 +1,41 @@
+//! An instance as the membership view shows it.
+
+use std::net::SocketAddr;
+
+use model::{InstanceId, Region, Zone};
+use wire::ListEntry;
+
+use super::Presence;
+
+/// One instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceView {
+    /// Id.
+    pub id: InstanceId,
+    /// Its process.
+    pub incarnation: u64,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Region.
+    pub region: Region,
+    /// Address for callers.
+    pub addr: SocketAddr,
+    /// Address for other instances.
+    pub peer: Option<SocketAddr>,
+    /// Whether it takes part.
+    pub presence: Presence,
+}
+
+impl InstanceView {
+    pub(super) fn new(item: &ListEntry, presence: Presence) -> Self {
+        Self {
+            id: InstanceId::new(&item.id),
+            incarnation: item.incarnation,
+            zone: item.zone.clone(),
+            region: item.region.clone(),
+            addr: item.addr,
+            peer: item.peer,
+            presence,
+        }
+    }
+}
