Administration API with roles, tenant filtering and bounds

The control thread is reached by ControlEvent::Admin; it drops the reply channel for now, which the API reports as 6015. Codes 6013 to 6015 cover unknown proposals, malformed requests and a busy API. Record ids of operators are qualified by tenant, so that tenants cannot use up each other's ids.

--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -127,6 +127,12 @@
     Unauthenticated = 6011, "unknown operator";
     /// The move was decided before.
     Decided = 6012, "move already decided";
+    /// The instance that was asked has neither seen nor taken the proposal.
+    UnknownProposal = 6013, "proposal not known here";
+    /// A request to the administration API is malformed or names no endpoint.
+    BadAdminRequest = 6014, "malformed administration request";
+    /// The administration API has too many clients or its control thread did not answer in time.
+    AdminBusy = 6015, "administration API busy";
 
     /// The record is cut short or not a record of the system.
     Foreign = 7001, "not a record of the system";
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Class, ClassName, Code, ConfigError, Document, MAX_DELAY_MS, MAX_TARGET_MS, MAX_TIMEOUT_MS,
-    MovePlan, Service, ServiceName, Version, Wall, duration::default_timeout_ms, ids::is_valid,
+    MovePlan, Service, ServiceName, Version, Wall, duration::default_timeout_ms, ids::is_valid_id,
 };
 
 /// Largest configuration document in bytes. It has to fit in one log record.
@@ -100,8 +100,8 @@
 
 fn parse_service(doc: &Document<'_>, errors: &mut Vec<ConfigError>) -> Option<Service> {
     doc.check_keys(&["name", "version", "class"], errors);
-    let name = doc.text("name", ID_RULE, is_valid, errors);
-    let version = doc.text("version", ID_RULE, is_valid, errors);
+    let name = doc.text("name", ID_RULE, is_valid_id, errors);
+    let version = doc.text("version", ID_RULE, is_valid_id, errors);
     let classes = parse_classes(doc, errors);
     Some(Service {
         name: ServiceName::new(name?),
@@ -135,7 +135,7 @@
         &["name", "target_ms", "delay_ms", "idempotent", "timeout_ms"],
         errors,
     );
-    let name = doc.text("name", ID_RULE, is_valid, errors);
+    let name = doc.text("name", ID_RULE, is_valid_id, errors);
     let target_ms = doc.number("target_ms", 1, MAX_TARGET_MS, errors);
     let delay_ms = doc.number("delay_ms", 0, MAX_DELAY_MS, errors);
     let idempotent = doc.flag("idempotent", errors);
@@ -185,8 +185,8 @@
 
 fn parse_move(doc: &Document<'_>, errors: &mut Vec<ConfigError>) -> Option<MovePlan> {
     doc.check_keys(&["service", "version", "deadline", "retry"], errors);
-    let service = doc.text("service", ID_RULE, is_valid, errors);
-    let version = doc.text("version", ID_RULE, is_valid, errors);
+    let service = doc.text("service", ID_RULE, is_valid_id, errors);
+    let version = doc.text("version", ID_RULE, is_valid_id, errors);
     let deadline = parse_deadline(doc, errors);
     let retry = doc.optional_flag("retry", errors);
     Some(MovePlan {
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -1,5 +1,5 @@
 //! Identifiers as cheap-to-clone strings. The types differ so that a zone cannot be passed as a
-//! service. Validity of the text is checked where outside input enters, by [`is_valid`].
+//! service. Validity of the text is checked where outside input enters, by [`is_valid_id`].
 
 use std::{fmt, sync::Arc};
 
@@ -31,7 +31,7 @@
             /// Whether the text is an acceptable identifier.
             #[must_use]
             pub fn is_valid(&self) -> bool {
-                is_valid(&self.0)
+                is_valid_id(&self.0)
             }
         }
 
@@ -93,7 +93,8 @@
 );
 
 /// Accepts 1 to 64 ASCII letters, digits, `-`, `_` and `.`, starting with a letter or digit.
-pub(crate) fn is_valid(text: &str) -> bool {
+#[must_use]
+pub fn is_valid_id(text: &str) -> bool {
     let bytes = text.as_bytes();
     let Some(first) = bytes.first() else {
         return false;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -25,6 +25,7 @@
     hash::{rendezvous, rendezvous_rank},
     ids::{
         ClassName, InstanceId, OperatorName, Region, ServiceName, TargetId, Tenant, Version, Zone,
+        is_valid_id,
     },
     move_plan::MovePlan,
     operator::{Operator, Role},
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Code, ConfigError, Document, InstanceId, Operator, OperatorName, Region, Role, Tenant, Zone,
-    config::parse_table, ids::is_valid,
+    config::parse_table, ids::is_valid_id,
 };
 
 const ID_RULE: &str = "1 to 64 letters, digits, '-', '_' or '.', the first a letter or digit";
@@ -75,14 +75,14 @@
 
 fn parse_settings(doc: &Document<'_>, errors: &mut Vec<ConfigError>) -> Option<Settings> {
     doc.check_keys(KEYS, errors);
-    let instance = doc.text("instance", ID_RULE, is_valid, errors);
-    let zone = doc.text("zone", ID_RULE, is_valid, errors);
-    let region = doc.text("region", ID_RULE, is_valid, errors);
+    let instance = doc.text("instance", ID_RULE, is_valid_id, errors);
+    let zone = doc.text("zone", ID_RULE, is_valid_id, errors);
+    let region = doc.text("region", ID_RULE, is_valid_id, errors);
     let listen = address(doc, "listen", errors);
     let peer = address(doc, "peer", errors);
     let admin = address(doc, "admin", errors);
     let log = address(doc, "log", errors);
-    let stream = doc.optional_text("stream", ID_RULE, is_valid, errors);
+    let stream = doc.optional_text("stream", ID_RULE, is_valid_id, errors);
     let list = address(doc, "list", errors);
     let statsd = doc.optional_text("statsd", ADDR_RULE, is_address, errors);
     let threads = doc.optional_number("threads", 0, MAX_THREADS, errors);
@@ -131,8 +131,8 @@
 
 fn parse_operator(doc: &Document<'_>, errors: &mut Vec<ConfigError>) -> Option<Operator> {
     doc.check_keys(&["name", "tenant", "role", "token_sha256"], errors);
-    let name = doc.text("name", ID_RULE, is_valid, errors);
-    let tenant = doc.optional_text("tenant", ID_RULE, is_valid, errors);
+    let name = doc.text("name", ID_RULE, is_valid_id, errors);
+    let tenant = doc.optional_text("tenant", ID_RULE, is_valid_id, errors);
     let role = doc.text("role", ROLE_RULE, |r| parse_role(r).is_some(), errors);
     let token = doc.text("token_sha256", TOKEN_RULE, is_sha256, errors);
     let role = role.and_then(parse_role)?;
--- /dev/null
+++ b/crates/node/src/admin/tests.rs
@@ -0,0 +1,548 @@
+//! The server on real sockets against a small control loop. Guards against operators who see or
+//! change what is not theirs, against answers without a code, and against clients that hold the
+//! server up.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use async_std::{
+    channel::{Receiver, unbounded},
+    io::{ReadExt, WriteExt},
+    net::{TcpListener, TcpStream},
+    task,
+};
+use http_types::Method;
+use model::{Code, Settings, Tenant, Version, Wall};
+use platform::{HttpRequest, exchange};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+use wire::{AuditEntry, Body, ConfigAnswer, MoveStatus, ProposalAnswer, Record, Status};
+
+use crate::{
+    Token,
+    admin::serve_admin,
+    context::Context,
+    control::{AdminRequest, ControlEvent, Proposal, StatusReply},
+};
+
+const ORDERS: &str = "[[service]]\nname = \"orders\"\nversion = \"v1\"\n[[service.class]]\nname = \
+                      \"confirmation\"\ntarget_ms = 60\ndelay_ms = 20\nidempotent = false\n";
+const OPERATORS: [(&str, &str); 5] = [
+    ("lemovka", "read"),
+    ("lemovka", "publish"),
+    ("sacaria", "read"),
+    ("sacaria", "publish"),
+    ("", "platform"),
+];
+
+/// A control loop that decides at once: proposals against revision 7 of a tenant's document or
+/// change 0 of a zone are accepted at offset 9, ids that contain `silent` get no reply.
+async fn control_loop(events: Receiver<ControlEvent>) {
+    let mut decided: BTreeMap<String, Proposal> = BTreeMap::new();
+    let mut held = Vec::new();
+    let mut text = ORDERS.to_owned();
+    while let Ok(event) = events.recv().await {
+        let ControlEvent::Admin(request) = event else {
+            continue;
+        };
+        match request {
+            AdminRequest::Propose { record, reply } if record.id.contains("silent") => {
+                held.push((record, reply));
+            }
+            AdminRequest::Propose { record, reply } => {
+                let proposal = decide(&record);
+                if let (Body::Config { text: new, .. }, Code::Accepted) =
+                    (&record.body, proposal.answer.code)
+                {
+                    text.clone_from(new);
+                }
+                let _ = reply.try_send(proposal.answer.clone());
+                decided.insert(record.id, proposal);
+            }
+            AdminRequest::Lookup { id, reply } => {
+                let _ = reply.try_send(decided.get(&id).cloned());
+            }
+            AdminRequest::Status { reply } => {
+                let _ = reply.try_send(status());
+            }
+            AdminRequest::Config { tenant, reply } => {
+                let known = tenant == Tenant::new("lemovka");
+                let answer = ConfigAnswer {
+                    revision: if known { 9 } else { 0 },
+                    text: if known { text.clone() } else { String::new() },
+                };
+                let _ = reply.try_send(answer);
+            }
+            AdminRequest::Audit { from, limit, reply } => {
+                let entries = audit().into_iter().filter(|e| e.offset >= from);
+                let _ = reply.try_send(entries.take(limit).collect());
+            }
+        }
+    }
+}
+
+fn decide(record: &Record) -> Proposal {
+    let (tenant, base, expected) = match &record.body {
+        Body::Config { tenant, base, .. } => (Some(tenant.clone()), *base, 7),
+        Body::Zone { base, .. } => (None, *base, 0),
+        other => panic!("unexpected proposal {other:?}"),
+    };
+    let code = if base == expected {
+        Code::Accepted
+    } else {
+        Code::Stale
+    };
+    let answer = ProposalAnswer {
+        id: record.id.clone(),
+        code,
+        offset: Some(9),
+        detail: String::new(),
+    };
+    Proposal { tenant, answer }
+}
+
+fn status() -> StatusReply {
+    let plan = |service: &str| MoveStatus {
+        plan: format!("{service}/v2/1"),
+        service: service.into(),
+        from: Version::new("v1"),
+        to: Version::new("v2"),
+        deadline: Wall(1),
+        share: 100,
+        verdict: None,
+        reason: String::new(),
+        decided: None,
+    };
+    StatusReply {
+        status: Status {
+            instance: "i-1".into(),
+            offset: 9,
+            peers: BTreeMap::from([("i-2".into(), 8)]),
+            revisions: BTreeMap::from([("lemovka".into(), 7), ("sacaria".into(), 5)]),
+            zones: BTreeMap::from([("b".into(), (true, 6))]),
+            moves: vec![plan("orders"), plan("dispatch"), plan("nobodys")],
+            log_up: true,
+        },
+        owners: BTreeMap::from([
+            ("orders".into(), "lemovka".into()),
+            ("dispatch".into(), "sacaria".into()),
+        ]),
+        zones: ["a".into(), "b".into()].into(),
+    }
+}
+
+/// Offsets 1 to 30: lemovka, sacaria and the platform in turn.
+fn audit() -> Vec<AuditEntry> {
+    let tenants = [Some("lemovka"), Some("sacaria"), None];
+    let entry = |offset: u64| AuditEntry {
+        offset,
+        id: format!("p-{offset}"),
+        author: "ana".into(),
+        tenant: tenants[usize::try_from(offset - 1).unwrap() % 3].map(Tenant::new),
+        what: "config".to_owned(),
+        base: 0,
+        code: Code::Accepted,
+        at: Wall(offset),
+    };
+    (1..=30).map(entry).collect()
+}
+
+fn token(tenant: &str, role: &str) -> String {
+    format!("token-{tenant}-{role}")
+}
+
+fn operator_lines(tenant: &str, role: &str) -> String {
+    let digest = format!("{:x}", Sha256::digest(token(tenant, role)));
+    let tenant_line = if tenant.is_empty() {
+        String::new()
+    } else {
+        format!("tenant = \"{tenant}\"\n")
+    };
+    format!(
+        "[[operator]]\nname = \"{role}{tenant}\"\n{tenant_line}role = \"{role}\"\ntoken_sha256 = \
+         \"{digest}\"\n"
+    )
+}
+
+async fn start() -> (SocketAddr, Token) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let admin = listener.local_addr().unwrap();
+    let mut text = format!(
+        "instance = \"i-1\"\nzone = \"a\"\nregion = \"r1\"\nlisten = \"127.0.0.1:1\"\npeer = \
+         \"127.0.0.1:2\"\nadmin = \"{admin}\"\nlog = \"127.0.0.1:3\"\nlist = \"127.0.0.1:4\"\n"
+    );
+    for (tenant, role) in OPERATORS {
+        text.push_str(&operator_lines(tenant, role));
+    }
+    let settings = Settings::parse("test", &text).unwrap();
+    let (sender, events) = unbounded();
+    let cancel = Token::new();
+    task::spawn(control_loop(events));
+    task::spawn(serve_admin(
+        Context::new(settings, sender),
+        cancel.child(),
+        listener,
+    ));
+    (admin, cancel)
+}
+
+async fn send(
+    addr: SocketAddr,
+    token: Option<&str>,
+    method: Method,
+    path: &str,
+    body: &[u8],
+) -> (u16, Value) {
+    let request = HttpRequest {
+        addr,
+        method,
+        path,
+        token,
+        body,
+        limit_ms: 8_000,
+    };
+    let answer = exchange(&request).await.unwrap();
+    let value = serde_json::from_slice(&answer.body).unwrap_or_else(|e| {
+        let text = String::from_utf8_lossy(&answer.body);
+        panic!("{path}: body {text:?} is not JSON: {e}")
+    });
+    (answer.status, value)
+}
+
+async fn publish(addr: SocketAddr, id: &str, base: u64, text: &str) -> (u16, Value) {
+    let body = json!({"id": id, "base": base, "text": text}).to_string();
+    let token = token("lemovka", "publish");
+    let path = "/v1/config/lemovka";
+    send(addr, Some(&token), Method::Post, path, body.as_bytes()).await
+}
+
+/// Every endpoint with every role. The columns are no token, an unknown token, and `OPERATORS`.
+#[test]
+fn endpoints_by_role() {
+    let doc = json!({"id": "p-0", "base": 7, "text": ORDERS}).to_string();
+    let zone = json!({"id": "z-0", "base": 0, "out": true}).to_string();
+    let (get, post) = (Method::Get, Method::Post);
+    let table = [
+        (
+            get,
+            "/v1/config/lemovka",
+            "",
+            [401, 401, 200, 200, 403, 403, 200],
+        ),
+        (
+            get,
+            "/v1/config/sacaria",
+            "",
+            [401, 401, 403, 403, 200, 200, 200],
+        ),
+        (
+            post,
+            "/v1/config/lemovka",
+            &doc,
+            [401, 401, 403, 200, 403, 403, 403],
+        ),
+        (
+            post,
+            "/v1/config/sacaria",
+            &doc,
+            [401, 401, 403, 403, 403, 200, 403],
+        ),
+        (
+            post,
+            "/v1/zones/b",
+            &zone,
+            [401, 401, 403, 403, 403, 403, 200],
+        ),
+        (
+            get,
+            "/v1/proposals/p-0",
+            "",
+            [401, 401, 200, 200, 200, 200, 404],
+        ),
+        (
+            get,
+            "/v1/proposals/z-0",
+            "",
+            [401, 401, 404, 404, 404, 404, 200],
+        ),
+        (
+            get,
+            "/v1/proposals/lemovka/p-0",
+            "",
+            [401, 401, 200, 200, 403, 403, 200],
+        ),
+        (get, "/v1/status", "", [401, 401, 200, 200, 200, 200, 200]),
+        (get, "/v1/moves", "", [401, 401, 200, 200, 200, 200, 200]),
+        (get, "/v1/audit", "", [401, 401, 200, 200, 200, 200, 200]),
+    ];
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let mut tokens = vec![None, Some("token-unknown".to_owned())];
+        tokens.extend(OPERATORS.map(|(tenant, role)| Some(token(tenant, role))));
+        for (method, path, body, expected) in table {
+            for (token, expected) in tokens.iter().zip(expected) {
+                let (status, answer) =
+                    send(addr, token.as_deref(), method, path, body.as_bytes()).await;
+                let case = format!("{method} {path} with {token:?}: {answer}");
+                assert_eq!(status, expected, "{case}");
+                match status {
+                    401 => assert_eq!(answer["code"], 6011, "{case}"),
+                    403 => assert_eq!(answer["code"], 6006, "{case}"),
+                    404 => assert_eq!(answer["code"], 6013, "{case}"),
+                    _ => {}
+                }
+            }
+        }
+        cancel.cancel();
+    });
+}
+
+#[test]
+fn answers_hold_own_tenant_only() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        for tenant in ["lemovka", "sacaria"] {
+            let other = if tenant == "lemovka" {
+                "dispatch"
+            } else {
+                "orders"
+            };
+            let token = token(tenant, "read");
+            let (_, status) = send(addr, Some(&token), Method::Get, "/v1/status", b"").await;
+            assert_eq!(status["revisions"].as_object().unwrap().len(), 1);
+            assert!(status["revisions"][tenant].is_u64());
+            assert_eq!(status["zones"]["b"], json!([true, 6]));
+            for path in ["/v1/status", "/v1/moves"] {
+                let (_, answer) = send(addr, Some(&token), Method::Get, path, b"").await;
+                assert_eq!(answer["moves"].as_array().unwrap().len(), 1);
+                assert!(!answer["moves"].to_string().contains(other));
+            }
+            let (_, audit) = send(addr, Some(&token), Method::Get, "/v1/audit", b"").await;
+            let entries = audit["entries"].as_array().unwrap();
+            assert_eq!((entries.len(), &audit["next"]), (10, &Value::Null));
+            assert!(entries.iter().all(|e| e["tenant"] == tenant));
+        }
+        let token = token("", "platform");
+        let (_, status) = send(addr, Some(&token), Method::Get, "/v1/status", b"").await;
+        assert_eq!(status["moves"].as_array().unwrap().len(), 3);
+        cancel.cancel();
+    });
+}
+
+/// Guards against entries lost or repeated between pages.
+#[test]
+fn audit_pages_join() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let token = token("sacaria", "read");
+        let (mut from, mut offsets) = (0, Vec::new());
+        for _ in 0..30 {
+            let path = format!("/v1/audit?from={from}&limit=3");
+            let (status, page) = send(addr, Some(&token), Method::Get, &path, b"").await;
+            assert_eq!(status, 200);
+            let entries = page["entries"].as_array().unwrap();
+            assert!(entries.len() <= 3);
+            offsets.extend(entries.iter().map(|e| e["offset"].as_u64().unwrap()));
+            let Some(next) = page["next"].as_u64() else {
+                break;
+            };
+            from = next;
+        }
+        assert_eq!(offsets, (0..10).map(|i| 3 * i + 2).collect::<Vec<u64>>());
+        for query in ["limit=0", "limit=1001", "from=x", "limi=3"] {
+            let path = format!("/v1/audit?{query}");
+            let (status, answer) = send(addr, Some(&token), Method::Get, &path, b"").await;
+            assert_eq!((status, &answer["code"]), (400, &json!(6014)), "{query}");
+        }
+        cancel.cancel();
+    });
+}
+
+#[test]
+fn publish_checks_before_proposing() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let wrong = ORDERS.replace("target_ms = 60", "target_ms = 0\nweight = 1");
+        let (status, answer) = publish(addr, "p-1", 7, &wrong).await;
+        assert_eq!((status, &answer["code"]), (422, &json!(5002)));
+        let detail = answer["detail"].as_str().unwrap();
+        assert!(detail.contains("service[0].class[0].weight"), "{detail}");
+        assert!(detail.contains("target_ms: got 0;"), "{detail}");
+        // 48 KiB of quotes are 96 KiB of JSON, more than a record may have.
+        let quoted = format!("{ORDERS}# {}\n", "\"".repeat(40 * 1024));
+        let (status, answer) = publish(addr, "p-1", 7, &quoted).await;
+        assert_eq!((status, &answer["code"]), (413, &json!(7004)));
+        let large = "#".repeat(300 * 1024);
+        let (status, answer) = publish(addr, "p-1", 7, &large).await;
+        assert_eq!((status, &answer["code"]), (413, &json!(5007)));
+        let (status, answer) = publish(addr, "../p-1", 7, ORDERS).await;
+        assert_eq!((status, &answer["code"]), (400, &json!(6014)));
+        let token = token("lemovka", "publish");
+        for body in [
+            "",
+            "{",
+            "{}",
+            r#"{"id":"p-1","base":7,"text":"","force":true}"#,
+        ] {
+            let path = "/v1/config/lemovka";
+            let (status, answer) =
+                send(addr, Some(&token), Method::Post, path, body.as_bytes()).await;
+            assert_eq!((status, &answer["code"]), (400, &json!(6014)), "{body}");
+        }
+        // Nothing of this reached the log: the id is still free.
+        let (status, answer) = publish(addr, "p-1", 7, ORDERS).await;
+        let accepted = json!({"id": "p-1", "code": 6001, "offset": 9, "detail": ""});
+        assert_eq!((status, answer), (200, accepted));
+        cancel.cancel();
+    });
+}
+
+/// Guards against a repeat that is applied twice, and against one that is answered with the success
+/// of another document.
+#[test]
+fn publish_repeat() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let first = publish(addr, "p-1", 7, ORDERS).await;
+        assert_eq!(publish(addr, "p-1", 7, ORDERS).await, first);
+        let (status, answer) = publish(addr, "p-1", 7, &format!("{ORDERS}# changed\n")).await;
+        assert_eq!((status, &answer["code"]), (409, &json!(6004)));
+        let (status, answer) = publish(addr, "p-2", 6, ORDERS).await;
+        assert_eq!((status, &answer["code"]), (409, &json!(6003)));
+        cancel.cancel();
+    });
+}
+
+#[test]
+fn zone_unknown_name() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let token = token("", "platform");
+        let body = json!({"id": "z-1", "base": 0, "out": true}).to_string();
+        let path = "/v1/zones/c";
+        let (status, answer) = send(addr, Some(&token), Method::Post, path, body.as_bytes()).await;
+        assert_eq!((status, &answer["code"]), (409, &json!(6005)));
+        assert_eq!(answer["detail"], "zone: got c; allowed: a, b");
+        cancel.cancel();
+    });
+}
+
+#[test]
+fn errors_have_bodies() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let token = token("", "platform");
+        let cases = [
+            (Method::Get, "/", 404, 6014),
+            (Method::Get, "/v1/config/", 404, 6014),
+            (Method::Post, "/v1/status", 405, 6014),
+            (Method::Delete, "/v1/config/lemovka", 405, 6014),
+            (Method::Get, "/v1/config/a%20b", 400, 6014),
+            (Method::Get, "/v1/health", 503, 3007),
+        ];
+        for (method, path, status, code) in cases {
+            let (got, answer) = send(addr, Some(&token), method, path, b"").await;
+            assert_eq!((got, &answer["code"]), (status, &json!(code)), "{path}");
+            assert!(!answer["detail"].as_str().unwrap().is_empty());
+        }
+        cancel.cancel();
+    });
+}
+
+/// Clients that stop in the head or the body, and a log that does not decide. Each is answered after
+/// its time limit of 5 s, and the server serves others meanwhile.
+#[test]
+fn slow_parts_end_in_time() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let head = task::spawn(raw(addr, b"GET /v1/status HTTP/1.1\r\nhost: x".to_vec()));
+        let token = token("lemovka", "publish");
+        let half = format!(
+            "POST /v1/config/lemovka HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {token}\r\n\
+             content-length: 900\r\n\r\n{{"
+        );
+        let body = task::spawn(raw(addr, half.into_bytes()));
+        let silent = task::spawn(publish_silent(addr));
+        let (status, _) = publish(addr, "p-1", 7, ORDERS).await;
+        assert_eq!(status, 200);
+        let head = head.await;
+        assert!(
+            head.starts_with("HTTP/1.1 408") && head.contains("2005"),
+            "{head}"
+        );
+        let body = body.await;
+        assert!(
+            body.starts_with("HTTP/1.1 408") && body.contains("2005"),
+            "{body}"
+        );
+        let (status, answer) = silent.await;
+        assert_eq!((status, &answer["code"]), (202, &json!(6002)));
+        assert_eq!(answer["id"], "silent-1");
+        cancel.cancel();
+    });
+}
+
+async fn publish_silent(addr: SocketAddr) -> (u16, Value) {
+    publish(addr, "silent-1", 7, ORDERS).await
+}
+
+async fn raw(addr: SocketAddr, bytes: Vec<u8>) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(&bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let read = stream.read_to_end(&mut answer);
+    let limit = Duration::from_secs(8);
+    let _ = async_std::future::timeout(limit, read)
+        .await
+        .expect("an answer in time");
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[test]
+fn connections_bounded() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let mut held = Vec::new();
+        for _ in 0..64 {
+            held.push(TcpStream::connect(addr).await.unwrap());
+        }
+        assert_eq!(raw(addr, b"GET /v1/health HTTP/1.1\r\n".to_vec()).await, "");
+        held.clear();
+        task::sleep(Duration::from_millis(100)).await;
+        let (status, _) = send(addr, None, Method::Get, "/v1/health", b"").await;
+        assert_eq!(status, 503);
+        cancel.cancel();
+    });
+}
+
+/// Guards against digests that match in part, and against tokens in other places or forms.
+#[test]
+fn find_operator() {
+    let text = token("", "platform");
+    let digest = format!("{:x}", Sha256::digest(&text));
+    let operator = |name: &str, token_sha256: &str| model::Operator {
+        name: name.into(),
+        tenant: None,
+        role: model::Role::Platform,
+        token_sha256: token_sha256.to_owned(),
+    };
+    let last = if digest.ends_with('0') { '1' } else { '0' };
+    let near = format!("{}{last}", &digest[..63]);
+    let known = super::access::Operators::new(&[
+        operator("right", &digest),
+        operator("near", &near),
+        operator("broken", "xyz"),
+    ]);
+    let find = |header: &str| known.find(Some(header)).map(|o| o.name.to_string());
+    assert_eq!(find(&format!("Bearer {text}")).as_deref(), Some("right"));
+    assert_eq!(find(&format!("bearer  {text} ")).as_deref(), Some("right"));
+    for wrong in [
+        &text,
+        &format!("Basic {text}"),
+        &format!("Bearer {digest}"),
+        "Bearer ",
+        "",
+    ] {
+        assert_eq!(find(wrong), None, "{wrong}");
+    }
+    assert!(known.find(None).is_none());
+}
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -3,6 +3,8 @@
 use model::{InstanceId, ServiceName};
 use wire::{Fact, ListAnswer, LoanMsg, LogEntry};
 
+use crate::control::AdminRequest;
+
 /// What the control thread is told.
 #[derive(Debug)]
 pub enum ControlEvent {
@@ -21,4 +23,6 @@
     },
     /// A fact became known here.
     Fact(Fact),
+    /// The administration API asks for something.
+    Admin(AdminRequest),
 }
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -57,6 +57,11 @@
                 debug!(?fact, "event=fact_unsent");
                 continue;
             }
+            // Dropping the reply channel makes the administration API answer "busy".
+            ControlEvent::Admin(request) => {
+                drop(request);
+                continue;
+            }
         }
         publish(&control);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,6 +2,7 @@
 //! are made by `policy` and `state`; this crate moves bytes and events.
 
 mod addresses;
+mod admin;
 mod call;
 mod cancel;
 mod clock;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     Token,
+    admin::serve_admin,
     context::Context,
     control::{read_list, read_log, spawn_control},
     listener::serve_callers,
@@ -54,9 +55,8 @@
         let (sender, receiver) = unbounded();
         let ctx = Context::new(settings, sender);
         let addr = ctx.settings.listen;
-        let listener = TcpListener::bind(addr)
-            .await
-            .map_err(|error| NodeError::Listen { addr, error })?;
+        let listener = bind(addr).await?;
+        let admin = bind(ctx.settings.admin).await?;
         let control =
             spawn_control(Arc::clone(&ctx), cancel.child(), receiver).map_err(NodeError::Thread)?;
         let node = Self {
@@ -73,6 +73,7 @@
             node.cancel.child(),
             listener,
         ));
+        task::spawn(serve_admin(Arc::clone(ctx), node.cancel.child(), admin));
         info!(instance = %ctx.settings.instance, %addr, "event=started");
         Ok(node)
     }
@@ -86,6 +87,12 @@
     }
 }
 
+async fn bind(addr: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|error| NodeError::Listen { addr, error })
+}
+
 /// Announces this instance in the platform's list.
 async fn register(ctx: &Context, state: EntryState) -> Result<(), PlatformError> {
     let settings = &ctx.settings;
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -31,6 +31,24 @@
     pub out: bool,
 }
 
+/// Answer of `GET /v1/config/{tenant}`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigAnswer {
+    /// Revision of the document in force, 0 if there is none.
+    pub revision: u64,
+    /// The TOML text, empty if there is none.
+    pub text: String,
+}
+
+/// Answer of `GET /v1/health` from an instance that has a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Health {
+    /// Instance that answers.
+    pub instance: InstanceId,
+    /// Last log offset in force there.
+    pub offset: u64,
+}
+
 /// Answer to a proposal, at once or asked for later by its id.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProposalAnswer {
@@ -76,6 +94,13 @@
     pub decided: Option<Wall>,
 }
 
+/// Answer of `GET /v1/moves`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MovesAnswer {
+    /// Moves that the operator may see.
+    pub moves: Vec<MoveStatus>,
+}
+
 /// Answer of `GET /v1/status`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
@@ -87,7 +112,7 @@
     pub peers: BTreeMap<InstanceId, u64>,
     /// Revision of each tenant's document that the operator may see.
     pub revisions: BTreeMap<Tenant, u64>,
-    /// Zones that are out, each with the offset of its last change.
+    /// Zones that were ever changed: whether each is out, and the offset of its last change.
     pub zones: BTreeMap<Zone, (bool, u64)>,
     /// Moves that the operator may see.
     pub moves: Vec<MoveStatus>,
@@ -121,4 +146,7 @@
 pub struct AuditPage {
     /// Entries in offset order.
     pub entries: Vec<AuditEntry>,
+    /// Value of `from` that continues the trail; `None` at its end.
+    #[serde(default)]
+    pub next: Option<u64>,
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,8 +12,8 @@
 
 pub use crate::{
     admin::{
-        AuditEntry, AuditPage, ErrorBody, MoveStatus, ProposalAnswer, PublishRequest, Status,
-        ZoneRequest,
+        AuditEntry, AuditPage, ConfigAnswer, ErrorBody, Health, MoveStatus, MovesAnswer,
+        ProposalAnswer, PublishRequest, Status, ZoneRequest,
     },
     body::{Body, Verdict},
     error::WireError,
