hibiscusctl: check, publish, watch, status, moves, audit, zone and proposal

Every change goes through the administration API. Exit codes are fixed; an unanswered proposal keeps its id, so that it can be asked for or repeated.

--- /dev/null
+++ b/crates/ctl/src/commands/mod.rs
@@ -0,0 +1,49 @@
+//! One module for each group of commands.
+
+mod check;
+mod propose;
+mod show;
+mod watch;
+
+use model::is_valid_id;
+
+use crate::{
+    args::{Args, Command},
+    client::Client,
+    exit::Exit,
+    failure::Failure,
+    output::Output,
+};
+
+/// Runs the command of the command line.
+pub async fn run(args: &Args, output: Output) -> Result<Exit, Failure> {
+    let Some(command) = &args.command else {
+        let text = "no command; hibiscusctl --help lists them";
+        return Err(Failure::Usage(text.to_owned()));
+    };
+    if let Command::Check(check) = command {
+        return check::check(check, output);
+    }
+    let client = Client::new(args)?;
+    match command {
+        Command::Check(check) => check::check(check, output),
+        Command::Publish(publish) => propose::publish(&client, publish, output).await,
+        Command::Zone(zone) => propose::zone(&client, zone, output).await,
+        Command::Proposal(proposal) => propose::proposal(&client, proposal, output).await,
+        Command::Watch(watch) => watch::watch(&client, watch, output).await,
+        Command::Status(_) => show::status(&client, output).await,
+        Command::Moves(_) => show::moves(&client, output).await,
+        Command::Audit(audit) => show::audit(&client, audit, output).await,
+    }
+}
+
+/// Refuses text that may not be part of a path or an id.
+fn check_name(what: &str, text: &str) -> Result<(), Failure> {
+    if is_valid_id(text) {
+        return Ok(());
+    }
+    let rule = "1 to 64 letters, digits, '-', '_' or '.', the first a letter or digit";
+    Err(Failure::Usage(format!(
+        "{what}: got {text}; allowed: {rule}"
+    )))
+}
--- a/crates/model/src/config/tests.rs
+++ b/crates/model/src/config/tests.rs
@@ -86,6 +86,13 @@
 }
 
 proptest! {
+    /// Guards against deadlines that are shown as another time than the one stated.
+    #[test]
+    fn display_wall_round_trip(ms in 0_u64..253_402_300_800_000) {
+        let time: toml::value::Datetime = Wall(ms).to_string().parse().unwrap();
+        prop_assert_eq!(unix_ms(&time), Some(ms));
+    }
+
     /// Guards against panics on any input.
     #[test]
     fn parse_any_text(text in "\\PC{0,400}") {
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -1,7 +1,11 @@
 //! Monotonic and wall-clock time as plain numbers, passed into decisions as arguments.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
+const MS_PER_DAY: u64 = 86_400_000;
+
 /// Microseconds on an instance's monotonic clock. Never sent to another instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Time(pub u64);
@@ -55,3 +59,34 @@
         self.0.saturating_sub(earlier.0)
     }
 }
+
+/// Writes the time as in configuration documents: `2026-12-05T10:00:00.250Z`.
+impl fmt::Display for Wall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (year, month, day) = civil_date(self.0 / MS_PER_DAY);
+        let ms = self.0 % MS_PER_DAY;
+        let (hour, minute) = (ms / 3_600_000, ms / 60_000 % 60);
+        let (second, ms) = (ms / 1_000 % 60, ms % 1_000);
+        write!(
+            f,
+            "{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{ms:03}Z"
+        )
+    }
+}
+
+/// Gregorian date of a day counted from 1970-01-01. Years are counted from March, so that the leap
+/// day is the last day of a year.
+const fn civil_date(days: u64) -> (u64, u64, u64) {
+    const DAYS_TO_EPOCH: u64 = 719_468; // from 0000-03-01 to 1970-01-01
+    const DAYS_PER_ERA: u64 = 146_097; // 400 years
+    let days = days + DAYS_TO_EPOCH;
+    let (era, day_of_era) = (days / DAYS_PER_ERA, days % DAYS_PER_ERA);
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month_from_march = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month_from_march + 2) / 5 + 1;
+    let month = (month_from_march + 2) % 12 + 1;
+    let year = era * 400 + year_of_era + if month <= 2 { 1 } else { 0 };
+    (year, month, day)
+}
