Checks for counts, own addresses, shared tokens and control characters

Documents hold at most 64 services of 16 classes, settings at most 256 operators. Addresses of one instance must differ and be reachable. Errors escape control characters: a key could carry terminal sequences into logs before.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -14,6 +14,13 @@
 /// Largest configuration document in bytes. It has to fit in one log record.
 pub const MAX_CONFIG_BYTES: usize = 48 * 1024;
 
+/// Most services in a document. The whole platform is expected to grow to 33 services.
+pub const MAX_SERVICES: usize = 64;
+/// Most classes in a service.
+pub const MAX_CLASSES: usize = 16;
+/// Longest syntax error shown, in characters; it quotes the line of the document.
+const MAX_SYNTAX_CHARS: usize = 400;
+
 const ID_RULE: &str =
     "1 to 64 letters, digits, '-', '_' or '.', the first of them a letter or digit";
 const TIME_RULE: &str = "a date and time with offset, such as 2026-12-05T10:00:00Z";
@@ -73,19 +80,21 @@
             &allowed,
         ));
     }
-    text.parse::<Table>().map_err(|e| {
-        error(
-            Code::Syntax,
-            e.to_string().trim().replace('\n', " "),
-            "valid TOML",
-        )
-    })
+    text.parse::<Table>()
+        .map_err(|e| error(Code::Syntax, one_line(&e.to_string()), "valid TOML"))
+}
+
+/// The parser's message on one bounded line without control characters.
+fn one_line(message: &str) -> String {
+    let space = |c: char| if c.is_control() { ' ' } else { c };
+    let line = message.trim().chars().take(MAX_SYNTAX_CHARS);
+    line.map(space).collect()
 }
 
 fn parse_services(doc: &Document<'_>, errors: &mut Vec<ConfigError>) -> Vec<Service> {
     let mut names = BTreeSet::new();
     let mut services = Vec::new();
-    for table in doc.tables("service", errors) {
+    for table in doc.tables("service", MAX_SERVICES, errors) {
         let Some(service) = parse_service(&table, errors) else {
             continue;
         };
@@ -111,8 +120,9 @@
 }
 
 fn parse_classes(doc: &Document<'_>, errors: &mut Vec<ConfigError>) -> Vec<Class> {
-    let tables = doc.tables("class", errors);
-    if tables.is_empty() {
+    let before = errors.len();
+    let tables = doc.tables("class", MAX_CLASSES, errors);
+    if tables.is_empty() && errors.len() == before {
         errors.push(doc.error(Code::MissingKey, "class", "nothing", "at least one class"));
     }
     let mut names = BTreeSet::new();
@@ -166,7 +176,7 @@
 ) -> Vec<MovePlan> {
     let mut seen = BTreeSet::new();
     let mut moves = Vec::new();
-    for table in doc.tables("move", errors) {
+    for table in doc.tables("move", MAX_SERVICES, errors) {
         let Some(plan) = parse_move(&table, errors) else {
             continue;
         };
--- a/crates/model/src/config/tests.rs
+++ b/crates/model/src/config/tests.rs
@@ -85,6 +85,84 @@
     assert_eq!(unix_ms(&time), Some(1_709_163_000_250));
 }
 
+/// Guards against documents that reserve memory or time out of proportion to any real use.
+#[test]
+fn parse_many_entries() {
+    let service = GOOD.split("[[move]]").next().unwrap();
+    let class = service.split_once("[[service.class]]").unwrap().1;
+    let services: String = (0..=MAX_SERVICES)
+        .map(|i| service.replace("\"orders\"", &format!("\"orders-{i}\"")))
+        .collect();
+    assert_eq!(
+        errors(&services),
+        ["5004: orders.toml: service: got 65; allowed: at most 64 entries"]
+    );
+    let named = |i| class.replace("confirmation", &format!("c{i}"));
+    let classes: String = (0..=MAX_CLASSES)
+        .flat_map(|i| ["[[service.class]]".to_owned(), named(i)])
+        .collect();
+    let head = service.split_once("[[service.class]]").unwrap().0;
+    assert_eq!(
+        errors(&format!("{head}{classes}")),
+        ["5004: orders.toml: service[0].class: got 17; allowed: at most 16 entries"]
+    );
+}
+
+#[test]
+fn parse_absurd_numbers() {
+    let numbers = [
+        "-1",
+        "600001",
+        "9223372036854775807",
+        "1e3",
+        "60.0",
+        "\"60\"",
+        "nan",
+        "[60]",
+    ];
+    for number in numbers {
+        let found = errors(&GOOD.replace("target_ms = 60", &format!("target_ms = {number}")));
+        assert_eq!(found.len(), 1, "{found:?}");
+        assert!(found[0].starts_with("5004: orders.toml: service[0].class[0].target_ms:"));
+    }
+    let beyond = errors(&GOOD.replace("target_ms = 60", "target_ms = 9223372036854775808"));
+    assert!(beyond[0].starts_with("5001: "), "{beyond:?}");
+}
+
+/// Guards against text of a document that steers a terminal or splits a log line.
+#[test]
+fn parse_control_characters() {
+    let texts = [
+        GOOD.replace("\"orders\"", "\"or\\u001bders\""),
+        GOOD.replace("idempotent", "\"a\\u001b[2J\\nb\" = 1\nidempotent"),
+        GOOD.replace("\"v2\"", "\"v2\\u0007\""),
+        GOOD.replace("\"orders\"", "\"or\u{1b}[2Jders\""),
+        GOOD.replace(
+            "target_ms",
+            &format!("{} = 1\ntarget_ms", "k".repeat(9_000)),
+        ),
+    ];
+    for text in texts {
+        let found = errors(&text);
+        for error in &found {
+            assert!(!error.contains(char::is_control), "{error:?}");
+            assert!(error.len() < 1_000, "{error}");
+        }
+    }
+}
+
+/// Guards against a parser that runs out of stack.
+#[test]
+fn parse_deep_nesting() {
+    for text in [
+        "[".repeat(40_000),
+        "a=".to_owned() + &"[".repeat(40_000),
+        "a.".repeat(20_000),
+    ] {
+        assert!(errors(&text)[0].starts_with("5001: "));
+    }
+}
+
 proptest! {
     /// Guards against deadlines that are shown as another time than the one stated.
     #[test]
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -40,8 +40,8 @@
         ConfigError {
             code,
             file: self.file.to_owned(),
-            key: self.key(key),
-            value: value.to_string(),
+            key: self.key(&printable(key)),
+            value: printable(&value.to_string()),
             allowed: allowed.to_owned(),
         }
     }
@@ -151,12 +151,17 @@
         allowed: &str,
         errors: &mut Vec<ConfigError>,
     ) -> Option<T> {
-        errors.push(self.error(Code::BadValue, key, shorten(&value.to_string()), allowed));
+        errors.push(self.error(Code::BadValue, key, value, allowed));
         None
     }
 
-    /// The tables of the array `key`; absent means none.
-    pub fn tables(&self, key: &str, errors: &mut Vec<ConfigError>) -> Vec<Document<'a>> {
+    /// The tables of the array `key`, at most `max`; absent means none.
+    pub fn tables(
+        &self,
+        key: &str,
+        max: usize,
+        errors: &mut Vec<ConfigError>,
+    ) -> Vec<Document<'a>> {
         let Some(value) = self.table.get(key) else {
             return Vec::new();
         };
@@ -165,6 +170,11 @@
             self.reject::<()>(key, value, allowed, errors);
             return Vec::new();
         };
+        if items.len() > max {
+            let allowed = format!("at most {max} entries");
+            errors.push(self.error(Code::BadValue, key, items.len(), &allowed));
+            return Vec::new();
+        }
         let mut found = Vec::new();
         for (index, item) in items.iter().enumerate() {
             let path = format!("{}[{index}]", self.key(key));
@@ -183,13 +193,23 @@
     }
 }
 
-/// Longest part of an offending value that an error shows, in characters.
+/// Longest part of a key or value that an error shows, in characters.
 const MAX_SHOWN_CHARS: usize = 80;
 
-fn shorten(text: &str) -> String {
-    if text.chars().count() <= MAX_SHOWN_CHARS {
-        return text.to_owned();
+/// Text from a document as errors show it: bounded, and with control characters escaped so that they
+/// cannot steer a terminal or split a log line.
+pub(crate) fn printable(text: &str) -> String {
+    let mut shown = String::new();
+    for (index, c) in text.chars().enumerate() {
+        if index == MAX_SHOWN_CHARS {
+            shown.push_str("...");
+            break;
+        }
+        if c.is_control() {
+            shown.extend(c.escape_default());
+        } else {
+            shown.push(c);
+        }
     }
-    let head: String = text.chars().take(MAX_SHOWN_CHARS).collect();
-    format!("{head}...")
+    shown
 }
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,7 +18,7 @@
 pub use crate::{
     class::Class,
     code::{ALL_CODES, Code, Outcome},
-    config::{Config, MAX_CONFIG_BYTES},
+    config::{Config, MAX_CLASSES, MAX_CONFIG_BYTES, MAX_SERVICES},
     config_error::ConfigError,
     document::Document,
     duration::{MAX_DELAY_MS, MAX_TARGET_MS, MAX_TIMEOUT_MS},
@@ -30,6 +30,6 @@
     move_plan::MovePlan,
     operator::{Operator, Role},
     service::Service,
-    settings::Settings,
+    settings::{MAX_OPERATORS, Settings},
     time::{Time, Wall},
 };
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -12,6 +12,18 @@
 const ROLE_RULE: &str = "read, publish or platform";
 const TOKEN_RULE: &str = "64 lower-case hex digits, the SHA-256 of the token";
 
+const ADDR_RULE_OWN: &str =
+    "an IP address and port that others can connect to, such as 10.0.0.7:8080";
+const TOKEN_RULE_EMPTY: &str = "the SHA-256 of a token that is not empty";
+
+/// SHA-256 of the empty text and of a single line end, the usual results of hashing an unset
+/// variable.
+const EMPTY_DIGESTS: [&str; 2] = [
+    "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855",
+    "01ba4719c80b6fe911b091a7c05124b64eeece964e09c058ef8f9805daca546b",
+];
+/// Most operators in a settings file. Every one is compared for each request.
+pub const MAX_OPERATORS: usize = 256;
 /// Largest number of traffic threads.
 const MAX_THREADS: u64 = 64;
 /// Default limit on the time that a planned stop may take.
@@ -78,9 +90,14 @@
     let instance = doc.text("instance", ID_RULE, is_valid_id, errors);
     let zone = doc.text("zone", ID_RULE, is_valid_id, errors);
     let region = doc.text("region", ID_RULE, is_valid_id, errors);
-    let listen = address(doc, "listen", errors);
-    let peer = address(doc, "peer", errors);
+    let listen = own_address(doc, "listen", errors);
+    let peer = own_address(doc, "peer", errors);
     let admin = address(doc, "admin", errors);
+    check_distinct(
+        doc,
+        &[("listen", listen), ("peer", peer), ("admin", admin)],
+        errors,
+    );
     let log = address(doc, "log", errors);
     let stream = doc.optional_text("stream", ID_RULE, is_valid_id, errors);
     let list = address(doc, "list", errors);
@@ -106,7 +123,45 @@
 }
 
 fn is_address(text: &str) -> bool {
-    text.parse::<SocketAddr>().is_ok()
+    text.parse::<SocketAddr>().is_ok_and(|a| a.port() != 0)
+}
+
+/// An address that is announced to others, so that "any address" makes no sense.
+fn is_own_address(text: &str) -> bool {
+    is_address(text)
+        && text
+            .parse::<SocketAddr>()
+            .is_ok_and(|a| !a.ip().is_unspecified())
+}
+
+fn own_address(doc: &Document<'_>, key: &str, errors: &mut Vec<ConfigError>) -> Option<SocketAddr> {
+    let text = doc.text(key, ADDR_RULE_OWN, is_own_address, errors)?;
+    text.parse().ok()
+}
+
+/// Reports addresses of the instance that cannot be bound together.
+fn check_distinct(
+    doc: &Document<'_>,
+    own: &[(&str, Option<SocketAddr>)],
+    errors: &mut Vec<ConfigError>,
+) {
+    for (index, (key, addr)) in own.iter().enumerate() {
+        let Some(addr) = addr else {
+            continue;
+        };
+        let taken = own[..index]
+            .iter()
+            .find(|(_, other)| other.is_some_and(|other| overlap(addr, &other)));
+        if let Some((other, _)) = taken {
+            let allowed = format!("an address that {other} does not use");
+            errors.push(doc.error(Code::Duplicate, key, addr, &allowed));
+        }
+    }
+}
+
+fn overlap(a: &SocketAddr, b: &SocketAddr) -> bool {
+    let any = a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() == b.port() && (any || a.ip() == b.ip())
 }
 
 fn address(doc: &Document<'_>, key: &str, errors: &mut Vec<ConfigError>) -> Option<SocketAddr> {
@@ -115,8 +170,9 @@
 
 fn parse_operators(doc: &Document<'_>, errors: &mut Vec<ConfigError>) -> Vec<Operator> {
     let mut names = BTreeSet::new();
+    let mut tokens = BTreeSet::new();
     let mut operators = Vec::new();
-    for table in doc.tables("operator", errors) {
+    for table in doc.tables("operator", MAX_OPERATORS, errors) {
         let Some(operator) = parse_operator(&table, errors) else {
             continue;
         };
@@ -124,6 +180,10 @@
             let allowed = "a name not used by another operator";
             errors.push(table.error(Code::Duplicate, "name", &operator.name, allowed));
         }
+        if !tokens.insert(operator.token_sha256.clone()) {
+            let allowed = "a token not used by another operator";
+            errors.push(table.error(Code::Duplicate, "token_sha256", &operator.name, allowed));
+        }
         operators.push(operator);
     }
     operators
@@ -135,6 +195,14 @@
     let tenant = doc.optional_text("tenant", ID_RULE, is_valid_id, errors);
     let role = doc.text("role", ROLE_RULE, |r| parse_role(r).is_some(), errors);
     let token = doc.text("token_sha256", TOKEN_RULE, is_sha256, errors);
+    if token.is_some_and(|t| EMPTY_DIGESTS.contains(&t)) {
+        errors.push(doc.error(
+            Code::BadValue,
+            "token_sha256",
+            "the digest of an empty token",
+            TOKEN_RULE_EMPTY,
+        ));
+    }
     let role = role.and_then(parse_role)?;
     let has_tenant = tenant.is_some();
     if has_tenant == (role == Role::Platform) {
--- a/crates/model/src/settings/tests.rs
+++ b/crates/model/src/settings/tests.rs
@@ -63,3 +63,72 @@
     let error = first_error(&GOOD.replace("0123456789abcdef0123456789abcdef0", "secret"));
     assert!(error.contains("operator[0].token_sha256"), "{error}");
 }
+
+/// Guards against instances that fail to start, or that announce an address nobody can reach.
+#[test]
+fn parse_own_addresses() {
+    let cases = [
+        (
+            "127.0.0.1:8081",
+            "127.0.0.1:8080",
+            "5005: i-1.toml: peer: got 127.0.0.1:8080;",
+        ),
+        (
+            "127.0.0.1:8082",
+            "127.0.0.1:8081",
+            "5005: i-1.toml: admin: got 127.0.0.1:8081;",
+        ),
+        (
+            "127.0.0.1:8082",
+            "0.0.0.0:8080",
+            "5005: i-1.toml: admin: got 0.0.0.0:8080;",
+        ),
+        (
+            "127.0.0.1:8080",
+            "0.0.0.0:8080",
+            "5004: i-1.toml: listen: got \"0.0.0.0:8080\";",
+        ),
+        (
+            "127.0.0.1:8080",
+            "127.0.0.1:0",
+            "5004: i-1.toml: listen: got \"127.0.0.1:0\";",
+        ),
+    ];
+    for (from, to, expected) in cases {
+        let error = first_error(&GOOD.replace(from, to));
+        assert!(error.starts_with(expected), "{error}");
+    }
+    let any = GOOD.replace("127.0.0.1:8082", "0.0.0.0:8082");
+    assert!(Settings::parse("i-1.toml", &any).is_ok());
+}
+
+/// Guards against two operators that cannot be told apart, and against an unset token.
+#[test]
+fn parse_shared_or_empty_token() {
+    let operator = GOOD.split_once("[[operator]]").unwrap().1;
+    let second = operator.replace("\"ana\"", "\"bea\"");
+    let error = first_error(&format!("{GOOD}\n[[operator]]{second}"));
+    assert!(
+        error.starts_with("5005: i-1.toml: operator[1].token_sha256: got bea;"),
+        "{error}"
+    );
+    let digest = "0123456789abcdef".repeat(4);
+    for empty in EMPTY_DIGESTS {
+        let error = first_error(&GOOD.replace(&digest, empty));
+        assert!(
+            error.starts_with("5004: i-1.toml: operator[0].token_sha256:"),
+            "{error}"
+        );
+        assert!(!error.contains(empty), "{error}");
+    }
+}
+
+#[test]
+fn parse_many_operators() {
+    let text = format!("{GOOD}{}", "[[operator]]\n".repeat(MAX_OPERATORS));
+    let error = first_error(&text);
+    assert!(
+        error.starts_with("5004: i-1.toml: operator: got 257;"),
+        "{error}"
+    );
+}
