--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -18,17 +18,18 @@
 pub use crate::{
     class::Class,
     code::{ALL_CODES, Code, Outcome},
-    config::{Config, MAX_CONFIG_BYTES},
+    config::{Config, MAX_CLASSES, MAX_CONFIG_BYTES, MAX_SERVICES},
     config_error::ConfigError,
     document::Document,
     duration::{MAX_DELAY_MS, MAX_TARGET_MS, MAX_TIMEOUT_MS},
     hash::{rendezvous, rendezvous_rank},
     ids::{
         ClassName, InstanceId, OperatorName, Region, ServiceName, TargetId, Tenant, Version, Zone,
+        is_valid_id,
     },
     move_plan::MovePlan,
     operator::{Operator, Role},
     service::Service,
-    settings::Settings,
+    settings::{MAX_OPERATORS, Settings},
     time::{Time, Wall},
 };
