Call path: streaming, guarded attempts, pools without locks, planned stop

Bodies pass through with bounded buffers; each attempt is an object whose drop closes its connection and reports its end, so that a start has exactly one finish. A statement that a call was not run is only built from the call's ledger. Request heads are checked against smuggling before the call is announced. Idle connections wait in bounded queues and are peeked before reuse. SIGTERM runs a planned stop.

--- a/crates/node/src/addresses.rs
+++ b/crates/node/src/addresses.rs
@@ -1,17 +1,13 @@
 //! Answers to the question which addresses a caller is to use.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use http_types::{Request, Response, StatusCode};
 use model::{Code, ServiceName, Zone};
 use rand::Rng;
 use serde::Serialize;
 
-use crate::{
-    call::refusal,
-    context::Context,
-    snapshot::{EntryAddr, Snapshot},
-};
+use crate::{call::refusal, context::Context, snapshot::EntryAddr};
 
 /// Path of the question.
 pub const ADDRESSES_PATH: &str = "/v1/addresses";
@@ -19,6 +15,8 @@
 const MAX_AGE_MS: u64 = 2_000;
 /// Largest deviation from [`MAX_AGE_MS`] in either direction, so that callers do not ask in step.
 const JITTER_MS: u64 = 400;
+/// Largest time for which any instance lets callers keep an answer.
+pub const MAX_ANSWER_AGE: Duration = Duration::from_millis(MAX_AGE_MS + JITTER_MS);
 /// Most addresses in an answer.
 const MAX_ADDRESSES: usize = 4;
 
@@ -39,10 +37,13 @@
         return refusal(Code::BadRequest, 0);
     };
     let zone = query.get("zone").map(|z| Zone::new(z));
-    let addresses = choose(&snapshot, &ServiceName::new(service), zone.as_ref());
-    let Some(addresses) = addresses else {
+    let Some(service) = snapshot.services.get(&ServiceName::new(service)) else {
         return refusal(Code::UnknownService, 0);
     };
+    // The list shows this instance as leaving only after its lag.
+    let own = ctx.settings.listen;
+    let left_out = ctx.progress.is_leaving().then_some(own);
+    let addresses = choose(&service.entries, zone.as_ref(), left_out);
     let jitter = rand::rng().random_range(0..=2 * JITTER_MS);
     let answer = Answer {
         addresses,
@@ -62,13 +63,16 @@
     response
 }
 
-/// Addresses for a service, those of the caller's availability zone first. `None` for an unknown
-/// service.
-fn choose(snapshot: &Snapshot, service: &ServiceName, zone: Option<&Zone>) -> Option<Vec<String>> {
-    let service = snapshot.services.get(service)?;
+/// Up to [`MAX_ADDRESSES`] of `entries` without `left_out`: those of the caller's availability zone
+/// first, otherwise in the given order.
+fn choose(entries: &[EntryAddr], zone: Option<&Zone>, left_out: Option<SocketAddr>) -> Vec<String> {
     let near = |e: &&EntryAddr| Some(&e.zone) == zone;
-    let local = service.entries.iter().filter(near);
-    let others = service.entries.iter().filter(|e| !near(e));
+    let usable = || entries.iter().filter(|e| Some(e.addr) != left_out);
+    let local = usable().filter(near);
+    let others = usable().filter(|e| !near(e));
     let all = local.chain(others).take(MAX_ADDRESSES);
-    Some(all.map(|e| e.addr.to_string()).collect())
+    all.map(|e| e.addr.to_string()).collect()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/call/answer.rs
@@ -0,0 +1,201 @@
+//! An answer on its way to the caller. Reading it drives what is left of the request, checks its
+//! length, and reports the end of the attempt.
+
+use std::{
+    fmt, io,
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use futures::io::{AsyncRead, BufReader};
+use http_types::{Body, Response};
+use model::Code;
+use policy::End;
+use wire::KeyState;
+
+use crate::call::{
+    attempt::Sending,
+    exchange::Exchange,
+    head::Length,
+    headers::{answer_hop_headers, says_close},
+    keys::KeyGuard,
+    response::mark,
+};
+
+/// Buffer between upstream and caller.
+const BUFFER: usize = 16 * 1024;
+
+/// An answer whose head arrived.
+#[derive(Debug)]
+pub struct Answer {
+    head: Response,
+    passing: Passing,
+}
+
+impl Answer {
+    /// An answer whose body has `length`. `sending` is what is left of the request.
+    pub fn new(
+        exchange: Exchange,
+        mut head: Response,
+        length: Length,
+        mut sending: Option<Sending>,
+    ) -> Self {
+        // An upstream that rejects a request early does not read the rest.
+        if head.status().is_client_error() || head.status().is_server_error() {
+            sending = None;
+        }
+        let end = if head.status().is_server_error() {
+            End::Error
+        } else {
+            End::Good
+        };
+        let body = head.take_body();
+        let closes = says_close(head.as_ref());
+        let passing = Passing {
+            exchange,
+            body,
+            length,
+            got: 0,
+            sending,
+            end,
+            closes,
+            key: None,
+        };
+        Self { head, passing }
+    }
+
+    /// Whether part of the request is still to be sent.
+    pub const fn is_sending(&self) -> bool {
+        self.passing.sending.is_some()
+    }
+
+    /// The response for the caller. Reading its body carries the exchange to its end.
+    pub fn into_response(self, key: Option<KeyGuard>) -> Response {
+        let Self { head, mut passing } = self;
+        passing.key = key;
+        let hop = answer_hop_headers(head.as_ref());
+        let mut response = Response::new(head.status());
+        let length = passing.length;
+        if length == Length::Bytes(0) || length == Length::Absent {
+            passing.complete();
+            response.set_body(Body::empty());
+        } else {
+            let announced = match length {
+                Length::Bytes(bytes) => usize::try_from(bytes).ok(),
+                _ => None,
+            };
+            let reader = BufReader::with_capacity(BUFFER, passing);
+            response.set_body(Body::from_reader(reader, announced));
+        }
+        response.remove_header("content-type");
+        for (name, values) in &head {
+            if !hop.contains(name.as_str()) && !is_own_date(name.as_str(), values.as_str()) {
+                response.insert_header(name, values);
+            }
+        }
+        mark(&mut response, Code::Served);
+        response
+    }
+}
+
+/// Whether the library made up a `date` header; it gives it a value that is not a date.
+fn is_own_date(name: &str, value: &str) -> bool {
+    name == "date" && value.starts_with("date:")
+}
+
+/// The body of an answer.
+pub struct Passing {
+    exchange: Exchange,
+    body: Body,
+    length: Length,
+    got: u64,
+    sending: Option<Sending>,
+    end: End,
+    closes: bool,
+    key: Option<KeyGuard>,
+}
+
+impl fmt::Debug for Passing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Passing")
+            .field("exchange", &self.exchange)
+            .field("length", &self.length)
+            .field("got", &self.got)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Passing {
+    /// The whole answer arrived.
+    fn complete(&mut self) {
+        let exchange = &mut self.exchange;
+        exchange.job.set_service_us(exchange.service_us());
+        let exact = match self.length {
+            Length::Absent => Some(0),
+            Length::Bytes(bytes) => Some(bytes),
+            // The library reports bytes after the last chunk as an error.
+            Length::Chunked => None,
+        };
+        let seen = exchange.seen.as_ref().map(|s| s.body_read());
+        let in_step = exact.is_none() || exact == seen;
+        if exchange.trace.is_whole() && !self.closes && in_step {
+            exchange.keep_conn();
+        }
+        // A connection that is not kept is closed before its slot is free again.
+        exchange.conn = None;
+        exchange.end(self.end, false);
+        if let Some(key) = self.key.take() {
+            key.end(KeyState::Done);
+        }
+    }
+
+    fn fail(&mut self, code: Code, text: &str) -> io::Error {
+        self.exchange.job.set_cut(code);
+        self.exchange.end(End::Cut, false);
+        self.exchange.conn = None;
+        io::Error::new(io::ErrorKind::UnexpectedEof, text)
+    }
+
+    fn note(&mut self, count: usize) -> io::Result<()> {
+        self.got += count as u64;
+        match self.length {
+            Length::Chunked if count == 0 => self.complete(),
+            Length::Bytes(bytes) if self.got == bytes => self.complete(),
+            Length::Bytes(bytes) if count == 0 => {
+                let text = format!("answer ended after {} of {bytes} bytes", self.got);
+                return Err(self.fail(Code::ShortBody, &text));
+            }
+            _ => (),
+        }
+        Ok(())
+    }
+}
+
+impl AsyncRead for Passing {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        if let Some(sending) = &mut this.sending
+            && sending.as_mut().poll(cx).is_ready()
+        {
+            this.sending = None;
+        }
+        if this.length == Length::Bytes(this.got) {
+            return Poll::Ready(Ok(0));
+        }
+        this.exchange.waiting = true;
+        let count = match ready!(Pin::new(&mut this.body).poll_read(cx, buf)) {
+            Ok(count) => count,
+            Err(error) => {
+                let error = this.fail(Code::UpstreamClosed, &error.to_string());
+                return Poll::Ready(Err(error));
+            }
+        };
+        this.exchange.waiting = false;
+        this.note(count)?;
+        Poll::Ready(Ok(count))
+    }
+}
--- a/crates/node/src/call/mod.rs
+++ b/crates/node/src/call/mod.rs
@@ -1,8 +1,27 @@
 //! The path of one call: admission, sending to the target, passing the answer on.
 
+mod answer;
 mod attempt;
+mod body;
+mod exchange;
 mod handle;
+mod head;
+mod headers;
+mod job;
+mod keys;
+mod ledger;
 mod request;
 mod response;
+mod seat;
+mod send_half;
+mod supervise;
 
-pub use self::{handle::handle_call, response::refusal};
+pub use self::{
+    body::{BodyState, RequestBody},
+    handle::{Answered, Caller, handle_call},
+    head::{Length, body_length, check_request},
+    headers::says_close,
+    keys::Keys,
+    response::refusal,
+    supervise::{Limits, supervise},
+};
--- a/crates/node/src/call/request.rs
+++ b/crates/node/src/call/request.rs
@@ -13,7 +13,10 @@
 /// Largest deadline that a caller may state, in milliseconds.
 const MAX_DEADLINE_MS: u64 = model::MAX_TIMEOUT_MS;
 
-/// The call described by a request head.
+/// Longest idempotency key, in bytes.
+const MAX_KEY: usize = 256;
+
+/// The call described by a request head. What depends on the body is filled in when it was read.
 pub fn parse_call(
     ctx: &Context,
     req: &Request,
@@ -35,15 +38,18 @@
             .map_err(|_| Code::BadHeader)?,
         None => CHAIN_RETRIES,
     };
+    if key_of(req).is_some_and(|k| k.is_empty() || k.len() > MAX_KEY) {
+        return Err(Code::BadHeader);
+    }
     let arrived: Time = ctx.clock.now();
     Ok(Call {
         id: ctx.next_call(),
         class,
         caller: caller_hash(req, peer),
-        bytes: req.len().unwrap_or(0) as u64,
+        bytes: 0,
         arrived,
         deadline: arrived.plus_ms(limit_ms),
-        replayable: req.len() == Some(0),
+        replayable: false,
         retries,
     })
 }
@@ -53,6 +59,11 @@
     header(req, "hw-service").map(ServiceName::new)
 }
 
+/// The idempotency key of a request.
+pub fn key_of(req: &Request) -> Option<&str> {
+    header(req, "idempotency-key")
+}
+
 fn header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
     req.header(name).map(|v| v.last().as_str())
 }
--- a/crates/node/src/call/response.rs
+++ b/crates/node/src/call/response.rs
@@ -2,6 +2,7 @@
 
 use http_types::{Response, StatusCode};
 use model::Code;
+use wire::KeyState;
 
 /// The response to a call that got no answer from an upstream.
 pub fn refusal(code: Code, retry_ms: u32) -> Response {
@@ -15,6 +16,20 @@
     response
 }
 
+/// The response to a call whose idempotency key was used before; `hw-key-state` tells what became of
+/// the first call.
+pub fn repeated(state: KeyState) -> Response {
+    let text = match state {
+        KeyState::Running | KeyState::Fresh => "running",
+        KeyState::Done => "done",
+        KeyState::Unknown => "unknown",
+    };
+    let mut response = refusal(Code::RepeatedKey, 0);
+    response.insert_header("hw-key-state", text);
+    response.set_body(format!("{}, first call: {text}\n", Code::RepeatedKey));
+    response
+}
+
 /// Adds the result code and what the caller may conclude.
 pub fn mark(response: &mut Response, code: Code) {
     response.insert_header("hw-code", code.number().to_string());
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -10,11 +10,14 @@
 
 use arc_swap::ArcSwap;
 use async_std::channel::Sender;
-use model::{ServiceName, Settings};
+use model::{Code, ServiceName, Settings};
 use policy::CallId;
 
+use tracing::error;
+
 use crate::{
-    clock::Clock, control::ControlEvent, dispatch::DispatchMsg, pool::Pools, snapshot::Snapshot,
+    call::Keys, clock::Clock, control::ControlEvent, dispatch::DispatchMsg, metrics::Metrics,
+    pool::Pools, snapshot::Snapshot, stop::Progress,
 };
 
 /// Senders to the dispatcher tasks by service.
@@ -37,20 +40,30 @@
     pub control: Sender<ControlEvent>,
     /// Connections to targets.
     pub pools: Pools,
+    /// Idempotency keys that were claimed here.
+    pub keys: Keys,
+    /// Metrics of the instance.
+    pub metrics: Metrics,
+    /// Work in progress, and whether the instance is leaving.
+    pub progress: Progress,
     next_call: AtomicU64,
 }
 
 impl Context {
     /// The context of a starting instance.
     pub fn new(settings: Settings, control: Sender<ControlEvent>) -> Arc<Self> {
+        let clock = Clock::start();
         Arc::new(Self {
+            metrics: Metrics::new(&settings),
             settings,
-            clock: Clock::start(),
+            clock,
             incarnation: Clock::wall().0,
             snapshot: ArcSwap::default(),
             dispatchers: ArcSwap::default(),
             control,
             pools: Pools::default(),
+            keys: Keys::start(clock),
+            progress: Progress::default(),
             next_call: AtomicU64::new(1),
         })
     }
@@ -59,4 +72,16 @@
     pub fn next_call(&self) -> CallId {
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
+
+    /// Reports a violated invariant. Stops the program in debug builds.
+    pub fn violation(&self, code: Code, detail: &str) {
+        self.metrics.violation(code);
+        error!(
+            instance = %self.settings.instance,
+            code = code.number(),
+            detail,
+            "event=invariant_violated"
+        );
+        debug_assert!(false, "{code}: {detail}");
+    }
 }
--- a/crates/node/src/dispatch/task.rs
+++ b/crates/node/src/dispatch/task.rs
@@ -1,14 +1,19 @@
 //! The task that drives a service's dispatcher.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use async_std::{
     channel::{Receiver, Sender, unbounded},
     future::timeout,
     task,
 };
-use model::TargetId;
-use policy::{Action, CallId, Dispatcher, Event, ServiceView, TargetView};
+use model::{TargetId, Time};
+use policy::{Action, CallId, Dispatcher, End, Event, Report, ServiceView, TargetView};
+use tracing::debug;
 
 use crate::{
     Token,
@@ -28,6 +33,8 @@
     dispatcher: Dispatcher,
     replies: HashMap<CallId, Sender<Reply>>,
     out: Vec<Action>,
+    /// Ends of attempts that no call took over.
+    unstarted: VecDeque<Event>,
 }
 
 /// Starts the task of a service and returns the way to it.
@@ -44,6 +51,7 @@
         view,
         replies: HashMap::new(),
         out: Vec::new(),
+        unstarted: VecDeque::new(),
     };
     let cancel = cancel.clone();
     task::spawn(async move {
@@ -76,6 +84,13 @@
         }
         DispatchMsg::Event(event) => event,
     };
+    handle(task, now, event);
+    while let Some(event) = task.unstarted.pop_front() {
+        handle(task, now, event);
+    }
+}
+
+fn handle(task: &mut Task, now: Time, event: Event) {
     if let Event::View(view) = &event {
         task.view = Arc::clone(view);
     }
@@ -93,10 +108,7 @@
 fn act(task: &mut Task, action: Action) {
     match action {
         Action::Start { call, target } => {
-            let Some(target) = find(&task.view, &target) else {
-                return;
-            };
-            reply(task, call, Reply::Start(target));
+            start(task, call, &target);
         }
         Action::Refuse {
             call,
@@ -130,13 +142,42 @@
     }
 }
 
-/// Passes a reply on. A call that has gone away is not an error: its end was reported.
-fn reply(task: &Task, call: CallId, reply: Reply) {
-    if let Some(sender) = task.replies.get(&call) {
-        let _ = sender.try_send(reply);
+/// Passes a start on. If nobody takes it over, its end is reported at once, so that its slot does
+/// not stay taken.
+fn start(task: &mut Task, call: CallId, target: &TargetId) {
+    let Some(view) = find(&task.view, target) else {
+        debug!(call = call.0, %target, "event=start_unknown_target");
+        task.unstarted
+            .push_back(unstarted(call, target, End::ConnectFailed));
+        return;
+    };
+    if !reply(task, call, Reply::Start(view)) {
+        task.unstarted
+            .push_back(unstarted(call, target, End::Cancelled));
+    }
+}
+
+fn unstarted(call: CallId, target: &TargetId, end: End) -> Event {
+    let report = Report {
+        end,
+        service_us: 0,
+        retryable: end.is_not_run(),
+        draining: false,
+        cold: false,
+    };
+    Event::Finish {
+        call,
+        target: target.clone(),
+        report,
     }
 }
 
+/// Passes a reply on. `false` if the call has gone away.
+fn reply(task: &Task, call: CallId, reply: Reply) -> bool {
+    let sender = task.replies.get(&call);
+    sender.is_some_and(|s| s.try_send(reply).is_ok())
+}
+
 fn find(view: &ServiceView, id: &TargetId) -> Option<Arc<TargetView>> {
     view.targets.iter().find(|t| t.id == *id).cloned()
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,17 +5,22 @@
 mod call;
 mod cancel;
 mod clock;
+mod connection;
 mod context;
 mod control;
 mod dispatch;
 mod listener;
 mod logging;
+mod metrics;
 mod node;
 mod pool;
 mod snapshot;
+mod stop;
+mod tap;
 
 pub use crate::{
     cancel::Token,
     logging::init_logging,
     node::{Node, NodeError},
+    stop::Stopped,
 };
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,17 +1,30 @@
 //! `hibiscusway`: one instance of the load balancer.
 
-use std::{fs, process::ExitCode};
+use std::{
+    fs,
+    process::{ExitCode, exit},
+    thread::{self, available_parallelism},
+};
 
 use argh::FromArgs;
+use async_global_executor::GlobalExecutorConfig;
 use async_std::task;
 use model::Settings;
-use node::{Node, Token, init_logging};
-use tracing::error;
+use node::{Node, Stopped, Token, init_logging};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use tracing::{error, warn};
 
 /// Exit code for wrong settings.
 const EXIT_SETTINGS: u8 = 2;
 /// Exit code for an instance that could not start.
 const EXIT_START: u8 = 3;
+/// Exit code after a second signal during a planned stop.
+const EXIT_FORCED: u8 = 4;
+/// Exit code of a planned stop whose time limit passed with calls in progress.
+const EXIT_CUT: u8 = 5;
 
 /// One instance of the hibiscusway load balancer.
 #[derive(Debug, FromArgs)]
@@ -70,15 +83,51 @@
 }
 
 fn run(settings: Settings) -> ExitCode {
-    let cancel = Token::new();
-    let node = match task::block_on(Node::start(settings, &cancel)) {
+    start_threads(settings.threads);
+    let signals = match Signals::new([SIGTERM, SIGINT]) {
+        Ok(signals) => signals,
+        Err(error) => {
+            error!(%error, "event=signals_failed");
+            return ExitCode::from(EXIT_START);
+        }
+    };
+    let node = match task::block_on(Node::start(settings, &Token::new())) {
         Ok(node) => node,
         Err(error) => {
             error!(%error, "event=start_failed");
             return ExitCode::from(EXIT_START);
         }
     };
-    task::block_on(cancel.cancelled());
+    task::block_on(first_signal(signals));
+    let stopped = task::block_on(node.stop());
     node.kill();
-    ExitCode::SUCCESS
+    match stopped {
+        Stopped::Whole => ExitCode::SUCCESS,
+        Stopped::Cut { .. } => ExitCode::from(EXIT_CUT),
+    }
+}
+
+/// Starts the traffic threads; 0 means one for each core.
+fn start_threads(threads: u64) {
+    let threads = usize::try_from(threads).ok().filter(|t| *t > 0);
+    let threads = threads.or_else(|| available_parallelism().ok().map(usize::from));
+    let threads = threads.unwrap_or(1);
+    let config = GlobalExecutorConfig::default()
+        .with_min_threads(threads)
+        .with_max_threads(threads);
+    async_global_executor::init_with_config(config);
+}
+
+/// Waits for the first signal that asks for a stop. A second one ends the process at once.
+async fn first_signal(mut signals: Signals) {
+    let (sender, receiver) = async_std::channel::bounded(1);
+    thread::spawn(move || {
+        let mut pending = signals.forever();
+        pending.next();
+        let _ = sender.try_send(());
+        pending.next();
+        warn!("event=stop_forced");
+        exit(i32::from(EXIT_FORCED));
+    });
+    let _ = receiver.recv().await;
 }
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,112 @@
+//! Metrics in statsd format over UDP. `docs/metrics.md` lists names and units. Sending never waits:
+//! the queue is bounded, and what does not fit is lost.
+
+use std::{
+    io,
+    net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket},
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use cadence::{BufferedUdpMetricSink, Counted, Gauged, QueuingMetricSink, StatsdClient, Timed};
+use model::{Code, Settings};
+use tracing::warn;
+
+/// Metrics that wait for sending. About one second of calls of one instance.
+const QUEUE: usize = 16 * 1024;
+/// Prefix of all names.
+const PREFIX: &str = "hibiscusway";
+
+/// Metrics of one instance.
+#[derive(Debug)]
+pub struct Metrics {
+    client: Option<StatsdClient>,
+    violations: AtomicU64,
+}
+
+impl Metrics {
+    /// Metrics that go where the settings say, or nowhere. An address that cannot be used is
+    /// logged; the instance works without.
+    pub fn new(settings: &Settings) -> Self {
+        let client = settings.statsd.and_then(|addr| match connect(addr) {
+            Ok(client) => Some(client),
+            Err(error) => {
+                warn!(instance = %settings.instance, %addr, %error, "event=metrics_off");
+                None
+            }
+        });
+        Self {
+            client,
+            violations: AtomicU64::new(0),
+        }
+    }
+
+    /// Counts a call that ended.
+    pub fn call(&self, service: &str, class: &str, code: Code) {
+        let Some(client) = &self.client else {
+            return;
+        };
+        client
+            .count_with_tags("calls", 1)
+            .with_tag("service", service)
+            .with_tag("class", class)
+            .with_tag("code", &code.number().to_string())
+            .send();
+    }
+
+    /// Records the time that the instance added to a served call, in microseconds.
+    pub fn added(&self, class: &str, us: u64) {
+        let Some(client) = &self.client else {
+            return;
+        };
+        client
+            .time_with_tags("added_us", us)
+            .with_tag("class", class)
+            .send();
+    }
+
+    /// Counts a request that was refused before it was taken as a call.
+    pub fn refused(&self, code: Code) {
+        let Some(client) = &self.client else {
+            return;
+        };
+        client
+            .count_with_tags("refused", 1)
+            .with_tag("code", &code.number().to_string())
+            .send();
+    }
+
+    /// Records the number of callers' connections.
+    pub fn connections(&self, open: u64) {
+        if let Some(client) = &self.client {
+            client.gauge_with_tags("connections", open).send();
+        }
+    }
+
+    /// Counts a violated invariant.
+    pub fn violation(&self, code: Code) {
+        self.violations.fetch_add(1, Ordering::Relaxed);
+        if let Some(client) = &self.client {
+            client
+                .count_with_tags("violations", 1)
+                .with_tag("code", &code.number().to_string())
+                .send();
+        }
+    }
+
+    /// Invariants violated so far.
+    pub fn violations(&self) -> u64 {
+        self.violations.load(Ordering::Relaxed)
+    }
+}
+
+fn connect(addr: SocketAddr) -> io::Result<StatsdClient> {
+    let local: SocketAddr = match addr {
+        SocketAddr::V4(_) => (Ipv4Addr::UNSPECIFIED, 0).into(),
+        SocketAddr::V6(_) => (Ipv6Addr::UNSPECIFIED, 0).into(),
+    };
+    let socket = UdpSocket::bind(local)?;
+    socket.set_nonblocking(true)?;
+    let sink = BufferedUdpMetricSink::from(addr, socket).map_err(io::Error::other)?;
+    let queue = QueuingMetricSink::with_capacity(sink, QUEUE);
+    Ok(StatsdClient::from_sink(PREFIX, queue))
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,6 @@
 //! One running instance.
 
-use std::{io, net::SocketAddr, sync::Arc, thread};
+use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
 
 use async_std::{channel::unbounded, net::TcpListener, task};
 use model::Settings;
@@ -14,8 +14,12 @@
     context::Context,
     control::{read_list, read_log, spawn_control},
     listener::serve_callers,
+    stop::{Stopped, stop_planned},
 };
 
+/// Interval of the work that keeps idle resources small.
+const HOUSE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Why an instance could not start.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -66,6 +70,7 @@
         };
         register(&node.ctx, EntryState::Live).await?;
         let ctx = &node.ctx;
+        task::spawn(keep_house(Arc::clone(ctx), node.cancel.child()));
         task::spawn(read_log(Arc::clone(ctx), node.cancel.child()));
         task::spawn(read_list(Arc::clone(ctx), node.cancel.child()));
         task::spawn(serve_callers(
@@ -77,17 +82,38 @@
         Ok(node)
     }
 
+    /// Runs a planned stop: lists the instance as leaving, serves on until callers know, waits for
+    /// the calls in progress. The instance may be killed or the process ended after it.
+    pub async fn stop(&self) -> Stopped {
+        stop_planned(&self.ctx).await
+    }
+
+    /// Invariants violated so far.
+    #[must_use]
+    pub fn violations(&self) -> u64 {
+        self.ctx.metrics.violations()
+    }
+
     /// Ends the instance at once.
     pub fn kill(mut self) {
         self.cancel.cancel();
+        self.ctx.pools.clear();
         if let Some(control) = self.control.take() {
             let _ = control.join();
         }
     }
 }
 
+/// Closes idle connections to targets and reports gauges until cancelled.
+async fn keep_house(ctx: Arc<Context>, cancel: Token) {
+    while cancel.run(task::sleep(HOUSE_INTERVAL)).await.is_some() {
+        ctx.pools.sweep();
+        ctx.metrics.connections(ctx.progress.connections());
+    }
+}
+
 /// Announces this instance in the platform's list.
-async fn register(ctx: &Context, state: EntryState) -> Result<(), PlatformError> {
+pub async fn register(ctx: &Context, state: EntryState) -> Result<(), PlatformError> {
     let settings = &ctx.settings;
     let entry = ListEntry {
         id: settings.instance.as_str().to_owned(),
--- /dev/null
+++ b/crates/node/src/pool/target_pool.rs
@@ -0,0 +1,135 @@
+//! Connections to one target.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use async_std::{
+    channel::{Receiver, Sender, bounded},
+    net::TcpStream,
+};
+use futures::FutureExt;
+
+use crate::pool::{Conn, MAX_OPEN, is_older};
+
+/// An idle connection. Dropping it closes it.
+#[derive(Debug)]
+pub struct Idle {
+    stream: TcpStream,
+    permit: Permit,
+    since: Instant,
+}
+
+/// Idle connections of one target, and the count of all open ones.
+#[derive(Debug)]
+pub struct TargetPool {
+    open: AtomicUsize,
+    sender: Sender<Idle>,
+    receiver: Receiver<Idle>,
+}
+
+/// The right to hold one connection open.
+#[derive(Debug)]
+pub struct Permit {
+    pool: Arc<TargetPool>,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.pool.open.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Permit {
+    /// Keeps the connection for the next exchange.
+    pub fn keep(self, stream: TcpStream) {
+        let pool = Arc::clone(&self.pool);
+        let idle = Idle {
+            stream,
+            permit: self,
+            since: Instant::now(),
+        };
+        // The queue has a place for each permit, so that it is never full here.
+        let _ = pool.sender.try_send(idle);
+    }
+
+    /// Closes the idle connections to the same target.
+    pub fn close_siblings(&self) {
+        while self.pool.receiver.try_recv().is_ok() {}
+    }
+}
+
+impl TargetPool {
+    /// A target without connections.
+    pub fn new() -> Self {
+        let (sender, receiver) = bounded(MAX_OPEN);
+        Self {
+            open: AtomicUsize::new(0),
+            sender,
+            receiver,
+        }
+    }
+
+    /// The right to open one more connection. An idle connection that no call could use is closed
+    /// to make room.
+    pub fn permit(self: &Arc<Self>) -> Option<Permit> {
+        for _ in 0..=MAX_OPEN {
+            let raised = self
+                .open
+                .fetch_update(Ordering::AcqRel, Ordering::Acquire, |open| {
+                    (open < MAX_OPEN).then_some(open + 1)
+                });
+            if raised.is_ok() {
+                return Some(Permit {
+                    pool: Arc::clone(self),
+                });
+            }
+            self.receiver.try_recv().ok()?;
+        }
+        None
+    }
+
+    /// An idle connection younger than `max_age` that is still open. Older ones go to the end of
+    /// the queue.
+    pub fn take(&self, max_age: Duration) -> Option<Conn> {
+        for _ in 0..self.receiver.len() {
+            let idle = self.receiver.try_recv().ok()?;
+            if !is_quiet(&idle.stream) {
+                continue;
+            }
+            if !is_older(idle.since, max_age) {
+                return Some(Conn::new(idle.stream, idle.permit));
+            }
+            let _ = self.sender.try_send(idle);
+        }
+        None
+    }
+
+    /// Closes idle connections that are `max_age` old, closed by the target or out of step.
+    pub fn sweep(&self, max_age: Duration) {
+        for _ in 0..self.receiver.len() {
+            let Ok(idle) = self.receiver.try_recv() else {
+                return;
+            };
+            if !is_older(idle.since, max_age) && is_quiet(&idle.stream) {
+                let _ = self.sender.try_send(idle);
+            }
+        }
+    }
+
+    /// Whether no connection is open.
+    pub fn is_unused(self: &Arc<Self>) -> bool {
+        self.open.load(Ordering::Acquire) == 0 && Arc::strong_count(self) == 1
+    }
+}
+
+/// Whether an idle connection is open and nothing arrived on it. Bytes that arrive between two
+/// exchanges belong to no call.
+fn is_quiet(stream: &TcpStream) -> bool {
+    let mut byte = [0];
+    stream.peek(&mut byte).now_or_never().is_none()
+}
