--- a/crates/node/src/call/exchange.rs
+++ b/crates/node/src/call/exchange.rs
@@ -7,9 +7,14 @@
 };
 
 use model::Code;
-use policy::{End, Event, Report, TargetView};
+use policy::{End, Report, TargetView};
 
-use crate::{call::job::Job, dispatch::DispatchMsg, pool::Conn, tap::Seen};
+use crate::{
+    call::{job::Job, route::route},
+    dispatch::DispatchMsg,
+    pool::Conn,
+    tap::Seen,
+};
 
 /// What the sending half of an attempt did. Shared with the writer inside the HTTP library.
 #[derive(Debug)]
@@ -98,9 +103,10 @@
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
-        let event = Event::Finish {
+        let msg = DispatchMsg::Ended {
             call: self.job.call.id,
             target: self.target.id.clone(),
+            route: route(&self.job.head),
             report: Report {
                 end,
                 service_us: self.service_us(),
@@ -109,7 +115,7 @@
                 cold: self.cold,
             },
         };
-        let _ = self.job.dispatcher.try_send(DispatchMsg::Event(event));
+        let _ = self.job.dispatcher.try_send(msg);
     }
 
     /// Time since the first byte was sent, in microseconds.
--- a/crates/node/src/call/mod.rs
+++ b/crates/node/src/call/mod.rs
@@ -12,6 +12,7 @@
 mod ledger;
 mod request;
 mod response;
+mod route;
 mod seat;
 mod send_half;
 mod supervise;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     call::Keys, clock::Clock, control::ControlEvent, dispatch::DispatchMsg, metrics::Metrics,
-    pool::Pools, snapshot::Snapshot, stop::Progress,
+    peer::Peers, pool::Pools, snapshot::Snapshot, stop::Progress,
 };
 
 /// Senders to the dispatcher tasks by service.
@@ -38,6 +38,8 @@
     pub dispatchers: ArcSwap<Dispatchers>,
     /// Events for the control thread.
     pub control: Sender<ControlEvent>,
+    /// Streams to other instances.
+    pub peers: Peers,
     /// Connections to targets.
     pub pools: Pools,
     /// Idempotency keys that were claimed here.
@@ -61,6 +63,7 @@
             snapshot: ArcSwap::default(),
             dispatchers: ArcSwap::default(),
             control,
+            peers: Peers::default(),
             pools: Pools::default(),
             keys: Keys::start(clock),
             progress: Progress::default(),
--- /dev/null
+++ b/crates/node/src/control/admin.rs
@@ -0,0 +1,191 @@
+//! Answers requests of the administration API.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use async_std::channel::Sender;
+use model::{Code, Time};
+use state::{MoveState, Scope, ServiceState};
+use wire::{Body, ConfigAnswer, Fact, MoveStatus, ProposalAnswer, Record, Status};
+
+use crate::control::{
+    AdminRequest, Proposal, StatusReply, peer_events, proposals::pending, records::is_log_up,
+    thread::Control,
+};
+
+/// Answers one request.
+pub fn answer(control: &mut Control, now: Time, request: AdminRequest) {
+    match request {
+        AdminRequest::Propose { record, reply } => propose(control, now, record, reply),
+        AdminRequest::Lookup { id, reply } => {
+            let _ = reply.try_send(lookup(control, &id));
+        }
+        AdminRequest::Status { reply } => {
+            let _ = reply.try_send(status(control, now));
+        }
+        AdminRequest::Config { tenant, reply } => {
+            let known = control.state.fold().tenants.get(&tenant);
+            let answer = known.map(|t| ConfigAnswer {
+                revision: t.revision,
+                text: t.text.clone(),
+            });
+            let _ = reply.try_send(answer.unwrap_or_default());
+        }
+        AdminRequest::Audit { from, limit, reply } => {
+            let entries = control
+                .state
+                .audit()
+                .filter(|e| e.offset >= from)
+                .take(limit);
+            let _ = reply.try_send(entries.cloned().collect());
+        }
+    }
+}
+
+fn propose(control: &mut Control, now: Time, record: Record, reply: Sender<ProposalAnswer>) {
+    let Some(scope) = Scope::of(&record.body) else {
+        let detail = "not a proposal of an operator".to_owned();
+        let _ = reply.try_send(ProposalAnswer {
+            id: record.id,
+            code: Code::Invalid,
+            offset: None,
+            detail,
+        });
+        return;
+    };
+    if let Some(known) = control.state.proposal(&scope, &record.id) {
+        let _ = reply.try_send(decided(&known));
+        return;
+    }
+    if control.proposals.is_waiting(&scope, &record.id) {
+        control.proposals.join(now, &scope, &record.id, reply);
+        return;
+    }
+    if control.proposals.is_full() {
+        let detail = "too many proposals wait for the log; ask again later".to_owned();
+        let _ = reply.try_send(ProposalAnswer {
+            id: record.id,
+            code: Code::LogDown,
+            offset: None,
+            detail,
+        });
+        return;
+    }
+    tell_zone_out(control, now, &record.body);
+    let _ = control.appender.try_send(record.clone());
+    control.proposals.add(now, scope, record, reply);
+}
+
+/// Taking a zone out is urgent and safe, so peers hear of it before the log does. If the proposal
+/// turns out to be stale, the zone's later change has a higher offset and overrides the fact.
+fn tell_zone_out(control: &mut Control, now: Time, body: &Body) {
+    let Body::Zone {
+        zone,
+        base,
+        out: true,
+    } = body
+    else {
+        return;
+    };
+    let changed = control
+        .state
+        .fold()
+        .zones
+        .get(zone)
+        .map_or(0, |z| z.changed);
+    if *base == changed {
+        let fact = Fact::ZoneOut {
+            zone: zone.clone(),
+            base: *base,
+        };
+        peer_events::take_fact(control, now, fact);
+    }
+}
+
+fn decided(known: &state::Proposal) -> ProposalAnswer {
+    ProposalAnswer {
+        id: known.id.clone(),
+        code: known.code,
+        offset: Some(known.offset),
+        detail: known.code.text().to_owned(),
+    }
+}
+
+fn lookup(control: &Control, id: &str) -> Option<Proposal> {
+    if let Some(scope) = control.proposals.find(id) {
+        return Some(Proposal {
+            tenant: tenant_of(scope),
+            answer: pending(id),
+        });
+    }
+    let fold = control.state.fold();
+    let tenants = fold.tenants.keys().cloned().map(Scope::Tenant);
+    let mut scopes = tenants.chain([Scope::Zones]);
+    let known = scopes.find_map(|scope| control.state.proposal(&scope, id))?;
+    Some(Proposal {
+        tenant: tenant_of(&known.scope),
+        answer: decided(&known),
+    })
+}
+
+fn tenant_of(scope: &Scope) -> Option<model::Tenant> {
+    match scope {
+        Scope::Tenant(tenant) => Some(tenant.clone()),
+        Scope::Zones | Scope::Moves => None,
+    }
+}
+
+fn status(control: &mut Control, now: Time) -> StatusReply {
+    let members = control.members.view(now);
+    let fold = control.state.fold();
+    let moves = fold.services.iter().filter_map(|(name, s)| {
+        let shift = s.shift.as_ref()?;
+        Some(move_status(name, shift))
+    });
+    let status = Status {
+        instance: control.ctx.settings.instance.clone(),
+        offset: control.state.offset(),
+        peers: members
+            .live()
+            .filter_map(|i| Some((i.id.clone(), control.peers.get(&i.id)?.offset)))
+            .collect(),
+        revisions: fold
+            .tenants
+            .iter()
+            .map(|(t, s)| (t.clone(), s.revision))
+            .collect(),
+        zones: fold
+            .zones
+            .iter()
+            .map(|(z, s)| (z.clone(), (s.out, s.changed)))
+            .collect(),
+        moves: moves.collect(),
+        log_up: is_log_up(control, now),
+    };
+    let owner = |(name, s): (&model::ServiceName, &ServiceState)| (name.clone(), s.tenant.clone());
+    let owners: BTreeMap<_, _> = fold.services.iter().map(owner).collect();
+    let seen = members.targets.iter().map(|t| t.zone.clone());
+    let zones: BTreeSet<_> = seen
+        .chain(members.instances.iter().map(|i| i.zone.clone()))
+        .collect();
+    StatusReply {
+        status,
+        owners,
+        zones,
+    }
+}
+
+fn move_status(service: &model::ServiceName, shift: &MoveState) -> MoveStatus {
+    let outcome = shift.outcome.as_ref();
+    let stop = shift.stop.clone().unwrap_or_default();
+    MoveStatus {
+        plan: shift.plan.clone(),
+        service: service.clone(),
+        from: shift.from.clone(),
+        to: shift.to.clone(),
+        deadline: shift.deadline,
+        share: shift.share,
+        verdict: outcome.map(|o| o.verdict),
+        reason: outcome.map_or(stop, |o| o.reason.clone()),
+        decided: outcome.map(|o| o.at),
+    }
+}
--- a/crates/node/src/control/admin_request.rs
+++ b/crates/node/src/control/admin_request.rs
@@ -9,13 +9,6 @@
 
 /// A question or proposal. A reply channel that is closed without a reply counts as "busy".
 #[derive(Debug)]
-#[cfg_attr(
-    not(test),
-    expect(
-        dead_code,
-        reason = "read by the control thread's answers, which come next"
-    )
-)]
 pub enum AdminRequest {
     /// Appends a record and replies once it was read back or rejected. A reply of
     /// [`model::Code::Pending`] may be sent at any time. A record id that was seen before is not
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -1,28 +1,57 @@
 //! Events for the control thread.
 
-use model::{InstanceId, ServiceName};
-use wire::{Fact, ListAnswer, LoanMsg, LogEntry};
+use async_std::channel::Sender;
+use model::{InstanceId, ServiceName, TargetId};
+use wire::{Fact, ListAnswer, PeerMsg, ReadAnswer};
+
+use crate::control::Sample;
 
 use crate::control::AdminRequest;
 
 /// What the control thread is told.
 #[derive(Debug)]
 pub enum ControlEvent {
-    /// Records read from the log or a peer, in offset order.
-    Records(Vec<LogEntry>),
+    /// A read of the log, and where to send the offset to read next.
+    LogRead {
+        /// The answer.
+        answer: ReadAnswer,
+        /// Gets the offset to read next.
+        next: Sender<u64>,
+    },
+    /// The log service gave no answer to an append; the records may be in the log or not.
+    AppendUnknown {
+        /// The records' ids.
+        ids: Vec<String>,
+    },
     /// A poll of the instance list.
     List(ListAnswer),
-    /// A dispatcher has a message for a peer.
-    SendLoan {
+    /// A message of a peer that does not concern loans.
+    Peer {
         /// The peer.
-        to: InstanceId,
-        /// Service of the dispatcher.
-        service: ServiceName,
+        from: InstanceId,
         /// The message.
-        msg: LoanMsg,
+        msg: PeerMsg,
     },
+    /// The stream to a peer was opened.
+    LinkUp(InstanceId),
+    /// The stream to a peer broke.
+    LinkDown(InstanceId),
     /// A fact became known here.
     Fact(Fact),
     /// The administration API asks for something.
     Admin(AdminRequest),
+    /// Calls that ended while their service has a move in progress.
+    Samples {
+        /// Service of the calls.
+        service: ServiceName,
+        /// The calls.
+        samples: Vec<Sample>,
+    },
+    /// What calls showed about targets since the last event of this kind.
+    Sightings {
+        /// Targets that responded.
+        answered: Vec<TargetId>,
+        /// Targets that gave no response.
+        failed: Vec<TargetId>,
+    },
 }
--- /dev/null
+++ b/crates/node/src/control/links.rs
@@ -0,0 +1,75 @@
+//! Keeps one link to each peer.
+
+use std::collections::BTreeMap;
+
+use model::rendezvous;
+use state::InstanceView;
+
+use crate::{control::thread::Control, peer::spawn_link};
+
+/// Most peers of an instance. Heartbeats to 32 peers take about 1.5 KB/s of the 9 KB/s for control.
+const MAX_PEERS: usize = 32;
+
+/// Opens links to new instances and closes those to instances that are gone. Silent instances keep
+/// their link, which tries to connect.
+pub fn update(control: &mut Control) {
+    let now = control.ctx.clock.now();
+    let members = control.members.view(now);
+    let wanted = choose(control, &members.instances);
+    let old = control.ctx.peers.links.load_full();
+    let same = old.len() == wanted.len()
+        && wanted.iter().all(|i| {
+            old.get(&i.id)
+                .is_some_and(|l| l.incarnation == i.incarnation)
+        });
+    if same {
+        return;
+    }
+    let mut links = BTreeMap::new();
+    for peer in wanted {
+        let Some(addr) = peer.peer else {
+            continue;
+        };
+        let kept = old
+            .get(&peer.id)
+            .filter(|l| l.incarnation == peer.incarnation);
+        let link = kept.cloned().unwrap_or_else(|| {
+            spawn_link(
+                &control.ctx,
+                &control.cancel,
+                &peer.id,
+                addr,
+                peer.incarnation,
+            )
+        });
+        links.insert(peer.id.clone(), link);
+    }
+    for (id, link) in old.iter() {
+        if links
+            .get(id)
+            .is_none_or(|l| l.incarnation != link.incarnation)
+        {
+            link.cancel.cancel();
+        }
+    }
+    control.ctx.peers.replace(links);
+}
+
+/// All other instances, or those that rank highest for this one if there are too many.
+fn choose<'a>(control: &Control, instances: &'a [InstanceView]) -> Vec<&'a InstanceView> {
+    let me = &control.ctx.settings.instance;
+    let mut peers: Vec<&InstanceView> = instances
+        .iter()
+        .filter(|i| i.id != *me && i.peer.is_some())
+        .collect();
+    if peers.len() > MAX_PEERS {
+        peers.sort_by_key(|i| std::cmp::Reverse(pair_weight(me.as_str(), i.id.as_str())));
+        peers.truncate(MAX_PEERS);
+    }
+    peers
+}
+
+/// Equal from both ends, so that two instances mostly choose each other.
+fn pair_weight(a: &str, b: &str) -> u64 {
+    rendezvous(a.min(b), a.max(b))
+}
--- a/crates/node/src/control/log_reader.rs
+++ b/crates/node/src/control/log_reader.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_std::task;
+use async_std::{channel::bounded, task};
 use platform::LogClient;
 use tracing::warn;
 
@@ -15,27 +15,40 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 
-/// Reads the log until cancelled.
+/// Reads the log until cancelled. The control thread says where to read next, since records may also
+/// come from peers, and a gap may have to be read again.
 pub async fn read_log(ctx: Arc<Context>, cancel: Token) {
     let client = LogClient::new(ctx.settings.log, &ctx.settings.stream);
+    let (sender, receiver) = bounded(1);
     let mut from = 1;
+    let mut failing = false;
     while !cancel.is_cancelled() {
-        let Some(read) = cancel.run(client.read(from, READ_LIMIT, WAIT_MS)).await else {
+        let Some(read) = cancel
+            .run(Box::pin(client.read(from, READ_LIMIT, WAIT_MS)))
+            .await
+        else {
             return;
         };
         match read {
             Ok(answer) => {
-                let last = answer.records.last().map(|r| r.offset);
-                from = last.map_or_else(|| from.max(answer.first), |offset| offset + 1);
-                if last.is_some() {
-                    let _ = ctx
-                        .control
-                        .send(ControlEvent::Records(answer.records))
-                        .await;
+                failing = false;
+                let event = ControlEvent::LogRead {
+                    answer,
+                    next: sender.clone(),
+                };
+                if ctx.control.send(event).await.is_err() {
+                    return;
                 }
+                let Some(Ok(next)) = cancel.run(receiver.recv()).await else {
+                    return;
+                };
+                from = next;
             }
             Err(error) => {
-                warn!(instance = %ctx.settings.instance, %error, "event=log_read_failed");
+                if !failing {
+                    warn!(instance = %ctx.settings.instance, %error, "event=log_read_failed");
+                }
+                failing = true;
                 cancel.run(task::sleep(RETRY_PAUSE)).await;
             }
         }
--- /dev/null
+++ b/crates/node/src/control/move_watch.rs
@@ -0,0 +1,54 @@
+//! Evidence of one version move in this instance.
+
+use std::collections::BTreeMap;
+
+use model::{InstanceId, Time};
+use policy::moves::{Evidence, Side, SlowBar, Trial, judge};
+use state::{MoveEvidence, MoveState};
+
+use crate::control::Sample;
+
+/// Counters, slowness bars and tests of one move.
+#[derive(Debug)]
+pub struct MoveWatch {
+    /// Counters of all instances.
+    pub evidence: Evidence,
+    bar: SlowBar,
+    trial: Trial,
+}
+
+/// Watches by move id.
+pub type MoveWatches = BTreeMap<String, MoveWatch>;
+
+impl MoveWatch {
+    /// A watch without evidence.
+    pub fn new(shift: &MoveState, me: &InstanceId, incarnation: u64) -> Self {
+        Self {
+            evidence: Evidence::new(&shift.from, &shift.to, me, incarnation),
+            bar: SlowBar::default(),
+            trial: Trial::default(),
+        }
+    }
+
+    /// Counts calls of this instance.
+    pub fn count(&mut self, samples: &[Sample]) {
+        for sample in samples {
+            let Some(side) = self.evidence.side(&sample.version) else {
+                continue;
+            };
+            let us = sample.service_us;
+            let slow = !sample.error && self.bar.is_slow(side, &sample.route, us);
+            self.evidence.count(side, &sample.route, sample.error, slow);
+        }
+    }
+
+    /// What the evidence says at `share`.
+    pub fn judge(&mut self, share: u16, now: Time) -> MoveEvidence {
+        let opinion = judge(&mut self.trial, &self.evidence, share, now).clone();
+        MoveEvidence {
+            opinion,
+            suspicious: self.trial.is_suspicious(),
+            calls: self.evidence.calls(Side::New),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/moves.rs
@@ -0,0 +1,98 @@
+//! Evidence and proposals of version moves.
+
+use model::{ServiceName, Time, Wall};
+use state::DriverInput;
+use wire::PeerMsg;
+
+use crate::control::{Sample, move_watch::MoveWatch, peer_events, thread::Control};
+
+/// Interval at which changed counters are sent to peers, in milliseconds.
+const EVIDENCE_MS: u64 = 250;
+
+/// Counts calls of this instance towards the open move of their service.
+pub fn count(control: &mut Control, service: &ServiceName, samples: &[Sample]) {
+    let Some(plan) = open_plan(control, service) else {
+        return;
+    };
+    if let Some(watch) = control.moves.get_mut(&plan) {
+        watch.count(samples);
+    }
+}
+
+fn open_plan(control: &Control, service: &ServiceName) -> Option<String> {
+    let service = control.state.fold().services.get(service)?;
+    Some(service.open_move()?.plan.clone())
+}
+
+/// Keeps one watch for each open move, shares evidence, and lets the driver propose.
+pub fn tick(control: &mut Control, now: Time, wall: Wall) {
+    sync_watches(control);
+    if control.moves.is_empty() {
+        return;
+    }
+    if now >= control.evidence_at {
+        control.evidence_at = now.plus_ms(EVIDENCE_MS);
+        send_evidence(control);
+    }
+    let fold = control.state.fold();
+    let mut evidence = std::collections::BTreeMap::new();
+    for (plan, watch) in &mut control.moves {
+        let share = fold.find_move(plan).map_or(0, |(_, m)| m.share);
+        evidence.insert(plan.clone(), watch.judge(share, now));
+    }
+    let members = control.members.view(now);
+    let output = control.driver.tick(DriverInput {
+        now,
+        wall,
+        fold,
+        members: &members,
+        facts: &control.facts,
+        evidence: &evidence,
+    });
+    for record in output.records {
+        let _ = control.appender.try_send(record);
+    }
+    for fact in output.facts {
+        peer_events::take_fact(control, now, fact);
+    }
+}
+
+fn sync_watches(control: &mut Control) {
+    let (me, incarnation) = (&control.ctx.settings.instance, control.ctx.incarnation);
+    let fold = control.state.fold();
+    control
+        .moves
+        .retain(|plan, _| fold.find_move(plan).is_some_and(|(_, m)| m.is_open()));
+    for (_, shift) in fold.open_moves() {
+        if !control.moves.contains_key(&shift.plan) {
+            let watch = MoveWatch::new(shift, me, incarnation);
+            control.moves.insert(shift.plan.clone(), watch);
+        }
+    }
+}
+
+fn send_evidence(control: &mut Control) {
+    for (plan, watch) in &mut control.moves {
+        let routes = watch.evidence.take_changes();
+        if !routes.is_empty() {
+            control
+                .ctx
+                .peers
+                .send_all(&evidence_msg(&control.ctx, plan, routes));
+        }
+    }
+}
+
+/// A message with counters of this process.
+pub fn evidence_msg(
+    ctx: &crate::context::Context,
+    plan: &str,
+    routes: Vec<(model::Version, String, wire::RouteCounts)>,
+) -> PeerMsg {
+    PeerMsg::Evidence {
+        instance: ctx.settings.instance.clone(),
+        incarnation: ctx.incarnation,
+        plan: plan.to_owned(),
+        routes,
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/peer_events.rs
@@ -0,0 +1,151 @@
+//! What peers tell: signs of life, facts, evidence, and records for instances that lag.
+
+use std::sync::Arc;
+
+use model::{InstanceId, OperatorName, Time};
+use policy::Event;
+use state::Sighting;
+use tracing::info;
+use wire::{Fact, LogEntry, PeerMsg};
+
+use crate::{
+    clock::Clock,
+    control::{moves::evidence_msg, publish, records, thread::Control},
+    dispatch::DispatchMsg,
+};
+
+/// Shortest time between two requests for records, in milliseconds.
+const FETCH_MS: u64 = 500;
+/// Facts kept. Draining upstreams are the most frequent: 730 targets and their replacements.
+const MAX_FACTS: usize = 2_048;
+
+/// Takes a message of a peer.
+pub fn take_message(control: &mut Control, now: Time, from: &InstanceId, msg: PeerMsg) {
+    match msg {
+        PeerMsg::Hello { incarnation, .. } => {
+            control.peers.entry(from.clone()).or_default().incarnation = incarnation;
+            hear(control, now, from, false);
+        }
+        PeerMsg::Heartbeat {
+            offset, leaving, ..
+        } => {
+            control.peers.entry(from.clone()).or_default().offset = offset;
+            hear(control, now, from, leaving);
+            fetch_if_behind(control, now, from, offset);
+        }
+        PeerMsg::Evidence {
+            instance,
+            incarnation,
+            plan,
+            routes,
+        } => {
+            if let Some(watch) = control.moves.get_mut(&plan) {
+                watch.evidence.merge(&instance, incarnation, &routes);
+            }
+        }
+        PeerMsg::Fact(fact) => take_fact(control, now, fact),
+        PeerMsg::Fetch { from: offset } => forward_records(control, from, offset),
+        PeerMsg::Records { records } => {
+            records::take_forwarded(control, &records);
+            publish::publish(control, now);
+        }
+        PeerMsg::Loan { .. }
+        | PeerMsg::KeyClaim { .. }
+        | PeerMsg::KeyReply { .. }
+        | PeerMsg::KeyEnd { .. } => {}
+    }
+}
+
+fn hear(control: &mut Control, now: Time, from: &InstanceId, leaving: bool) {
+    let incarnation = control.peers.get(from).map_or(0, |p| p.incarnation);
+    let sighting = Sighting::Heard {
+        instance: from.clone(),
+        incarnation,
+        leaving,
+    };
+    control.members.see(now, &sighting);
+}
+
+/// Asks a peer for records while the log service does not answer.
+fn fetch_if_behind(control: &mut Control, now: Time, from: &InstanceId, offset: u64) {
+    let waited = control
+        .fetched
+        .is_none_or(|at| now.since_us(at) >= FETCH_MS * 1_000);
+    if offset <= control.state.offset() || !waited || records::is_log_up(control, now) {
+        return;
+    }
+    control.fetched = Some(now);
+    let fetch = PeerMsg::Fetch {
+        from: control.state.offset() + 1,
+    };
+    control.ctx.peers.send(from, fetch);
+}
+
+/// Sends the records from `offset` on, or a snapshot if they are no longer kept.
+fn forward_records(control: &Control, to: &InstanceId, offset: u64) {
+    if offset > control.state.offset() {
+        return;
+    }
+    if let Some(records) = control.recent.from(offset) {
+        control.ctx.peers.send(to, PeerMsg::Records { records });
+        return;
+    }
+    let author = OperatorName::new(control.ctx.settings.instance.as_str());
+    for record in control.state.snapshot(&author, Clock::wall()) {
+        let Ok(data) = record.encode() else {
+            return;
+        };
+        let records = vec![LogEntry { offset: 0, data }];
+        control.ctx.peers.send(to, PeerMsg::Records { records });
+    }
+}
+
+/// Takes a fact from a peer or from this instance. A new one is passed on to all peers, so that it
+/// reaches instances whose link to its source is down.
+pub fn take_fact(control: &mut Control, now: Time, fact: Fact) {
+    if control.facts.contains(&fact) || control.facts.len() >= MAX_FACTS {
+        return;
+    }
+    info!(instance = %control.ctx.settings.instance, ?fact, "event=fact");
+    control.members.see(now, &Sighting::Fact(fact.clone()));
+    control.ctx.peers.send_all(&PeerMsg::Fact(fact.clone()));
+    control.facts.insert(fact);
+    publish::publish(control, now);
+}
+
+/// Tells a peer whose link has just opened what it may have missed.
+pub fn greet(control: &Control, peer: &InstanceId) {
+    let ctx = &control.ctx;
+    for fact in &control.facts {
+        ctx.peers.send(peer, PeerMsg::Fact(fact.clone()));
+    }
+    for (plan, watch) in &control.moves {
+        let routes = watch.evidence.own();
+        if !routes.is_empty() {
+            ctx.peers.send(peer, evidence_msg(ctx, plan, routes));
+        }
+    }
+}
+
+/// Tells dispatchers that messages to and from a peer may be lost.
+pub fn note_down(control: &Control, peer: &InstanceId) {
+    for dispatcher in control.ctx.dispatchers.load().values() {
+        let event = Event::PeerDown { peer: peer.clone() };
+        let _ = dispatcher.try_send(DispatchMsg::Event(event));
+    }
+}
+
+/// Takes this instance out of its own view once it is leaving.
+pub fn note_leaving(control: &mut Control, now: Time) {
+    let ctx = Arc::clone(&control.ctx);
+    if !ctx.progress.is_leaving() {
+        return;
+    }
+    let instance = ctx.settings.instance.clone();
+    let sighting = Sighting::Heard {
+        instance,
+        incarnation: ctx.incarnation,
+        leaving: true,
+    };
+    control.members.see(now, &sighting);
+}
--- /dev/null
+++ b/crates/node/src/control/publish.rs
@@ -0,0 +1,134 @@
+//! Publishes what traffic threads work from.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use model::{ServiceName, Time, Wall};
+use policy::{Event, ServiceView};
+use state::{Home, ViewInput, Views, views};
+use wire::Fact;
+
+use crate::{
+    clock::Clock,
+    control::thread::Control,
+    dispatch::{DispatchMsg, spawn_dispatcher},
+    snapshot::{EntryAddr, ServiceSnapshot, Snapshot},
+};
+
+/// Home instances and spares named for a service. Address answers choose among them.
+const MAX_ENTRIES: usize = 8;
+
+/// What a published snapshot was made from. An equal basis gives an equal snapshot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Basis {
+    offset: u64,
+    members: u64,
+    facts: usize,
+    /// Open moves whose deadline has passed.
+    late: usize,
+}
+
+/// Publishes a new snapshot if anything changed.
+pub fn publish(control: &mut Control, now: Time) {
+    let wall = Clock::wall();
+    prune_facts(control);
+    let members = control.members.view(now);
+    let basis = Basis {
+        offset: control.state.offset(),
+        members: members.version,
+        facts: control.facts.len(),
+        late: late_moves(control, wall),
+    };
+    if control.published == Some(basis) {
+        return;
+    }
+    control.published = Some(basis);
+    let settings = &control.ctx.settings;
+    let views = views(ViewInput {
+        fold: control.state.fold(),
+        members: &members,
+        me: &settings.instance,
+        zone: &settings.zone,
+        region: &settings.region,
+        facts: &control.facts,
+        wall,
+    });
+    update_dispatchers(control, &views);
+    let snapshot = build(control, views, members.version);
+    control.ctx.snapshot.store(Arc::new(snapshot));
+}
+
+fn late_moves(control: &Control, wall: Wall) -> usize {
+    let fold = control.state.fold();
+    fold.open_moves()
+        .filter(|(_, m)| state::is_late(m, wall))
+        .count()
+}
+
+/// Drops facts that the log has overtaken: stops of decided moves, and zones changed since.
+fn prune_facts(control: &mut Control) {
+    let fold = control.state.fold();
+    control.facts.retain(|fact| match fact {
+        Fact::Stop { plan, .. } => {
+            let decided = fold.find_move(plan).is_some_and(|(_, m)| !m.is_open());
+            !decided
+        }
+        Fact::ZoneOut { zone, base } => fold.zones.get(zone).is_none_or(|z| z.changed <= *base),
+        Fact::Draining { .. } => true,
+    });
+}
+
+fn update_dispatchers(control: &Control, views: &Views) {
+    let ctx = &control.ctx;
+    let old = ctx.snapshot.load();
+    let mut dispatchers = (**ctx.dispatchers.load()).clone();
+    dispatchers.retain(|name, _| views.services.contains_key(name));
+    for (name, view) in &views.services {
+        if old.services.get(name).is_some_and(|s| s.view == *view) {
+            continue;
+        }
+        if let Some(dispatcher) = dispatchers.get(name) {
+            let event = Event::View(Arc::clone(view));
+            let _ = dispatcher.try_send(DispatchMsg::Event(event));
+        } else {
+            let dispatcher = spawn_dispatcher(ctx, &control.cancel, Arc::clone(view));
+            dispatchers.insert(name.clone(), dispatcher);
+        }
+    }
+    ctx.dispatchers.store(Arc::new(dispatchers));
+}
+
+fn build(control: &Control, views: Views, view: u64) -> Snapshot {
+    let mut services: BTreeMap<ServiceName, ServiceSnapshot> = BTreeMap::new();
+    for (name, service) in views.services {
+        let homes = views.homes.get(&name).map_or(&[][..], Vec::as_slice);
+        let entries = entries(&service, homes, &views.spares);
+        services.insert(
+            name,
+            ServiceSnapshot {
+                view: service,
+                entries,
+            },
+        );
+    }
+    let ready = !control.state.fold().tenants.is_empty();
+    Snapshot {
+        offset: control.state.offset(),
+        view,
+        ready,
+        services,
+    }
+}
+
+/// Homes in rank order, then spares, which differ from service to service.
+fn entries(service: &ServiceView, homes: &[Home], spares: &[Home]) -> Vec<EntryAddr> {
+    let mut spares: Vec<&Home> = spares.iter().filter(|s| !homes.contains(s)).collect();
+    spares.sort_by_key(|s| {
+        std::cmp::Reverse(model::rendezvous(service.name.as_str(), s.id.as_str()))
+    });
+    let all = homes.iter().chain(spares).take(MAX_ENTRIES);
+    all.map(|h| EntryAddr {
+        addr: h.addr,
+        zone: h.zone.clone(),
+    })
+    .collect()
+}
--- /dev/null
+++ b/crates/node/src/control/sample.rs
@@ -0,0 +1,18 @@
+//! A call as evidence about a version.
+
+use std::sync::Arc;
+
+use model::Version;
+
+/// One call that an upstream ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sample {
+    /// Version that ran it.
+    pub version: Version,
+    /// Method and first segment of the path.
+    pub route: Arc<str>,
+    /// Whether it failed.
+    pub error: bool,
+    /// Service time in microseconds.
+    pub service_us: u64,
+}
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -1,27 +1,110 @@
-//! The loop of the control thread.
+//! The loop of the control thread and the state that it owns.
 
-use std::{collections::BTreeMap, io, sync::Arc, thread};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    sync::Arc,
+    thread,
+    time::Duration,
+};
 
-use async_std::{channel::Receiver, task};
-use model::{Config, InstanceId, TargetId, Tenant};
-use policy::{Event, ServiceView, TargetState, TargetView};
-use tracing::{debug, info};
-use wire::{Body, EntryKind, EntryState, ListAnswer, ListEntry, LogEntry, Record};
+use async_std::{
+    channel::{Receiver, Sender},
+    future::timeout,
+    task,
+};
+use model::{InstanceId, Time};
+use state::{Driver, Members, Sighting, State};
+use wire::{Fact, Record};
 
 use crate::{
     Token,
+    clock::Clock,
     context::Context,
-    control::ControlEvent,
-    dispatch::{DispatchMsg, spawn_dispatcher},
-    snapshot::{EntryAddr, ServiceSnapshot, Snapshot},
+    control::{
+        ControlEvent, admin, links, move_watch::MoveWatches, moves, peer_events, prober,
+        proposals::Proposals, publish, recent::Recent, records,
+    },
+    node::own_entry,
 };
 
-struct Control {
-    ctx: Arc<Context>,
-    cancel: Token,
-    offset: u64,
-    configs: BTreeMap<Tenant, Config>,
-    list: ListAnswer,
+/// Interval of the work that depends on time alone.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What a peer said of itself last.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PeerState {
+    /// Its process.
+    pub incarnation: u64,
+    /// Last log offset that it has applied.
+    pub offset: u64,
+}
+
+/// State of the control thread.
+pub struct Control {
+    /// Shared parts of the instance.
+    pub ctx: Arc<Context>,
+    /// Ends all tasks of the instance.
+    pub cancel: Token,
+    /// Fold of the log.
+    pub state: State,
+    /// Membership.
+    pub members: Members,
+    /// Driver of version moves.
+    pub driver: Driver,
+    /// Facts that were heard or told and still matter.
+    pub facts: BTreeSet<Fact>,
+    /// Evidence of open moves.
+    pub moves: MoveWatches,
+    /// Proposals of operators that wait for the log.
+    pub proposals: Proposals,
+    /// Records for peers that lag.
+    pub recent: Recent,
+    /// Peers as last heard.
+    pub peers: BTreeMap<InstanceId, PeerState>,
+    /// Parts of a snapshot that a peer passes on.
+    pub adopting: Vec<Record>,
+    /// Queue of the appender.
+    pub appender: Sender<Record>,
+    /// Last time at which the log service answered a read.
+    pub log_read: Option<Time>,
+    /// Last time at which a peer was asked for records.
+    pub fetched: Option<Time>,
+    /// Time at which this instance appends the snapshot that is due.
+    pub snapshot_at: Option<Time>,
+    /// What the published snapshot was made from.
+    pub published: Option<publish::Basis>,
+    /// Time of the next probes of silent targets.
+    pub probe_at: Time,
+    /// Time of the next evidence to peers.
+    pub evidence_at: Time,
+}
+
+impl Control {
+    fn new(ctx: Arc<Context>, cancel: Token, appender: Sender<Record>) -> Self {
+        let now = ctx.clock.now();
+        let me = &ctx.settings.instance;
+        Self {
+            state: State::default(),
+            members: Members::new(&own_entry(&ctx, wire::EntryState::Live), now),
+            driver: Driver::new(me, now),
+            facts: BTreeSet::new(),
+            moves: MoveWatches::new(),
+            proposals: Proposals::default(),
+            recent: Recent::default(),
+            peers: BTreeMap::new(),
+            adopting: Vec::new(),
+            appender,
+            log_read: None,
+            fetched: None,
+            snapshot_at: None,
+            published: None,
+            probe_at: now,
+            evidence_at: now,
+            ctx,
+            cancel,
+        }
+    }
 }
 
 /// Starts the control thread. It ends when `cancel` is cancelled.
@@ -29,14 +112,9 @@
     ctx: Arc<Context>,
     cancel: Token,
     events: Receiver<ControlEvent>,
+    appender: Sender<Record>,
 ) -> io::Result<thread::JoinHandle<()>> {
-    let control = Control {
-        ctx,
-        cancel,
-        offset: 0,
-        configs: BTreeMap::new(),
-        list: ListAnswer::default(),
-    };
+    let control = Control::new(ctx, cancel, appender);
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || run(control, &events))
@@ -44,126 +122,59 @@
 
 fn run(mut control: Control, events: &Receiver<ControlEvent>) {
     let cancel = control.cancel.clone();
-    while let Some(Ok(event)) = task::block_on(cancel.run(events.recv())) {
-        match event {
-            ControlEvent::Records(records) => apply(&mut control, &records),
-            ControlEvent::List(list) if list != control.list => control.list = list,
-            ControlEvent::List(_) => continue,
-            ControlEvent::SendLoan { to, service, msg } => {
-                debug!(%to, %service, ?msg, "event=loan_unsent");
-                continue;
-            }
-            ControlEvent::Fact(fact) => {
-                debug!(?fact, "event=fact_unsent");
-                continue;
-            }
-            // Dropping the reply channel makes the administration API answer "busy".
-            ControlEvent::Admin(request) => {
-                drop(request);
-                continue;
-            }
+    let mut next_tick = control.ctx.clock.now();
+    loop {
+        let now = control.ctx.clock.now();
+        if now >= next_tick {
+            next_tick = now.plus_us(u64::try_from(TICK.as_micros()).unwrap_or(u64::MAX));
+            tick(&mut control, now);
+        }
+        let wait = Duration::from_micros(next_tick.since_us(now));
+        match task::block_on(cancel.run(timeout(wait, events.recv()))) {
+            None | Some(Ok(Err(_))) => return,
+            Some(Ok(Ok(event))) => take(&mut control, event),
+            Some(Err(_)) => {}
         }
-        publish(&control);
     }
 }
 
-fn apply(control: &mut Control, records: &[LogEntry]) {
-    for entry in records {
-        if entry.offset <= control.offset {
-            continue;
+fn take(control: &mut Control, event: ControlEvent) {
+    let now = control.ctx.clock.now();
+    match event {
+        ControlEvent::LogRead { answer, next } => {
+            records::take_read(control, now, &answer);
+            let _ = next.try_send(control.state.next());
+            publish::publish(control, now);
         }
-        control.offset = entry.offset;
-        let Ok(record) = Record::decode(&entry.data) else {
-            continue;
-        };
-        if let Body::Config { tenant, text, .. } = record.body
-            && let Ok(config) = Config::parse(tenant.as_str(), &text)
-        {
-            let instance = &control.ctx.settings.instance;
-            info!(%instance, %tenant, offset = entry.offset, "event=config_in_force");
-            control.configs.insert(tenant, config);
+        ControlEvent::AppendUnknown { ids } => control.proposals.note_unknown(&ids),
+        ControlEvent::List(answer) => {
+            control.members.poll(now, &answer);
+            publish::publish(control, now);
         }
-    }
-}
-
-fn publish(control: &Control) {
-    let ctx = &control.ctx;
-    let snapshot = build(control);
-    let mut dispatchers = (**ctx.dispatchers.load()).clone();
-    for (name, service) in &snapshot.services {
-        let view = Arc::clone(&service.view);
-        if let Some(dispatcher) = dispatchers.get(name) {
-            let _ = dispatcher.try_send(DispatchMsg::Event(Event::View(view)));
-        } else {
-            dispatchers.insert(name.clone(), spawn_dispatcher(ctx, &control.cancel, view));
+        ControlEvent::Peer { from, msg } => peer_events::take_message(control, now, &from, msg),
+        ControlEvent::LinkUp(peer) => peer_events::greet(control, &peer),
+        ControlEvent::LinkDown(peer) => peer_events::note_down(control, &peer),
+        ControlEvent::Fact(fact) => peer_events::take_fact(control, now, fact),
+        ControlEvent::Samples { service, samples } => moves::count(control, &service, &samples),
+        ControlEvent::Sightings { answered, failed } => {
+            for target in answered {
+                control.members.see(now, &Sighting::Answered { target });
+            }
+            for target in failed {
+                control.members.see(now, &Sighting::Failed { target });
+            }
         }
-    }
-    ctx.dispatchers.store(Arc::new(dispatchers));
-    ctx.snapshot.store(Arc::new(snapshot));
-}
-
-fn build(control: &Control) -> Snapshot {
-    let entries: Vec<EntryAddr> = control
-        .list
-        .entries
-        .iter()
-        .filter(|e| e.kind == EntryKind::Entry && e.state == EntryState::Live)
-        .map(|e| EntryAddr {
-            addr: e.addr,
-            zone: e.zone.clone(),
-        })
-        .collect();
-    let mut services = BTreeMap::new();
-    for service in control.configs.values().flat_map(|c| &c.services) {
-        let me = control.ctx.settings.instance.clone();
-        let targets = control
-            .list
-            .entries
-            .iter()
-            .filter_map(|e| target(&me, service, e))
-            .collect();
-        let view = ServiceView {
-            view: control.list.version,
-            name: service.name.clone(),
-            zone: control.ctx.settings.zone.clone(),
-            classes: service.classes.clone(),
-            targets,
-            owners: vec![me.clone()],
-            me,
-            version: service.version.clone(),
-            shift: None,
-        };
-        let snapshot = ServiceSnapshot {
-            view: Arc::new(view),
-            entries: entries.clone(),
-        };
-        services.insert(service.name.clone(), snapshot);
-    }
-    Snapshot {
-        offset: control.offset,
-        ready: !control.configs.is_empty(),
-        services,
+        ControlEvent::Admin(request) => admin::answer(control, now, request),
     }
 }
 
-fn target(me: &InstanceId, service: &model::Service, entry: &ListEntry) -> Option<Arc<TargetView>> {
-    if entry.service.as_ref() != Some(&service.name) {
-        return None;
-    }
-    let state = match entry.state {
-        EntryState::Live if entry.version.as_ref() == Some(&service.version) => TargetState::Usable,
-        EntryState::Live => TargetState::Barred,
-        EntryState::Leaving => TargetState::Leaving,
-    };
-    Some(Arc::new(TargetView {
-        id: TargetId::new(&entry.id),
-        incarnation: entry.incarnation,
-        addr: entry.addr,
-        zone: entry.zone.clone(),
-        region: entry.region.clone(),
-        version: entry.version.clone()?,
-        slots: entry.slots?,
-        state,
-        owner: me.clone(),
-    }))
+fn tick(control: &mut Control, now: Time) {
+    let wall = Clock::wall();
+    peer_events::note_leaving(control, now);
+    moves::tick(control, now, wall);
+    records::tick(control, now, wall);
+    control.proposals.tick(now);
+    prober::probe_silent(control, now);
+    publish::publish(control, now);
+    links::update(control);
 }
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -1,6 +1,7 @@
 //! One task for each service owns that service's dispatcher; calls reach it over a channel.
 
 mod msg;
+mod tally;
 mod task;
 
 pub use self::{
--- a/crates/node/src/dispatch/msg.rs
+++ b/crates/node/src/dispatch/msg.rs
@@ -3,14 +3,25 @@
 use std::sync::Arc;
 
 use async_std::channel::Sender;
-use model::Code;
-use policy::{Call, Event, TargetView};
+use model::{Code, TargetId};
+use policy::{Call, CallId, Event, Report, TargetView};
 
 /// What a dispatcher task is told.
 #[derive(Debug)]
 pub enum DispatchMsg {
     /// A call arrived; its replies go to the sender.
     Arrive(Call, Sender<Reply>),
+    /// An attempt ended.
+    Ended {
+        /// The call.
+        call: CallId,
+        /// Where the attempt ran.
+        target: TargetId,
+        /// Method and first segment of the path.
+        route: Arc<str>,
+        /// How it ended.
+        report: Report,
+    },
     /// Any other event.
     Event(Event),
 }
--- /dev/null
+++ b/crates/node/src/dispatch/tally/tests.rs
@@ -0,0 +1,74 @@
+//! Guards against a bad version that produces no evidence because it refuses or cannot be reached.
+
+use super::*;
+
+fn target() -> TargetView {
+    TargetView {
+        id: "t-1".into(),
+        incarnation: 1,
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        region: "r".into(),
+        version: "v2".into(),
+        slots: 3,
+        state: policy::TargetState::Usable,
+        owner: "i-1".into(),
+    }
+}
+
+fn report(end: End, cold: bool) -> Report {
+    Report {
+        end,
+        service_us: 7,
+        retryable: false,
+        draining: false,
+        cold,
+    }
+}
+
+fn errors(ends: &[Report]) -> Vec<bool> {
+    let mut tally = Tally::default();
+    for report in ends {
+        tally.note(&target(), &"GET /".into(), *report, true);
+    }
+    let events = tally.take(Time::from_ms(REPORT_MS), &"orders".into());
+    let samples = events.into_iter().find_map(|e| match e {
+        ControlEvent::Samples { samples, .. } => Some(samples),
+        _ => None,
+    });
+    samples
+        .unwrap_or_default()
+        .iter()
+        .map(|s| s.error)
+        .collect()
+}
+
+#[test]
+fn note_unreachable_version() {
+    let ends = [
+        report(End::ConnectFailed, false),
+        report(End::Refused, false),
+    ];
+    assert_eq!(errors(&ends), [true, true]);
+}
+
+#[test]
+fn note_cold_refusal() {
+    let ends = [report(End::Refused, true), report(End::Cancelled, false)];
+    assert!(errors(&ends).is_empty());
+}
+
+#[test]
+fn take_waits_for_interval() {
+    let mut tally = Tally::default();
+    tally.note(&target(), &"GET /".into(), report(End::Good, false), false);
+    assert!(
+        tally
+            .take(Time::from_ms(REPORT_MS - 1), &"orders".into())
+            .is_empty()
+    );
+    assert_eq!(
+        tally.take(Time::from_ms(REPORT_MS), &"orders".into()).len(),
+        1
+    );
+}
--- a/crates/node/src/dispatch/task.rs
+++ b/crates/node/src/dispatch/task.rs
@@ -12,14 +12,17 @@
     task,
 };
 use model::{TargetId, Time};
-use policy::{Action, CallId, Dispatcher, End, Event, Report, ServiceView, TargetView};
+use policy::{Action, CallId, Dispatcher, End, Event, Report, ServiceView};
 use tracing::debug;
 
 use crate::{
     Token,
     context::Context,
     control::ControlEvent,
-    dispatch::{DispatchMsg, Reply},
+    dispatch::{
+        DispatchMsg, Reply,
+        tally::{Tally, TargetIndex},
+    },
 };
 
 /// Interval of ticks while calls are in progress.
@@ -33,6 +36,9 @@
     dispatcher: Dispatcher,
     replies: HashMap<CallId, Sender<Reply>>,
     out: Vec<Action>,
+    /// Targets of the view.
+    targets: TargetIndex,
+    tally: Tally,
     /// Ends of attempts that no call took over.
     unstarted: VecDeque<Event>,
 }
@@ -48,6 +54,8 @@
     let task = Task {
         ctx: Arc::clone(ctx),
         dispatcher: Dispatcher::new(Arc::clone(&view), seed),
+        targets: index(&view),
+        tally: Tally::default(),
         view,
         replies: HashMap::new(),
         out: Vec::new(),
@@ -82,17 +90,37 @@
             task.replies.insert(call.id, reply);
             Event::Arrive(call)
         }
+        DispatchMsg::Ended {
+            call,
+            target,
+            route,
+            report,
+        } => {
+            if let Some(view) = task.targets.get(&target) {
+                task.tally
+                    .note(view, &route, report, task.view.shift.is_some());
+            }
+            Event::Finish {
+                call,
+                target,
+                report,
+            }
+        }
         DispatchMsg::Event(event) => event,
     };
     handle(task, now, event);
     while let Some(event) = task.unstarted.pop_front() {
         handle(task, now, event);
     }
+    for event in task.tally.take(now, &task.view.name) {
+        let _ = task.ctx.control.try_send(event);
+    }
 }
 
 fn handle(task: &mut Task, now: Time, event: Event) {
     if let Event::View(view) = &event {
         task.view = Arc::clone(view);
+        task.targets = index(view);
     }
     if let Event::Cancel { call } = &event {
         task.replies.remove(call);
@@ -124,10 +152,9 @@
         }
         Action::Send { to, msg } => {
             let service = task.view.name.clone();
-            let _ = task
-                .ctx
-                .control
-                .try_send(ControlEvent::SendLoan { to, service, msg });
+            task.ctx
+                .peers
+                .send(&to, wire::PeerMsg::Loan { service, msg });
         }
         Action::Draining {
             target,
@@ -145,7 +172,7 @@
 /// Passes a start on. If nobody takes it over, its end is reported at once, so that its slot does
 /// not stay taken.
 fn start(task: &mut Task, call: CallId, target: &TargetId) {
-    let Some(view) = find(&task.view, target) else {
+    let Some(view) = task.targets.get(target).cloned() else {
         debug!(call = call.0, %target, "event=start_unknown_target");
         task.unstarted
             .push_back(unstarted(call, target, End::ConnectFailed));
@@ -178,6 +205,9 @@
     sender.is_some_and(|s| s.try_send(reply).is_ok())
 }
 
-fn find(view: &ServiceView, id: &TargetId) -> Option<Arc<TargetView>> {
-    view.targets.iter().find(|t| t.id == *id).cloned()
+fn index(view: &ServiceView) -> TargetIndex {
+    view.targets
+        .iter()
+        .map(|t| (t.id.clone(), Arc::clone(t)))
+        .collect()
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod metrics;
 mod node;
+mod peer;
 mod pool;
 mod snapshot;
 mod stop;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,7 +2,11 @@
 
 use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
 
-use async_std::{channel::unbounded, net::TcpListener, task};
+use async_std::{
+    channel::{bounded, unbounded},
+    net::TcpListener,
+    task,
+};
 use model::Settings;
 use platform::{ListClient, PlatformError};
 use thiserror::Error;
@@ -13,13 +17,16 @@
     Token,
     admin::serve_admin,
     context::Context,
-    control::{read_list, read_log, spawn_control},
+    control::{append_records, read_list, read_log, spawn_control},
     listener::serve_callers,
+    peer::serve_peers,
     stop::{Stopped, stop_planned},
 };
 
 /// Interval of the work that keeps idle resources small.
 const HOUSE_INTERVAL: Duration = Duration::from_secs(1);
+/// Records that may wait for the appender.
+const APPEND_QUEUE: usize = 1_024;
 
 /// Why an instance could not start.
 #[derive(Debug, Error)]
@@ -61,8 +68,10 @@
         let addr = ctx.settings.listen;
         let listener = bind(addr).await?;
         let admin = bind(ctx.settings.admin).await?;
-        let control =
-            spawn_control(Arc::clone(&ctx), cancel.child(), receiver).map_err(NodeError::Thread)?;
+        let peers = bind(ctx.settings.peer).await?;
+        let (appender, records) = bounded(APPEND_QUEUE);
+        let control = spawn_control(Arc::clone(&ctx), cancel.child(), receiver, appender)
+            .map_err(NodeError::Thread)?;
         let node = Self {
             ctx,
             cancel,
@@ -71,6 +80,12 @@
         register(&node.ctx, EntryState::Live).await?;
         let ctx = &node.ctx;
         task::spawn(keep_house(Arc::clone(ctx), node.cancel.child()));
+        task::spawn(append_records(
+            Arc::clone(ctx),
+            node.cancel.child(),
+            records,
+        ));
+        task::spawn(serve_peers(Arc::clone(ctx), node.cancel.child(), peers));
         task::spawn(read_log(Arc::clone(ctx), node.cancel.child()));
         task::spawn(read_list(Arc::clone(ctx), node.cancel.child()));
         task::spawn(serve_callers(
@@ -121,8 +136,15 @@
 
 /// Announces this instance in the platform's list.
 pub async fn register(ctx: &Context, state: EntryState) -> Result<(), PlatformError> {
+    ListClient::new(ctx.settings.list)
+        .register(&own_entry(ctx, state))
+        .await
+}
+
+/// This instance as the list shows it.
+pub fn own_entry(ctx: &Context, state: EntryState) -> ListEntry {
     let settings = &ctx.settings;
-    let entry = ListEntry {
+    ListEntry {
         id: settings.instance.as_str().to_owned(),
         kind: EntryKind::Entry,
         zone: settings.zone.clone(),
@@ -134,6 +156,5 @@
         slots: None,
         state,
         incarnation: ctx.incarnation,
-    };
-    ListClient::new(settings.list).register(&entry).await
+    }
 }
--- /dev/null
+++ b/crates/node/src/peer/incoming.rs
@@ -0,0 +1,137 @@
+//! The receiving side: accepts peers' streams and passes their messages on.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use async_std::{
+    future::timeout,
+    net::{TcpListener, TcpStream},
+    stream::StreamExt,
+    task,
+};
+use bytes::Bytes;
+use h2::{RecvStream, server};
+use model::{Code, InstanceId};
+use policy::Event;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+use tracing::warn;
+use wire::{PEER_SCHEMA, PeerMsg};
+
+use crate::{
+    Token,
+    context::Context,
+    control::ControlEvent,
+    dispatch::DispatchMsg,
+    peer::{SILENCE, WINDOW_BYTES, frame::FrameReader},
+};
+
+/// Streams that one connection may open. A peer opens one.
+const MAX_STREAMS: u32 = 2;
+/// Time for the h2 handshake.
+const HANDSHAKE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Accepts peers until cancelled.
+pub async fn serve_peers(ctx: Arc<Context>, cancel: Token, listener: TcpListener) {
+    let mut incoming = listener.incoming();
+    while let Some(Some(next)) = cancel.run(incoming.next()).await {
+        let Ok(stream) = next else {
+            continue;
+        };
+        let ctx = Arc::clone(&ctx);
+        let cancel = cancel.child();
+        task::spawn(async move {
+            cancel
+                .run(Box::pin(serve_connection(&ctx, &cancel, stream)))
+                .await;
+            cancel.cancel();
+        });
+    }
+}
+
+async fn serve_connection(ctx: &Arc<Context>, cancel: &Token, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let mut builder = server::Builder::new();
+    builder
+        .initial_window_size(WINDOW_BYTES)
+        .max_concurrent_streams(MAX_STREAMS);
+    let handshake = builder.handshake::<_, Bytes>(stream.compat());
+    let Ok(Ok(mut connection)) = timeout(HANDSHAKE_LIMIT, handshake).await else {
+        return;
+    };
+    while let Some(Ok((request, _respond))) = connection.accept().await {
+        let ctx = Arc::clone(ctx);
+        let cancel = cancel.child();
+        let body = request.into_body();
+        task::spawn(async move {
+            cancel.run(Box::pin(read_stream(&ctx, body))).await;
+        });
+    }
+}
+
+/// Reads messages until the stream ends, breaks, or is silent for too long.
+async fn read_stream(ctx: &Arc<Context>, mut body: RecvStream) {
+    let mut reader = FrameReader::default();
+    let mut peer = None;
+    loop {
+        let Ok(Some(Ok(bytes))) = timeout(SILENCE, body.data()).await else {
+            break;
+        };
+        let _ = body.flow_control().release_capacity(bytes.len());
+        ctx.peers
+            .stats
+            .received_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        reader.push(&bytes);
+        if let Err(code) = take_messages(ctx, &mut reader, &mut peer) {
+            warn!(instance = %ctx.settings.instance, ?peer, code = code.number(), "event=peer_stream_refused");
+            return;
+        }
+    }
+}
+
+fn take_messages(
+    ctx: &Arc<Context>,
+    reader: &mut FrameReader,
+    peer: &mut Option<InstanceId>,
+) -> Result<(), Code> {
+    while let Some(msg) = reader.next().map_err(|e| e.code)? {
+        ctx.peers.stats.received.fetch_add(1, Ordering::Relaxed);
+        match (&msg, &*peer) {
+            (
+                PeerMsg::Hello {
+                    schema, instance, ..
+                },
+                None,
+            ) => {
+                if *schema != PEER_SCHEMA {
+                    return Err(Code::PeerSchema);
+                }
+                *peer = Some(instance.clone());
+                pass_on(ctx, instance, msg.clone());
+            }
+            (PeerMsg::Hello { .. }, Some(_)) | (_, None) => return Err(Code::BadFrame),
+            (_, Some(from)) => pass_on(ctx, from, msg.clone()),
+        }
+    }
+    Ok(())
+}
+
+/// Loans go straight to the service's dispatcher, everything else to the control thread.
+fn pass_on(ctx: &Context, from: &InstanceId, msg: PeerMsg) {
+    let PeerMsg::Loan { service, msg } = msg else {
+        let _ = ctx.control.try_send(ControlEvent::Peer {
+            from: from.clone(),
+            msg,
+        });
+        return;
+    };
+    if let Some(dispatcher) = ctx.dispatchers.load().get(&service) {
+        let event = Event::Peer {
+            from: from.clone(),
+            msg,
+        };
+        let _ = dispatcher.try_send(DispatchMsg::Event(event));
+    }
+}
--- /dev/null
+++ b/crates/node/src/peer/outgoing.rs
@@ -0,0 +1,237 @@
+//! The sending side: one task for each peer that connects, sends queued messages and heartbeats,
+//! and connects anew when the stream breaks or goes silent.
+
+use std::{
+    future::poll_fn,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use async_std::{
+    channel::{Receiver, bounded},
+    future::timeout,
+    net::TcpStream,
+    task,
+};
+use bytes::{Bytes, BytesMut};
+use futures::future::{Either, select};
+use h2::{
+    Ping, PingPong, SendStream,
+    client::{self, SendRequest},
+};
+use http::Request;
+use model::{Code, InstanceId};
+use thiserror::Error;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+use tracing::{debug, info};
+use wire::{PEER_SCHEMA, PeerMsg};
+
+use crate::{
+    Token,
+    context::Context,
+    control::ControlEvent,
+    peer::{HEARTBEAT, Link, SILENCE, WINDOW_BYTES, frame::write_frame},
+};
+
+/// Messages that may wait for a link.
+const QUEUE: usize = 1_024;
+/// Bytes of queued messages that are joined into one write.
+const BATCH_BYTES: usize = 64 * 1024;
+/// Time to open a connection to a peer.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+/// Pause before a new connection after one broke.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+
+#[derive(Debug, Error)]
+enum LinkError {
+    #[error("{}", Code::PeerSilent)]
+    Silent,
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    #[error("{0}")]
+    H2(#[from] h2::Error),
+    #[error("{0}")]
+    Http(#[from] http::Error),
+    #[error("{0}")]
+    Frame(#[from] wire::WireError),
+}
+
+/// Starts the link to a peer.
+pub fn spawn_link(
+    ctx: &Arc<Context>,
+    cancel: &Token,
+    peer: &InstanceId,
+    addr: SocketAddr,
+    incarnation: u64,
+) -> Link {
+    let (queue, receiver) = bounded(QUEUE);
+    let cancel = cancel.child();
+    let link = Link {
+        incarnation,
+        queue,
+        cancel: cancel.clone(),
+    };
+    let ctx = Arc::clone(ctx);
+    let peer = peer.clone();
+    task::spawn(async move {
+        cancel
+            .run(Box::pin(keep_link(&ctx, &peer, addr, &receiver)))
+            .await;
+    });
+    link
+}
+
+async fn keep_link(ctx: &Context, peer: &InstanceId, addr: SocketAddr, queue: &Receiver<PeerMsg>) {
+    let instance = &ctx.settings.instance;
+    loop {
+        let Err(error) = run_link(ctx, peer, addr, queue).await;
+        debug!(%instance, %peer, %error, "event=peer_link_down");
+        let _ = ctx.control.send(ControlEvent::LinkDown(peer.clone())).await;
+        task::sleep(RECONNECT_PAUSE).await;
+        // Messages queued for the broken stream would arrive late; their senders cope with loss.
+        while queue.try_recv().is_ok() {
+            ctx.peers.stats.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Connects and sends until the stream breaks.
+async fn run_link(
+    ctx: &Context,
+    peer: &InstanceId,
+    addr: SocketAddr,
+    queue: &Receiver<PeerMsg>,
+) -> Result<std::convert::Infallible, LinkError> {
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr))
+        .await
+        .map_err(|_| LinkError::Silent)??;
+    stream.set_nodelay(true)?;
+    let (sender, mut connection) = client::Builder::new()
+        .initial_window_size(WINDOW_BYTES)
+        .handshake::<_, Bytes>(stream.compat())
+        .await?;
+    let pings = connection.ping_pong();
+    let driver = Box::pin(connection);
+    let work = Box::pin(send_loop(ctx, peer, addr, queue, sender, pings));
+    match select(driver, work).await {
+        Either::Left((end, _)) => {
+            end?;
+            Err(LinkError::Silent)
+        }
+        Either::Right((end, _)) => end,
+    }
+}
+
+async fn send_loop(
+    ctx: &Context,
+    peer: &InstanceId,
+    addr: SocketAddr,
+    queue: &Receiver<PeerMsg>,
+    sender: SendRequest<Bytes>,
+    pings: Option<PingPong>,
+) -> Result<std::convert::Infallible, LinkError> {
+    let request = Request::post(format!("http://{addr}/peer")).body(())?;
+    let mut sender = sender.ready().await?;
+    let (_response, mut stream) = sender.send_request(request, false)?;
+    let mut pings = pings.ok_or(LinkError::Silent)?;
+    send(ctx, &mut stream, vec![hello(ctx), heartbeat(ctx)]).await?;
+    timeout(SILENCE, pings.ping(Ping::opaque()))
+        .await
+        .map_err(|_| LinkError::Silent)??;
+    info!(instance = %ctx.settings.instance, %peer, "event=peer_link_up");
+    let _ = ctx.control.send(ControlEvent::LinkUp(peer.clone())).await;
+    let pinger = Box::pin(ping_loop(pings));
+    let work = Box::pin(forward(ctx, queue, &mut stream));
+    match select(pinger, work).await {
+        Either::Left((end, _)) | Either::Right((end, _)) => end,
+    }
+}
+
+/// Detects a connection that swallows what is sent: a ping must be answered in time.
+async fn ping_loop(mut pings: PingPong) -> Result<std::convert::Infallible, LinkError> {
+    loop {
+        task::sleep(HEARTBEAT).await;
+        timeout(SILENCE, pings.ping(Ping::opaque()))
+            .await
+            .map_err(|_| LinkError::Silent)??;
+    }
+}
+
+async fn forward(
+    ctx: &Context,
+    queue: &Receiver<PeerMsg>,
+    stream: &mut SendStream<Bytes>,
+) -> Result<std::convert::Infallible, LinkError> {
+    let mut next = ctx.clock.now();
+    loop {
+        let now = ctx.clock.now();
+        if now >= next {
+            next = now.plus_ms(u64::try_from(HEARTBEAT.as_millis()).unwrap_or(u64::MAX));
+            send(ctx, stream, vec![heartbeat(ctx)]).await?;
+        }
+        let wait = Duration::from_micros(next.since_us(now));
+        if let Ok(Ok(msg)) = timeout(wait, queue.recv()).await {
+            send(ctx, stream, batch(msg, queue)).await?;
+        }
+    }
+}
+
+/// A message and those that wait behind it, up to [`BATCH_BYTES`] by a rough size each.
+fn batch(first: PeerMsg, queue: &Receiver<PeerMsg>) -> Vec<PeerMsg> {
+    const ROUGH_BYTES: usize = 64;
+    let mut msgs = vec![first];
+    while msgs.len() < BATCH_BYTES / ROUGH_BYTES {
+        let Ok(msg) = queue.try_recv() else {
+            break;
+        };
+        msgs.push(msg);
+    }
+    msgs
+}
+
+async fn send(
+    ctx: &Context,
+    stream: &mut SendStream<Bytes>,
+    msgs: Vec<PeerMsg>,
+) -> Result<(), LinkError> {
+    let mut buffer = BytesMut::new();
+    for msg in &msgs {
+        write_frame(msg, &mut buffer)?;
+    }
+    let stats = &ctx.peers.stats;
+    stats.sent.fetch_add(msgs.len() as u64, Ordering::Relaxed);
+    stats
+        .sent_bytes
+        .fetch_add(buffer.len() as u64, Ordering::Relaxed);
+    let mut rest = buffer.freeze();
+    while !rest.is_empty() {
+        stream.reserve_capacity(rest.len());
+        let ready = poll_fn(|cx| stream.poll_capacity(cx));
+        let granted = timeout(SILENCE, ready)
+            .await
+            .map_err(|_| LinkError::Silent)?;
+        let size = granted.ok_or(LinkError::Silent)??.min(rest.len());
+        stream.send_data(rest.split_to(size), false)?;
+    }
+    Ok(())
+}
+
+fn hello(ctx: &Context) -> PeerMsg {
+    PeerMsg::Hello {
+        schema: PEER_SCHEMA,
+        instance: ctx.settings.instance.clone(),
+        zone: ctx.settings.zone.clone(),
+        region: ctx.settings.region.clone(),
+        incarnation: ctx.incarnation,
+    }
+}
+
+fn heartbeat(ctx: &Context) -> PeerMsg {
+    let snapshot = ctx.snapshot.load();
+    PeerMsg::Heartbeat {
+        offset: snapshot.offset,
+        leaving: ctx.progress.is_leaving(),
+        view: snapshot.view,
+    }
+}
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -28,6 +28,8 @@
 pub struct Snapshot {
     /// Last log offset applied.
     pub offset: u64,
+    /// Version of the membership view.
+    pub view: u64,
     /// Whether a configuration was ever applied.
     pub ready: bool,
     /// Services by name.
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -20,5 +20,5 @@
     outcomes::{Proposal, Scope},
     snapshot::{SNAPSHOT_RECORDS, snapshot_wait_ms},
     state::State,
-    views::{Home, ViewInput, Views, views},
+    views::{Home, ViewInput, Views, is_late, views},
 };
--- a/crates/state/src/views.rs
+++ b/crates/state/src/views.rs
@@ -154,8 +154,7 @@
 }
 
 fn move_share(input: ViewInput<'_>, shift: &MoveState) -> MoveShare {
-    let late = input.wall > shift.deadline.plus_ms(CLOCK_BOUND_MS);
-    let share = if late || is_stopped(input.facts, shift) {
+    let share = if is_late(shift, input.wall) || is_stopped(input.facts, shift) {
         0
     } else {
         shift.share
@@ -168,6 +167,12 @@
     }
 }
 
+/// Whether an open move's deadline has passed by every clock.
+#[must_use]
+pub fn is_late(shift: &MoveState, wall: Wall) -> bool {
+    wall > shift.deadline.plus_ms(CLOCK_BOUND_MS)
+}
+
 /// Whether the log or a fact says that the new version must receive no work.
 pub(crate) fn is_stopped(facts: &BTreeSet<Fact>, shift: &MoveState) -> bool {
     shift.stop.is_some() || stop_reason(facts, &shift.plan).is_some()
