testkit: upstream, log and list faults, caller, load tool, cluster, balance example

The stand-ins had too few faults to show the behaviour that the design page promises, and there was no way to put load on instances. Upstreams now count runs by call id, cancellations and work beyond a cold limit. The load tool draws arrivals and service times in advance, so that the ideal central queue is computed for the same work. Dropping a stand-in server now closes its connections, as the end of a process does.

--- /dev/null
+++ b/crates/testkit/src/cluster/instance.rs
@@ -0,0 +1,95 @@
+//! One instance of a cluster.
+
+use std::{
+    fmt::Write as _,
+    net::{SocketAddr, TcpListener},
+};
+
+use model::Settings;
+use node::{Node, Token};
+
+use super::ClusterError;
+
+/// An instance that runs in this process, or did.
+#[derive(Debug)]
+pub struct Instance {
+    /// Id.
+    pub id: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for calls.
+    pub addr: SocketAddr,
+    /// Address of the administration API.
+    pub admin: SocketAddr,
+    /// The running instance; `None` once killed.
+    pub node: Option<Node>,
+}
+
+impl Instance {
+    pub(super) async fn start(
+        id: &str,
+        zone: &str,
+        log: SocketAddr,
+        list: SocketAddr,
+        cancel: &Token,
+    ) -> Result<Self, ClusterError> {
+        let settings = settings(id, zone, log, list, free_addrs()?)?;
+        let (addr, admin) = (settings.listen, settings.admin);
+        let started = Box::pin(Node::start(settings, cancel)).await;
+        let node = started.map_err(|error| ClusterError::Start {
+            id: id.to_owned(),
+            error,
+        })?;
+        Ok(Self {
+            id: id.to_owned(),
+            zone: zone.to_owned(),
+            addr,
+            admin,
+            node: Some(node),
+        })
+    }
+
+    /// Ends the instance at once, as the death of its process would. Its list entry stays.
+    pub fn kill(&mut self) {
+        if let Some(node) = self.node.take() {
+            node.kill();
+        }
+    }
+
+    /// Whether it was not killed.
+    #[must_use]
+    pub const fn is_running(&self) -> bool {
+        self.node.is_some()
+    }
+}
+
+fn settings(
+    id: &str,
+    zone: &str,
+    log: SocketAddr,
+    list: SocketAddr,
+    [listen, peer, admin]: [SocketAddr; 3],
+) -> Result<Settings, ClusterError> {
+    let text = format!(
+        "instance = \"{id}\"\nzone = \"{zone}\"\nregion = \"region-1\"\nlisten = \"{listen}\"\n\
+         peer = \"{peer}\"\nadmin = \"{admin}\"\nlog = \"{log}\"\nlist = \"{list}\"\n"
+    );
+    Settings::parse(id, &text).map_err(|errors| {
+        let mut all = String::new();
+        for error in errors {
+            let _ = write!(all, "{error}; ");
+        }
+        ClusterError::Settings(all)
+    })
+}
+
+/// Free ports. All are bound before any is released, so that they differ.
+fn free_addrs() -> std::io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind("127.0.0.1:0");
+    let held = [bind()?, bind()?, bind()?];
+    Ok([
+        held[0].local_addr()?,
+        held[1].local_addr()?,
+        held[2].local_addr()?,
+    ])
+}
--- /dev/null
+++ b/crates/testkit/src/cluster/mod.rs
@@ -0,0 +1,15 @@
+//! A whole deployment in one process on loopback: log, list, upstreams in three zones, instances.
+//! Distances between zones and to callers are not simulated.
+
+mod cluster_error;
+mod instance;
+mod publish;
+mod running;
+mod target;
+
+pub use self::{
+    cluster_error::ClusterError,
+    instance::Instance,
+    running::{Cluster, ClusterSpec},
+    target::Target,
+};
--- /dev/null
+++ b/crates/testkit/src/cluster/publish.rs
@@ -0,0 +1,23 @@
+//! Records that a cluster writes straight to the log, in place of the administration API.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use model::{OperatorName, Wall};
+use platform::LogClient;
+use wire::{Body, Record};
+
+use super::ClusterError;
+
+/// Appends a record and returns its offset.
+pub(super) async fn append(client: &LogClient, body: Body) -> Result<u64, ClusterError> {
+    let at = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    let record = Record {
+        id: format!("testkit-{}", at.as_nanos()),
+        author: OperatorName::new("testkit"),
+        at: Wall(u64::try_from(at.as_millis()).unwrap_or(u64::MAX)),
+        body,
+    };
+    Ok(client.append(vec![record.encode()?]).await?)
+}
--- a/crates/testkit/src/http_server.rs
+++ b/crates/testkit/src/http_server.rs
@@ -1,24 +1,27 @@
-//! A loopback HTTP/1.1 server whose handler is a closure. Dropping it closes the listener.
+//! A loopback HTTP/1.1 server whose handler is a closure. Dropping it closes the listener and all
+//! connections, as the end of a process does.
 
 use std::{future::Future, net::SocketAddr};
 
 use async_std::{
     net::{TcpListener, TcpStream},
     stream::StreamExt,
-    task::{self, JoinHandle},
+    task,
 };
 use http_types::{Request, Response, StatusCode};
+use node::Token;
 use serde::Serialize;
 
 /// A running server.
 #[derive(Debug)]
 pub struct HttpServer {
     addr: SocketAddr,
-    task: Option<JoinHandle<()>>,
+    cancel: Token,
 }
 
 impl HttpServer {
-    /// Listens on a free loopback port and passes each request to `handler`.
+    /// Listens on a free loopback port and passes each request to `handler`, with the connection it
+    /// came on.
     ///
     /// # Panics
     ///
@@ -32,11 +35,9 @@
             .await
             .expect("a free loopback port");
         let addr = listener.local_addr().expect("a bound address");
-        let task = task::spawn(accept_all(listener, handler));
-        Self {
-            addr,
-            task: Some(task),
-        }
+        let cancel = Token::new();
+        task::spawn(accept_all(cancel.clone(), listener, handler));
+        Self { addr, cancel }
     }
 
     /// Where the server listens.
@@ -48,27 +49,27 @@
 
 impl Drop for HttpServer {
     fn drop(&mut self) {
-        if let Some(task) = self.task.take() {
-            task::spawn(task.cancel());
-        }
+        self.cancel.cancel();
     }
 }
 
-async fn accept_all<F, Fut>(listener: TcpListener, handler: F)
+async fn accept_all<F, Fut>(cancel: Token, listener: TcpListener, handler: F)
 where
     F: Fn(Request, TcpStream) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = http_types::Result<Response>> + Send + 'static,
 {
     let mut incoming = listener.incoming();
-    while let Some(stream) = incoming.next().await {
+    while let Some(Some(stream)) = cancel.run(incoming.next()).await {
         let Ok(stream) = stream else {
             continue;
         };
         let handler = handler.clone();
+        let cancel = cancel.clone();
         task::spawn(async move {
             let _ = stream.set_nodelay(true);
             let copy = stream.clone();
-            let _ = async_h1::accept(stream, |req| handler(req, copy.clone())).await;
+            let serve = async_h1::accept(stream, |req| handler(req, copy.clone()));
+            cancel.run(Box::pin(serve)).await;
         });
     }
 }
--- /dev/null
+++ b/crates/testkit/src/list/mod.rs
@@ -0,0 +1,5 @@
+//! Test double of the platform's instance list.
+
+mod server;
+
+pub use self::server::ListServer;
--- a/crates/testkit/src/list_server.rs
+++ b/crates/testkit/src/list/server.rs
@@ -1,17 +1,20 @@
-//! Test double of the platform's instance list, with lag.
+//! A running instance list.
 
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use http_types::{Method, Request, Response, StatusCode};
-use wire::{ListAnswer, ListEntry};
+use wire::{EntryState, ListAnswer, ListEntry};
 
 use crate::{HttpServer, json_response};
 
+/// Time for which earlier contents are kept; the largest lag.
+const MAX_LAG: Duration = Duration::from_mins(1);
+
 #[derive(Debug, Default)]
 struct Entries {
     version: u64,
@@ -19,6 +22,8 @@
     lag: Duration,
     down: bool,
     empty: bool,
+    flapping: Option<Duration>,
+    wrong: BTreeMap<String, EntryState>,
     /// Earlier contents and the time at which each was replaced, oldest first.
     history: Vec<(Instant, ListAnswer)>,
 }
@@ -74,6 +79,20 @@
         lock(&self.entries).empty = empty;
     }
 
+    /// Leaves every other entry out during every other `period`. `None` ends that.
+    pub fn set_flapping(&self, period: Option<Duration>) {
+        lock(&self.entries).flapping = period;
+    }
+
+    /// Answers with a state of one entry that is not the registered one. `None` ends that.
+    pub fn set_wrong_state(&self, id: &str, state: Option<EntryState>) {
+        let mut entries = lock(&self.entries);
+        match state {
+            Some(state) => entries.wrong.insert(id.to_owned(), state),
+            None => entries.wrong.remove(id),
+        };
+    }
+
     /// Present contents, without lag.
     #[must_use]
     pub fn entries(&self) -> Vec<ListEntry> {
@@ -88,7 +107,11 @@
 fn change(entries: &Mutex<Entries>, edit: impl FnOnce(&mut Entries)) {
     let mut entries = lock(entries);
     let before = current(&entries);
-    entries.history.push((Instant::now(), before));
+    let now = Instant::now();
+    entries
+        .history
+        .retain(|(at, _)| now.duration_since(*at) < MAX_LAG);
+    entries.history.push((now, before));
     edit(&mut entries);
     entries.version += 1;
 }
@@ -109,18 +132,41 @@
     replaced.map_or_else(|| current(entries), |(_, answer)| answer.clone())
 }
 
+/// The answer to a read, with all faults.
+fn answer(entries: &Entries) -> ListAnswer {
+    if entries.empty {
+        return ListAnswer::default();
+    }
+    let mut answer = lagged(entries);
+    for entry in &mut answer.entries {
+        if let Some(state) = entries.wrong.get(&entry.id) {
+            entry.state = *state;
+        }
+    }
+    if entries.flapping.is_some_and(is_off) {
+        let mut number = 0;
+        answer.entries.retain(|_| {
+            number += 1;
+            number % 2 == 0
+        });
+    }
+    answer
+}
+
+/// Whether the present period is one in which entries are left out.
+fn is_off(period: Duration) -> bool {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = since.unwrap_or_default().as_millis();
+    (ms / period.as_millis().max(1)) % 2 == 1
+}
+
 async fn handle(entries: Arc<Mutex<Entries>>, mut req: Request) -> http_types::Result<Response> {
     if lock(&entries).down {
         return Ok(Response::new(StatusCode::ServiceUnavailable));
     }
     let path = req.url().path().to_owned();
     if path == "/v1/instances" && req.method() == Method::Get {
-        let entries = lock(&entries);
-        let answer = if entries.empty {
-            ListAnswer::default()
-        } else {
-            lagged(&entries)
-        };
+        let answer = answer(&lock(&entries));
         return json_response(&answer);
     }
     let Some(id) = path.strip_prefix("/v1/instances/") else {
--- /dev/null
+++ b/crates/testkit/src/load/sample.rs
@@ -0,0 +1,38 @@
+//! What became of one planned call.
+
+use super::Arrival;
+
+/// A call and its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// Number of the call in its plan.
+    pub number: usize,
+    /// The planned call.
+    pub arrival: Arrival,
+    /// Time from the intended send time to the end, in microseconds.
+    pub latency_us: u64,
+    /// HTTP status; 0 without answer.
+    pub status: u16,
+    /// Result code; 0 without answer.
+    pub code: u16,
+    /// Whether the call may have run without its answer arriving.
+    pub unknown: bool,
+    /// Whether the answer did not begin with the call's own id.
+    pub wrong: bool,
+    /// Repeats by the caller.
+    pub repeats: u32,
+}
+
+impl Sample {
+    /// Whether the whole answer of an upstream arrived, and it was no error.
+    #[must_use]
+    pub const fn is_served(&self) -> bool {
+        self.code == 1_000 && self.status == 200
+    }
+
+    /// Whether the caller was told that the call was not run.
+    #[must_use]
+    pub const fn is_refused(&self) -> bool {
+        !self.unknown && self.code >= 2_000 && self.code < 4_000
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/log/mod.rs
@@ -0,0 +1,7 @@
+//! Test double of the platform's log service.
+
+mod faults;
+mod records;
+mod server;
+
+pub use self::{faults::LogFaults, server::LogServer};
--- a/crates/testkit/src/log_server.rs
+++ b/crates/testkit/src/log/server.rs
@@ -1,7 +1,7 @@
-//! Test double of the platform's log service: append-only streams with offsets and retention.
+//! A running log service: append-only streams with offsets and retention.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::HashMap,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -11,22 +11,12 @@
 use http_types::{Method, Request, Response, StatusCode};
 use wire::{AppendAnswer, AppendRequest, LogEntry, ReadAnswer};
 
+use super::{LogFaults, records::Records};
 use crate::{HttpServer, json_response};
 
 /// Interval at which a waiting read looks for new records.
 const POLL: Duration = Duration::from_millis(5);
 
-/// Faults of the log service.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct LogFaults {
-    /// Answers nothing but status 503.
-    pub down: bool,
-    /// Delays every answer, in milliseconds.
-    pub delay_ms: u64,
-    /// Appends the records of this many further appends but breaks the connection without answer.
-    pub lose_answers: u32,
-}
-
 #[derive(Debug, Default)]
 struct Streams {
     faults: LogFaults,
@@ -34,21 +24,6 @@
     appends: u64,
 }
 
-#[derive(Debug)]
-struct Records {
-    first: u64,
-    kept: VecDeque<String>,
-}
-
-impl Default for Records {
-    fn default() -> Self {
-        Self {
-            first: 1,
-            kept: VecDeque::new(),
-        }
-    }
-}
-
 /// A running log service.
 #[derive(Debug)]
 pub struct LogServer {
@@ -78,22 +53,33 @@
 
     /// Removes all records of a stream before `first`.
     pub fn expire(&self, stream: &str, first: u64) {
-        let mut streams = lock(&self.streams);
-        let records = streams.by_name.entry(stream.to_owned()).or_default();
-        while records.first < first && records.kept.pop_front().is_some() {
-            records.first += 1;
-        }
+        self.edit(stream, |r| r.expire(first));
     }
 
     /// Appends a line as another writer would.
     pub fn push(&self, stream: &str, line: &str) {
+        self.edit(stream, |r| r.push(line.to_owned()));
+    }
+
+    /// Appends the first half of a line, as a writer that died midway would.
+    pub fn push_torn(&self, stream: &str, line: &str) {
+        let half = line.chars().take(line.chars().count() / 2).collect();
+        self.edit(stream, |r| r.push(half));
+    }
+
+    /// Appends the record at `offset` again. Returns whether it is still kept.
+    #[must_use]
+    pub fn push_again(&self, stream: &str, offset: u64) -> bool {
+        self.edit(stream, |records| {
+            let found = records.read(offset, 1).pop();
+            let found = found.filter(|e| e.offset == offset);
+            found.map(|e| records.push(e.data)).is_some()
+        })
+    }
+
+    fn edit<T>(&self, stream: &str, edit: impl FnOnce(&mut Records) -> T) -> T {
         let mut streams = lock(&self.streams);
-        streams
-            .by_name
-            .entry(stream.to_owned())
-            .or_default()
-            .kept
-            .push_back(line.to_owned());
+        edit(streams.by_name.entry(stream.to_owned()).or_default())
     }
 
     /// Records of a stream that are still kept.
@@ -112,22 +98,6 @@
     }
 }
 
-impl Records {
-    fn next(&self) -> u64 {
-        self.first + self.kept.len() as u64
-    }
-
-    fn read(&self, from: u64, limit: usize) -> Vec<LogEntry> {
-        let skip = usize::try_from(from.saturating_sub(self.first)).unwrap_or(usize::MAX);
-        let kept = self.kept.iter().enumerate().skip(skip).take(limit);
-        kept.map(|(i, data)| LogEntry {
-            offset: self.first + i as u64,
-            data: data.clone(),
-        })
-        .collect()
-    }
-}
-
 fn lock(streams: &Mutex<Streams>) -> MutexGuard<'_, Streams> {
     streams.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -148,7 +118,7 @@
     match req.method() {
         Method::Post => {
             let body: AppendRequest = req.body_json().await?;
-            append(&streams, name, body)
+            append(&streams, name, &body)
         }
         Method::Get => read(&streams, name, &req).await,
         _ => Ok(Response::new(StatusCode::MethodNotAllowed)),
@@ -158,23 +128,48 @@
 fn append(
     streams: &Mutex<Streams>,
     name: &str,
-    body: AppendRequest,
+    body: &AppendRequest,
 ) -> http_types::Result<Response> {
     let mut streams = lock(streams);
     streams.appends += 1;
+    if take_one(&mut streams.faults.lose_requests) {
+        return Err(lost());
+    }
+    let tear = take_one(&mut streams.faults.tear_appends);
+    let double = take_one(&mut streams.faults.double_appends);
+    let keep = streams.faults.keep;
     let records = streams.by_name.entry(name.to_owned()).or_default();
     let offset = records.next();
-    records.kept.extend(body.records);
-    if streams.faults.lose_answers > 0 {
-        streams.faults.lose_answers -= 1;
-        return Err(http_types::Error::from_str(
-            StatusCode::InternalServerError,
-            "answer lost",
-        ));
+    for line in body
+        .records
+        .iter()
+        .cycle()
+        .take(body.records.len() << u32::from(double))
+    {
+        let kept = line.chars().count() >> u32::from(tear);
+        records.push(line.chars().take(kept).collect());
+    }
+    if keep > 0 {
+        records.trim(keep);
+    }
+    if take_one(&mut streams.faults.lose_answers) {
+        return Err(lost());
     }
     json_response(&AppendAnswer { offset })
 }
 
+/// Uses up one of a number of faults, if any is left.
+const fn take_one(left: &mut u32) -> bool {
+    let any = *left > 0;
+    *left = left.saturating_sub(1);
+    any
+}
+
+/// An error that breaks the connection without an answer.
+fn lost() -> http_types::Error {
+    http_types::Error::from_str(StatusCode::InternalServerError, "answer lost")
+}
+
 async fn read(streams: &Mutex<Streams>, name: &str, req: &Request) -> http_types::Result<Response> {
     let query: HashMap<String, u64> = req.query()?;
     let number = |key: &str, default| query.get(key).copied().unwrap_or(default);
--- a/crates/testkit/src/caller.rs
+++ b/crates/testkit/src/send.rs
@@ -1,4 +1,4 @@
-//! A caller: one call on a connection of its own or a given one.
+//! One call on a given connection.
 
 use std::net::SocketAddr;
 
@@ -21,7 +21,7 @@
 }
 
 /// The answer to a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CallAnswer {
     /// HTTP status.
     pub status: u16,
@@ -29,6 +29,8 @@
     pub code: Option<u16>,
     /// Value of `hw-outcome`.
     pub outcome: Option<String>,
+    /// Value of `hw-retry-after-ms`.
+    pub retry_ms: Option<u64>,
     /// Body.
     pub body: Vec<u8>,
 }
@@ -51,10 +53,11 @@
         req.insert_header(*name, *value);
     }
     req.set_body(spec.body);
-    let mut answer = async_h1::connect(stream, req).await?;
+    let mut answer = Box::pin(async_h1::connect(stream, req)).await?;
     let text = |name: &str| answer.header(name).map(|v| v.as_str().to_owned());
     let code = text("hw-code").and_then(|c| c.parse().ok());
     let outcome = text("hw-outcome");
+    let retry_ms = text("hw-retry-after-ms").and_then(|ms| ms.parse().ok());
     let status = u16::from(answer.status());
     let mut body = Vec::new();
     answer.take_body().read_to_end(&mut body).await?;
@@ -62,6 +65,7 @@
         status,
         code,
         outcome,
+        retry_ms,
         body,
     })
 }
--- /dev/null
+++ b/crates/testkit/tests/stand_ins.rs
@@ -0,0 +1,180 @@
+//! The stand-ins' faults do what they say. Guards against measurements and checks that pass because
+//! a fault was never injected.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use async_std::{future::timeout, net::TcpStream, task};
+use platform::{ListClient, LogClient};
+use testkit::{
+    AnswerFault, CALL_ID_HEADER, CallAnswer, CallSpec, ColdStart, ListServer, LogFaults, LogServer,
+    Upstream, UpstreamFaults, UpstreamSpec, send_call,
+};
+use wire::{EntryKind, EntryState, ListEntry};
+
+const SPEC: UpstreamSpec = UpstreamSpec {
+    slots: 4,
+    mean_us: 20_000.0,
+    sigma: 0.0,
+    seed: 1,
+};
+
+/// Service times long enough that calls overlap on a busy machine too.
+const SLOW: UpstreamSpec = UpstreamSpec {
+    mean_us: 300_000.0,
+    ..SPEC
+};
+
+async fn call_on(stream: &TcpStream, upstream: &Upstream, id: &str) -> Option<CallAnswer> {
+    let headers = [(CALL_ID_HEADER, id), ("hw-call", id)];
+    let spec = CallSpec {
+        service: "orders",
+        class: "bulk",
+        path: "/",
+        body: b"order",
+        headers: &headers,
+    };
+    let sent = Box::pin(send_call(stream.clone(), upstream.addr(), &spec));
+    timeout(Duration::from_millis(800), sent).await.ok()?.ok()
+}
+
+async fn call(upstream: &Upstream, id: &str) -> Option<CallAnswer> {
+    let stream = TcpStream::connect(upstream.addr()).await.ok()?;
+    call_on(&stream, upstream, id).await
+}
+
+#[test]
+fn upstream_counts_runs_and_cancels() {
+    task::block_on(async {
+        let upstream = Upstream::start(SLOW).await;
+        assert!(call(&upstream, "a").await.unwrap().body.starts_with(b"a"));
+        call(&upstream, "a").await.unwrap();
+        let _ = timeout(Duration::from_millis(150), call(&upstream, "b")).await;
+        task::sleep(Duration::from_millis(200)).await;
+        let runs = HashMap::from([("a".to_owned(), 2), ("b".to_owned(), 1)]);
+        assert_eq!(upstream.keys(), runs);
+        let counts = upstream.counts();
+        assert_eq!((counts.ran, counts.cancelled, counts.peak), (3, 1, 1));
+    });
+}
+
+#[test]
+fn upstream_faults_change_answers() {
+    task::block_on(async {
+        let upstream = Upstream::start(SPEC).await;
+        let with = |answers| UpstreamFaults {
+            answers: Some(answers),
+            ..UpstreamFaults::default()
+        };
+        call(&upstream, "a").await.unwrap();
+        upstream.set_faults(with(AnswerFault::Crossed));
+        assert!(call(&upstream, "b").await.unwrap().body.starts_with(b"a"));
+        upstream.set_faults(with(AnswerFault::Short));
+        assert!(call(&upstream, "c").await.is_none_or(|a| a.body.len() < 64));
+        upstream.set_faults(with(AnswerFault::Late(5_000)));
+        assert!(call(&upstream, "d").await.is_none());
+        upstream.set_faults(with(AnswerFault::Duplicated));
+        let stream = TcpStream::connect(upstream.addr()).await.unwrap();
+        call_on(&stream, &upstream, "e").await.unwrap();
+        let next = call_on(&stream, &upstream, "f").await;
+        assert!(next.is_none_or(|a| a.body.starts_with(b"e")));
+    });
+}
+
+#[test]
+fn upstream_silent_connection_only_old() {
+    task::block_on(async {
+        let upstream = Upstream::start(SPEC).await;
+        let old = TcpStream::connect(upstream.addr()).await.unwrap();
+        call_on(&old, &upstream, "a").await.unwrap();
+        upstream.mute_connections();
+        assert!(call_on(&old, &upstream, "b").await.is_none());
+        assert!(call(&upstream, "c").await.is_some());
+    });
+}
+
+#[test]
+fn upstream_cold_counts_excess() {
+    task::block_on(async {
+        let upstream = Upstream::start(SLOW).await;
+        upstream.turn_cold(ColdStart {
+            start: 1,
+            window: 1,
+            penalty: 1.0,
+        });
+        let both = futures::future::join(call(&upstream, "a"), call(&upstream, "b")).await;
+        assert!(both.0.is_some() && both.1.is_some());
+        assert_eq!(upstream.counts().cold_over, 1);
+        assert!(!upstream.is_cold(), "two doublings reach all four slots");
+    });
+}
+
+#[test]
+fn log_faults_lose_answers_and_records() {
+    task::block_on(async {
+        let server = LogServer::start().await;
+        let client = LogClient::new(server.addr(), "s");
+        let lines = |from: &str| vec![from.to_owned()];
+        server.set_faults(LogFaults {
+            lose_answers: 1,
+            ..LogFaults::default()
+        });
+        assert!(client.append(lines("one")).await.is_err());
+        assert_eq!(server.records("s").len(), 1, "the lost append took effect");
+        server.set_faults(LogFaults {
+            lose_requests: 1,
+            ..LogFaults::default()
+        });
+        assert!(client.append(lines("two")).await.is_err());
+        assert_eq!(server.records("s").len(), 1);
+        server.set_faults(LogFaults {
+            double_appends: 1,
+            keep: 2,
+            ..LogFaults::default()
+        });
+        client.append(lines("three")).await.unwrap();
+        let answer = client.read(1, 10, 0).await.unwrap();
+        assert_eq!((answer.first, answer.next), (2, 4));
+        server.push_torn("s", "abcd");
+        assert_eq!(server.records("s").last().unwrap().data, "ab");
+    });
+}
+
+#[test]
+fn list_faults_change_entries() {
+    task::block_on(async {
+        let server = ListServer::start().await;
+        let client = ListClient::new(server.addr());
+        let entry = ListEntry {
+            id: "t-1".to_owned(),
+            kind: EntryKind::Upstream,
+            zone: "a".into(),
+            region: "r".into(),
+            addr: server.addr(),
+            peer: None,
+            service: Some("orders".into()),
+            version: Some("v1".into()),
+            slots: Some(3),
+            state: EntryState::Live,
+            incarnation: 1,
+        };
+        server.set_lag(Duration::from_secs(30));
+        client.register(&entry).await.unwrap();
+        assert!(client.entries().await.unwrap().entries.is_empty());
+        server.set_lag(Duration::ZERO);
+        server.set_wrong_state("t-1", Some(EntryState::Leaving));
+        let seen = client.entries().await.unwrap().entries;
+        assert_eq!(seen[0].state, EntryState::Leaving);
+        server.set_flapping(Some(Duration::from_millis(50)));
+        let mut lengths = BTreeSet::new();
+        for _ in 0..40 {
+            lengths.insert(client.entries().await.unwrap().entries.len());
+            task::sleep(Duration::from_millis(10)).await;
+        }
+        assert_eq!(lengths.len(), 2, "present in some answers only");
+        server.set_down(true);
+        assert!(client.entries().await.is_err());
+    });
+}
