--- a/crates/testkit/src/upstream/server.rs
+++ b/crates/testkit/src/upstream/server.rs
@@ -25,6 +25,9 @@
 
 /// Header by which a load plan fixes a call's service time, in microseconds.
 const SERVICE_HEADER: &str = "x-service-us";
+/// Time from an answer to its copy. A copy in the same segment would be read and dropped with the
+/// answer, and so never be mistaken for the answer to the next call.
+const COPY_DELAY: Duration = Duration::from_millis(5);
 
 #[derive(Debug)]
 struct Shared {
@@ -338,7 +341,10 @@
             response.set_body(short_body(mark.body()));
             return Ok(response);
         }
-        Some(AnswerFault::Duplicated) => write_extra(stream, &mark).await?,
+        Some(AnswerFault::Duplicated) => {
+            write_extra(stream, &mark).await?;
+            task::sleep(COPY_DELAY).await;
+        }
         Some(AnswerFault::Late(ms)) => task::sleep(Duration::from_millis(ms)).await,
         None => {}
     }
