--- a/crates/testkit/src/cluster/instance.rs
+++ b/crates/testkit/src/cluster/instance.rs
@@ -33,7 +33,8 @@
         list: SocketAddr,
         cancel: &Token,
     ) -> Result<Self, ClusterError> {
-        let settings = settings(id, zone, log, list, free_addrs()?)?;
+        let text = settings_text(id, zone, log, list, free_addrs()?);
+        let settings = settings(id, &text)?;
         let (addr, admin) = (settings.listen, settings.admin);
         let started = Box::pin(Node::start(settings, cancel)).await;
         let node = started.map_err(|error| ClusterError::Start {
@@ -63,28 +64,32 @@
     }
 }
 
-fn settings(
+fn settings(id: &str, text: &str) -> Result<Settings, ClusterError> {
+    Settings::parse(id, text).map_err(|errors| {
+        let mut all = String::new();
+        for error in errors {
+            let _ = write!(all, "{error}; ");
+        }
+        ClusterError::Settings(all)
+    })
+}
+
+/// A settings file of an instance that listens for calls, peers and operators on the given addresses.
+pub(crate) fn settings_text(
     id: &str,
     zone: &str,
     log: SocketAddr,
     list: SocketAddr,
     [listen, peer, admin]: [SocketAddr; 3],
-) -> Result<Settings, ClusterError> {
-    let text = format!(
+) -> String {
+    format!(
         "instance = \"{id}\"\nzone = \"{zone}\"\nregion = \"region-1\"\nlisten = \"{listen}\"\n\
          peer = \"{peer}\"\nadmin = \"{admin}\"\nlog = \"{log}\"\nlist = \"{list}\"\n"
-    );
-    Settings::parse(id, &text).map_err(|errors| {
-        let mut all = String::new();
-        for error in errors {
-            let _ = write!(all, "{error}; ");
-        }
-        ClusterError::Settings(all)
-    })
+    )
 }
 
 /// Free ports. All are bound before any is released, so that they differ.
-fn free_addrs() -> std::io::Result<[SocketAddr; 3]> {
+pub(crate) fn free_addrs() -> std::io::Result<[SocketAddr; 3]> {
     let bind = || TcpListener::bind("127.0.0.1:0");
     let held = [bind()?, bind()?, bind()?];
     Ok([
--- a/crates/testkit/src/cluster/mod.rs
+++ b/crates/testkit/src/cluster/mod.rs
@@ -7,6 +7,7 @@
 mod running;
 mod target;
 
+pub(crate) use self::instance::{free_addrs, settings_text};
 pub use self::{
     cluster_error::ClusterError,
     instance::Instance,
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -10,6 +10,7 @@
 )]
 
 mod caller;
+mod child;
 mod cluster;
 mod http_server;
 mod list;
@@ -21,6 +22,7 @@
 
 pub use crate::{
     caller::{AddressAnswer, CallDone, Caller, CallerSpec, ask_addresses},
+    child::{ChildInstance, built_binary},
     cluster::{Cluster, ClusterError, ClusterSpec, Instance, Target},
     http_server::{HttpServer, json_response},
     list::ListServer,
