--- /dev/null
+++ b/crates/policy/src/dispatcher/admit.rs
@@ -0,0 +1,199 @@
+//! Admission: what waits, what is refused and which caller is refused first.
+
+use model::{Code, Time};
+
+use super::Dispatcher;
+use crate::{Action, Call, CallId, target::Target, waiting::Waiting};
+
+/// Calls that may wait.
+const MAX_WAITING: usize = 256;
+/// Bytes that waiting calls may hold: 8 MiB.
+const MAX_WAITING_BYTES: u64 = 8 * 1024 * 1024;
+/// Shortest advice to callers that were refused, in milliseconds.
+const MIN_RETRY_MS: u32 = 10;
+/// Longest advice to callers that were refused, in milliseconds.
+const MAX_RETRY_MS: u32 = 5_000;
+
+impl Dispatcher {
+    /// Queues a call. Returns its number if it is to be checked after starts.
+    pub(super) fn arrive(
+        &mut self,
+        now: Time,
+        call: Call,
+        out: &mut Vec<Action>,
+    ) -> Option<CallId> {
+        self.stats.arrived += 1;
+        self.retry.earn();
+        self.hedge.earn();
+        let id = call.id;
+        let Some(&class) = self.class_of.get(call.class) else {
+            self.refuse(id, Code::UnknownClass, MIN_RETRY_MS, out);
+            return None;
+        };
+        let waiting = self.waiting(call, class);
+        if now >= waiting.call.deadline {
+            self.refuse(id, Code::DeadlinePassed, MIN_RETRY_MS, out);
+            return None;
+        }
+        if now > waiting.latest {
+            self.refuse(id, Code::CannotMeet, MIN_RETRY_MS, out);
+            return None;
+        }
+        if !self.targets.values().any(Target::is_open) {
+            self.refuse(id, Code::NoTarget, MAX_RETRY_MS, out);
+            return None;
+        }
+        self.queue.push(waiting);
+        Some(id)
+    }
+
+    fn waiting(&self, call: Call, class: usize) -> Waiting {
+        let state = &self.classes[class];
+        let latest = latest_start(&call, call.arrived, state.class.delay_ms, state.mean_us());
+        // A caller is behind others only while there is somebody to be behind of.
+        let over = self.queue.len() > 0 && self.callers.is_over(call.caller);
+        Waiting {
+            class,
+            loose: state.loose,
+            over,
+            latest,
+            earliest: call.arrived,
+            tried: Vec::new(),
+            sent: 0,
+            call,
+        }
+    }
+
+    /// Refuses a call that still waits after starts if the queue is full or its wait is too long.
+    pub(super) fn bound(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
+        let Some(waiting) = self.queue.get(id) else {
+            return;
+        };
+        let (caller, loose, latest) = (waiting.call.caller, waiting.loose, waiting.latest);
+        let full = self.queue.len() > MAX_WAITING || self.queue.bytes() > MAX_WAITING_BYTES;
+        let wait_us = self.expected_wait_us(id);
+        let late = wait_us > latest.since_us(now);
+        let half = self.queue.len() > MAX_WAITING / 2;
+        if !full && !late && !half {
+            return;
+        }
+        if let Some(victim) = self.largest_of_others(caller, loose, full || half) {
+            self.refuse_waiting(victim, Code::FairShare, wait_us, out);
+            let still_full = self.queue.bytes() > MAX_WAITING_BYTES;
+            if !still_full {
+                return;
+            }
+        }
+        if full {
+            self.refuse_waiting(id, Code::QueueFull, wait_us, out);
+        } else if late {
+            self.refuse_waiting(id, Code::CannotMeet, wait_us, out);
+        }
+    }
+
+    /// The last call of the caller with the most waiting calls, if that caller has clearly more than
+    /// `caller` or, with `own`, is `caller` itself with more than an equal share.
+    fn largest_of_others(&self, caller: u64, loose: bool, own: bool) -> Option<CallId> {
+        let (largest, count) = self.queue.largest_caller()?;
+        let mine = self.queue.of_caller(caller);
+        let more = largest != caller && count > mine + 1;
+        let alone = usize::try_from(count).is_ok_and(|c| c == self.queue.len());
+        let self_more = own && largest == caller && !alone && count > 1;
+        if !more && !self_more {
+            return None;
+        }
+        let exact = self.queue.last_of(largest, loose);
+        exact.or_else(|| own.then(|| self.queue.last_of(largest, !loose)).flatten())
+    }
+
+    /// Expected wait of a queued call: calls ahead over the rate at which slots become free. Slots of
+    /// tighter classes do not count for loose calls.
+    #[allow(clippy::cast_precision_loss, clippy::cast_possible_truncation)]
+    #[allow(clippy::cast_sign_loss, reason = "a positive number of microseconds")]
+    fn expected_wait_us(&self, id: CallId) -> u64 {
+        let Some(waiting) = self.queue.get(id) else {
+            return 0;
+        };
+        let ahead = self.queue.ahead(id) as f64;
+        let counted = |c: &&crate::class_state::ClassState| !waiting.loose || c.loose;
+        let rates = self.classes.iter().filter(counted);
+        let rate: f64 = rates.map(|c| f64::from(c.running) / c.mean_us()).sum();
+        let mean = self.classes[waiting.class].mean_us();
+        let reach = f64::from(self.reach()).max(1.0);
+        ((ahead + 1.0) / rate.max(reach / mean)) as u64
+    }
+
+    /// Slots that may serve this instance although none of its calls runs on them: those that other
+    /// owners may lend, while they answer.
+    fn reach(&self) -> u32 {
+        let answered = |l: &crate::lender::Lender| l.gap_us < crate::lender::MAX_GAP_US;
+        let lending = self.view.owners.iter().filter(|o| **o != self.view.me);
+        let lending = lending.filter(|o| self.lenders.get(*o).is_none_or(answered));
+        u32::try_from(lending.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Refuses calls whose latest start has passed.
+    pub(super) fn expire(&mut self, now: Time, out: &mut Vec<Action>) {
+        for id in self.queue.late(now) {
+            let Some(waiting) = self.queue.get(id) else {
+                continue;
+            };
+            let code = match () {
+                () if now >= waiting.call.deadline => Code::DeadlinePassed,
+                () if waiting.over => Code::FairShare,
+                () => Code::CannotMeet,
+            };
+            let wait_us = self.expected_wait_us(id);
+            self.refuse_waiting(id, code, wait_us, out);
+        }
+    }
+
+    /// Ends a waiting call. A call that had attempts is given up, because it may have run.
+    pub(super) fn refuse_waiting(
+        &mut self,
+        id: CallId,
+        code: Code,
+        wait_us: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(waiting) = self.queue.remove(id) else {
+            return;
+        };
+        if waiting.tried.is_empty() {
+            let retry_ms = u32::try_from(wait_us / 1_000).unwrap_or(MAX_RETRY_MS);
+            self.refuse(id, code, retry_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS), out);
+        } else {
+            out.push(Action::GiveUp { call: id });
+        }
+    }
+
+    fn refuse(&mut self, call: CallId, code: Code, retry_ms: u32, out: &mut Vec<Action>) {
+        *self.stats.refused.entry(code).or_default() += 1;
+        out.push(Action::Refuse {
+            call,
+            code,
+            retry_ms,
+        });
+    }
+
+    /// Forgets a call whose caller went away.
+    pub(super) fn cancel(&mut self, call: CallId) {
+        if let Some(waiting) = self.queue.remove(call) {
+            if waiting.tried.is_empty() {
+                *self.stats.refused.entry(Code::CancelledEarly).or_default() += 1;
+            }
+            return;
+        }
+        if let Some(running) = self.running.get_mut(&call) {
+            running.cancelled = true;
+            running.hedge = None;
+        }
+    }
+}
+
+/// Latest start of a call that waits from `from` on.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub(super) fn latest_start(call: &Call, from: Time, delay_ms: u64, mean_us: f64) -> Time {
+    let service = Time(call.deadline.0.saturating_sub(mean_us as u64));
+    from.plus_ms(delay_ms).min(service)
+}
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,110 @@
+//! Waiting calls in the order in which they start: callers within their fair share first, then by
+//! latest start.
+
+use std::collections::{BTreeMap, HashMap};
+
+use model::Time;
+
+use crate::{CallId, waiting::Waiting};
+
+/// Place in the queue.
+pub(crate) type Key = (bool, Time, CallId);
+
+/// Waiting calls.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Queue {
+    order: BTreeMap<Key, Waiting>,
+    keys: HashMap<CallId, Key>,
+    callers: BTreeMap<u64, u32>,
+    bytes: u64,
+    tight: usize,
+}
+
+impl Queue {
+    /// Calls that wait.
+    pub(crate) fn len(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Calls that wait and may use reserved slots.
+    pub(crate) fn tight(&self) -> usize {
+        self.tight
+    }
+
+    /// Bytes that waiting calls hold.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// A waiting call.
+    pub(crate) fn get(&self, id: CallId) -> Option<&Waiting> {
+        self.order.get(self.keys.get(&id)?)
+    }
+
+    /// Calls in order.
+    pub(crate) fn iter(&self) -> impl DoubleEndedIterator<Item = &Waiting> {
+        self.order.values()
+    }
+
+    /// Adds a call.
+    pub(crate) fn push(&mut self, waiting: Waiting) {
+        let key = (waiting.over, waiting.latest, waiting.call.id);
+        self.bytes += waiting.call.bytes;
+        self.tight += usize::from(!waiting.loose);
+        *self.callers.entry(waiting.call.caller).or_default() += 1;
+        self.keys.insert(waiting.call.id, key);
+        self.order.insert(key, waiting);
+    }
+
+    /// Takes a call out.
+    pub(crate) fn remove(&mut self, id: CallId) -> Option<Waiting> {
+        let key = self.keys.remove(&id)?;
+        let waiting = self.order.remove(&key)?;
+        self.bytes -= waiting.call.bytes;
+        self.tight -= usize::from(!waiting.loose);
+        if let Some(count) = self.callers.get_mut(&waiting.call.caller) {
+            *count -= 1;
+            if *count == 0 {
+                self.callers.remove(&waiting.call.caller);
+            }
+        }
+        Some(waiting)
+    }
+
+    /// Calls ahead of `id` that compete for the same slots: all for a tight call, loose ones for a
+    /// loose call.
+    pub(crate) fn ahead(&self, id: CallId) -> usize {
+        let Some(key) = self.keys.get(&id) else {
+            return 0;
+        };
+        let loose = self.order.get(key).is_some_and(|w| w.loose);
+        let before = self.order.range(..key);
+        before.filter(|(_, w)| !loose || w.loose).count()
+    }
+
+    /// Calls of one caller that wait.
+    pub(crate) fn of_caller(&self, caller: u64) -> u32 {
+        self.callers.get(&caller).copied().unwrap_or(0)
+    }
+
+    /// The caller with the most waiting calls, and their number.
+    pub(crate) fn largest_caller(&self) -> Option<(u64, u32)> {
+        let largest = self.callers.iter().max_by_key(|(_, count)| **count);
+        largest.map(|(caller, count)| (*caller, *count))
+    }
+
+    /// The last call of a caller that was never started, tight or loose as asked.
+    pub(crate) fn last_of(&self, caller: u64, loose: bool) -> Option<CallId> {
+        let fits = |w: &&Waiting| w.call.caller == caller && w.loose == loose && w.tried.is_empty();
+        self.order.values().rev().find(fits).map(|w| w.call.id)
+    }
+
+    /// Calls whose latest start has passed.
+    pub(crate) fn late(&self, now: Time) -> Vec<CallId> {
+        let late = self.order.values().filter(|w| now > w.latest);
+        late.map(|w| w.call.id).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
