--- a/crates/policy/examples/choosers.rs
+++ b/crates/policy/examples/choosers.rs
@@ -586,6 +586,14 @@
         100.0 * sum(|s| s.hedges) as f64 / calls,
         result.over,
     );
+    if flag("--codes").is_some() {
+        let mut codes = std::collections::BTreeMap::new();
+        for (code, count) in stats.iter().flat_map(|s| &s.refused) {
+            *codes.entry(code.number()).or_insert(0) += count;
+        }
+        let held_back = sum(|s| s.held_back);
+        line += &format!(" {codes:?} held back {held_back}");
+    }
     line
 }
 
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -2,6 +2,8 @@
 
 use model::Time;
 
+use crate::urgency::Urgency;
+
 /// Messages that one service may send per second in the long run.
 pub(crate) const MESSAGES_PER_S: f64 = 2_000.0;
 /// Messages that may follow each other without a pause.
@@ -10,9 +12,6 @@
 pub(crate) const BYTES_PER_S: f64 = 80_000.0;
 /// Bytes that may follow each other without a pause.
 pub(crate) const BYTE_BURST: f64 = 20_000.0;
-/// Part of the burst kept for messages that give something back, so that wishes and grants cannot
-/// delay them.
-const KEPT: f64 = 0.25;
 /// Slack of the check, for rounding.
 const ROUNDING: f64 = 1e-3;
 
@@ -38,10 +37,10 @@
         }
     }
 
-    /// Whether a message of `size` bytes may be sent. `vital` messages may use the whole bucket.
-    pub(crate) fn allows(&mut self, now: Time, size: u32, vital: bool) -> bool {
+    /// Whether a message of `size` bytes may be sent.
+    pub(crate) fn allows(&mut self, now: Time, size: u32, urgency: Urgency) -> bool {
         self.fill(now);
-        let kept = if vital { 0.0 } else { KEPT };
+        let kept = urgency.kept();
         self.messages >= 1.0 + kept * MESSAGE_BURST
             && self.bytes >= f64::from(size) + kept * BYTE_BURST
     }
--- a/crates/policy/src/dispatcher/admit.rs
+++ b/crates/policy/src/dispatcher/admit.rs
@@ -64,46 +64,54 @@
         }
     }
 
-    /// Refuses a call that still waits after starts if the queue is full or its wait is too long.
+    /// Refuses a call that still waits after starts if the queue is full or its wait is too long. A
+    /// caller with clearly more waiting calls, and loose calls, are refused in its place.
     pub(super) fn bound(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
         let Some(waiting) = self.queue.get(id) else {
             return;
         };
         let (caller, loose, latest) = (waiting.call.caller, waiting.loose, waiting.latest);
-        let full = self.queue.len() > MAX_WAITING || self.queue.bytes() > MAX_WAITING_BYTES;
         let wait_us = self.expected_wait_us(id);
         let late = wait_us > latest.since_us(now);
         let half = self.queue.len() > MAX_WAITING / 2;
-        if !full && !late && !half {
-            return;
-        }
-        if let Some(victim) = self.largest_of_others(caller, loose, full || half) {
+        if late {
+            let victim = self.larger_caller(caller, loose);
+            let code = victim.map_or(Code::CannotMeet, |_| Code::FairShare);
+            self.refuse_waiting(victim.unwrap_or(id), code, wait_us, out);
+        } else if half && let Some(victim) = self.excessive_caller(loose) {
             self.refuse_waiting(victim, Code::FairShare, wait_us, out);
-            let still_full = self.queue.bytes() > MAX_WAITING_BYTES;
-            if !still_full {
-                return;
-            }
         }
-        if full {
-            self.refuse_waiting(id, Code::QueueFull, wait_us, out);
-        } else if late {
-            self.refuse_waiting(id, Code::CannotMeet, wait_us, out);
+        while self.queue.len() > MAX_WAITING || self.queue.bytes() > MAX_WAITING_BYTES {
+            let Some(victim) = self.last_loose().or_else(|| self.queue.last()) else {
+                return;
+            };
+            self.refuse_waiting(victim, Code::QueueFull, wait_us, out);
         }
     }
 
-    /// The last call of the caller with the most waiting calls, if that caller has clearly more than
-    /// `caller` or, with `own`, is `caller` itself with more than an equal share.
-    fn largest_of_others(&self, caller: u64, loose: bool, own: bool) -> Option<CallId> {
-        let (largest, count) = self.queue.largest_caller()?;
-        let mine = self.queue.of_caller(caller);
+    /// The last call of the caller with the most calls of the kind waiting, if it has clearly more
+    /// than `caller`.
+    fn larger_caller(&self, caller: u64, loose: bool) -> Option<CallId> {
+        let (largest, count) = self.queue.largest_caller(loose)?;
+        let mine = self.queue.of_caller(caller, loose);
         let more = largest != caller && count > mine + 1;
-        let alone = usize::try_from(count).is_ok_and(|c| c == self.queue.len());
-        let self_more = own && largest == caller && !alone && count > 1;
-        if !more && !self_more {
-            return None;
-        }
-        let exact = self.queue.last_of(largest, loose);
-        exact.or_else(|| own.then(|| self.queue.last_of(largest, !loose)).flatten())
+        more.then(|| self.queue.last_of(largest, loose)).flatten()
+    }
+
+    /// The last call of a caller with over twice its equal share of the calls of the kind.
+    fn excessive_caller(&self, loose: bool) -> Option<CallId> {
+        let (largest, count) = self.queue.largest_caller(loose)?;
+        let all = self.queue.len_of(loose);
+        let callers = self.queue.callers(loose);
+        let excessive = usize::try_from(count).is_ok_and(|c| c * callers > 2 * all);
+        excessive
+            .then(|| self.queue.last_of(largest, loose))
+            .flatten()
+    }
+
+    fn last_loose(&self) -> Option<CallId> {
+        let (largest, _) = self.queue.largest_caller(true)?;
+        self.queue.last_of(largest, true)
     }
 
     /// Expected wait of a queued call: calls ahead over the rate at which slots become free. Slots of
--- a/crates/policy/src/dispatcher/borrow.rs
+++ b/crates/policy/src/dispatcher/borrow.rs
@@ -7,6 +7,7 @@
 use crate::{
     borrowed::Borrowed,
     lender::{Lender, MAX_GAP_US, MIN_GAP_US},
+    urgency::Urgency,
 };
 
 /// Time after which a wish without a grant no longer counts as about to be met, in microseconds. A
@@ -110,9 +111,12 @@
         let waiting = u32::try_from(self.queue.len()).unwrap_or(u32::MAX);
         let tight = u32::try_from(self.queue.tight()).unwrap_or(u32::MAX);
         if waiting == 0 {
-            self.withdraw(now);
+            self.withdraw(now, |told| told.0 > 0);
             return;
         }
+        if tight == 0 {
+            self.withdraw(now, |told| told.1 > 0);
+        }
         let told = self.told(now);
         if tight <= told.1 && waiting <= told.0 {
             return;
@@ -120,7 +124,7 @@
         let Some(owner) = self.owner_to_ask(now) else {
             return;
         };
-        if !self.may_send(now) {
+        if !self.may_send(now, Urgency::Normal) {
             return;
         }
         let lender = self.lenders.entry(owner.clone()).or_default();
@@ -151,16 +155,19 @@
         ready.min_by_key(|o| state(o)).cloned()
     }
 
-    fn withdraw(&mut self, now: Time) {
+    fn withdraw(&mut self, now: Time, stale: impl Fn((u32, u32)) -> bool) {
         let mut owners = Vec::new();
         for (owner, lender) in &mut self.lenders {
             let live = lender
                 .at
                 .is_some_and(|at| now.since_us(at) < WISH_MS * 1_000);
-            if lender.told.0 > 0 && live {
-                owners.push(owner.clone());
+            if !stale(lender.told) {
+                continue;
             }
             lender.told = (0, 0);
+            if live {
+                owners.push(owner.clone());
+            }
         }
         for owner in owners {
             self.send(
--- a/crates/policy/src/dispatcher/choose.rs
+++ b/crates/policy/src/dispatcher/choose.rs
@@ -19,9 +19,15 @@
 type Candidate = (f64, Time, TargetId, Slot);
 
 impl Dispatcher {
-    /// The best free slot for a call.
-    pub(super) fn choose(&self, now: Time, waiting: &Waiting) -> Option<(TargetId, Slot)> {
-        let own = self.targets.iter().filter_map(|(id, target)| {
+    /// The best free slot for a call, among lent ones and, if `own`, own ones.
+    pub(super) fn choose(
+        &self,
+        now: Time,
+        waiting: &Waiting,
+        own: bool,
+    ) -> Option<(TargetId, Slot)> {
+        let held = self.targets.iter().filter(|_| own);
+        let own = held.filter_map(|(id, target)| {
             let free = target.free(now, self.serve_all) > 0;
             (free && self.fits(now, id, target, waiting))
                 .then(|| self.candidate(id, target, waiting, Slot::Own))
--- a/crates/policy/src/dispatcher/hedge.rs
+++ b/crates/policy/src/dispatcher/hedge.rs
@@ -42,7 +42,7 @@
         if self.queue.tight() > 0 || !self.hedge.has() || !self.has_spare(now) {
             return false;
         }
-        let Some((target, slot)) = self.choose(now, &running.waiting) else {
+        let Some((target, slot)) = self.choose(now, &running.waiting, true) else {
             return false;
         };
         if self.targets.get(&target).is_some_and(Target::is_slow) {
--- a/crates/policy/src/dispatcher/lend.rs
+++ b/crates/policy/src/dispatcher/lend.rs
@@ -5,7 +5,10 @@
 use wire::LoanMsg;
 
 use super::{Dispatcher, finish::MEDIAN_US, finish::drain, start::reserved};
-use crate::{Action, hold::Hold, invariant::invariant, lent::Lent, target::Target, wish::Wish};
+use crate::{
+    Action, hold::Hold, invariant::invariant, lent::Lent, target::Target, urgency::Urgency,
+    wish::Wish,
+};
 
 /// Time for which a wish is remembered.
 pub(super) const WISH_MS: u64 = 50;
@@ -38,7 +41,7 @@
         while let Some((peer, tight)) = self.next_wish() {
             let (cap, free) = self.spare(now);
             let keep = if tight { 0 } else { reserved(cap) };
-            if free <= keep || self.queue.tight() > 0 || !self.may_send(now) {
+            if free <= keep || self.queue.tight() > 0 || !self.may_send(now, Urgency::Normal) {
                 return;
             }
             let Some(target) = self.target_to_lend(now, tight) else {
@@ -55,7 +58,7 @@
     }
 
     /// Slots that this instance hands out, and those among them that are free.
-    fn spare(&self, now: Time) -> (u32, u32) {
+    pub(super) fn spare(&self, now: Time) -> (u32, u32) {
         self.targets.values().fold((0, 0), |(cap, free), t| {
             (
                 cap + t.cap(now, self.serve_all),
@@ -123,9 +126,9 @@
     }
 
     /// Asks for lent slots while own tight calls wait.
-    pub(super) fn recall(&mut self, _now: Time) {
+    pub(super) fn recall(&mut self, now: Time) {
         let waiting = self.queue.tight();
-        if waiting == 0 {
+        if waiting == 0 || !self.has_open_loans() || !self.may_send(now, Urgency::Optional) {
             return;
         }
         let held = self.targets.values_mut();
@@ -142,6 +145,11 @@
         self.send_recalls(msgs);
     }
 
+    fn has_open_loans(&self) -> bool {
+        let mut lent = self.targets.values().flat_map(|t| t.lent.values());
+        lent.any(|l| !l.recalled)
+    }
+
     /// Asks for all lent slots of a target.
     pub(super) fn recall_all(&mut self, id: &TargetId) {
         let Some(target) = self.targets.get_mut(id) else {
--- a/crates/policy/src/dispatcher/messages.rs
+++ b/crates/policy/src/dispatcher/messages.rs
@@ -4,7 +4,7 @@
 use wire::LoanMsg;
 
 use super::Dispatcher;
-use crate::{Action, invariant::invariant};
+use crate::{Action, invariant::invariant, urgency::Urgency};
 
 /// Bytes of a frame around a message: length, kinds and the name of the service.
 const FRAME_BYTES: usize = 24;
@@ -38,11 +38,11 @@
         self.outbox.push_back((to.clone(), msg));
     }
 
-    /// Whether the budget has room for a wish or a grant.
-    pub(super) fn may_send(&mut self, now: Time) -> bool {
+    /// Whether the budget has room for a message that need not be sent.
+    pub(super) fn may_send(&mut self, now: Time, urgency: Urgency) -> bool {
         let held = self.outbox.len();
         let room = u32::try_from((held + 1) * 2 * FRAME_BYTES).unwrap_or(u32::MAX);
-        let may = self.budget.allows(now, room, false);
+        let may = self.budget.allows(now, room, urgency);
         self.stats.held_back += u64::from(!may);
         may
     }
@@ -51,7 +51,7 @@
     pub(super) fn flush(&mut self, now: Time, out: &mut Vec<Action>) {
         while let Some((to, msg)) = self.outbox.pop_front() {
             let size = self.size_of(&msg);
-            if !self.budget.allows(now, size, true) {
+            if !self.budget.allows(now, size, Urgency::Vital) {
                 self.stats.held_back += 1;
                 self.outbox.push_front((to, msg));
                 return;
--- a/crates/policy/src/dispatcher/start.rs
+++ b/crates/policy/src/dispatcher/start.rs
@@ -10,8 +10,10 @@
     waiting::Waiting,
 };
 
-/// Share of the own slots that loose classes may not occupy, in percent.
+/// Share of the own slots that a start of a loose class leaves free, in percent.
 const RESERVED_PERCENT: u32 = 15;
+/// Waiting calls of one kind that are tried on the free slots.
+const CANDIDATES: usize = 8;
 
 impl Dispatcher {
     /// Starts waiting calls in order while slots are free.
@@ -27,40 +29,38 @@
         }
     }
 
+    /// The first call in order for which a slot is free. Loose calls come after tight ones, but for
+    /// the one slot that they always may use, so that they are not starved for ever.
     fn next_start(&self, now: Time) -> Option<(CallId, TargetId, Slot)> {
-        let loose_fits = self.loose_fits();
-        let may = |w: &&Waiting| now >= w.earliest && (!w.loose || loose_fits);
+        let loose = self.classes.iter().filter(|c| c.loose);
+        if loose.map(|c| c.running).sum::<u32>() == 0 {
+            return self.first_start(now, true, |_| true);
+        }
+        let tight = self.first_start(now, true, |w| !w.loose);
+        tight.or_else(|| self.first_start(now, self.loose_fits(now), |w| w.loose))
+    }
+
+    /// The first of some calls for which a slot is free. `own` permits own slots beside lent ones.
+    fn first_start(
+        &self,
+        now: Time,
+        own: bool,
+        may: impl Fn(&Waiting) -> bool,
+    ) -> Option<(CallId, TargetId, Slot)> {
+        let ready = self.queue.iter().filter(|w| now >= w.earliest && may(w));
         // Calls of one kind differ only by targets tried before and by hurry, so that a few suffice.
-        let mut candidates = self.queue.iter().filter(may).take(16);
+        let mut candidates = ready.take(CANDIDATES);
         candidates.find_map(|w| {
-            let (target, slot) = self.choose(now, w)?;
+            let (target, slot) = self.choose(now, w, own)?;
             Some((w.call.id, target, slot))
         })
     }
 
-    /// Whether a loose call leaves the reserved slots to tighter classes. One slot stays usable for
-    /// loose classes, so that they are not starved for ever.
-    pub(super) fn loose_fits(&self) -> bool {
-        let loose: u32 = self
-            .classes
-            .iter()
-            .filter(|c| c.loose)
-            .map(|c| c.running)
-            .sum();
-        let held = self
-            .targets
-            .values()
-            .filter(|t| t.hold == crate::hold::Hold::Held);
-        let own: u32 = held
-            .map(|t| if t.is_open() { t.limit.now() } else { 0 })
-            .sum();
-        if own == 0 {
-            // The lender applies the reservation.
-            return true;
-        }
-        let borrowed = u32::try_from(self.borrowed.len()).unwrap_or(u32::MAX);
-        let slots = own.saturating_add(borrowed);
-        loose < slots.saturating_sub(reserved(own)).max(1)
+    /// Whether a loose call on an own slot leaves the reserved ones free, and no tight call of a peer
+    /// waits for it. On lent slots the lender applies the reservation.
+    fn loose_fits(&self, now: Time) -> bool {
+        let (slots, free) = self.spare(now);
+        free > reserved(slots) && !self.wishes.values().any(|w| w.tight > 0)
     }
 
     fn start(
@@ -178,7 +178,8 @@
     }
 }
 
-/// Slots that loose classes leave to tighter ones, of `slots`.
+/// Slots that loose classes leave to tighter ones, of `slots`. Rounded down: with 25 slots, 4 instead
+/// of 3 brought the accepted work at 130% load from 96.2% to 94.9% of capacity.
 pub(super) fn reserved(slots: u32) -> u32 {
-    (slots * RESERVED_PERCENT).div_ceil(100).max(1)
+    (slots * RESERVED_PERCENT / 100).max(1)
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 mod stats;
 mod target;
 mod target_view;
+mod urgency;
 mod waiting;
 mod wish;
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -15,7 +15,7 @@
 pub(crate) struct Queue {
     order: BTreeMap<Key, Waiting>,
     keys: HashMap<CallId, Key>,
-    callers: BTreeMap<u64, u32>,
+    callers: [BTreeMap<u64, u32>; 2],
     bytes: u64,
     tight: usize,
 }
@@ -31,6 +31,20 @@
         self.tight
     }
 
+    /// Tight or loose calls that wait.
+    pub(crate) fn len_of(&self, loose: bool) -> usize {
+        if loose {
+            self.order.len() - self.tight
+        } else {
+            self.tight
+        }
+    }
+
+    /// The call that would start last.
+    pub(crate) fn last(&self) -> Option<CallId> {
+        self.order.last_key_value().map(|(key, _)| key.2)
+    }
+
     /// Bytes that waiting calls hold.
     pub(crate) fn bytes(&self) -> u64 {
         self.bytes
@@ -51,7 +65,9 @@
         let key = (waiting.over, waiting.latest, waiting.call.id);
         self.bytes += waiting.call.bytes;
         self.tight += usize::from(!waiting.loose);
-        *self.callers.entry(waiting.call.caller).or_default() += 1;
+        *self.callers[usize::from(waiting.loose)]
+            .entry(waiting.call.caller)
+            .or_default() += 1;
         self.keys.insert(waiting.call.id, key);
         self.order.insert(key, waiting);
     }
@@ -62,37 +78,44 @@
         let waiting = self.order.remove(&key)?;
         self.bytes -= waiting.call.bytes;
         self.tight -= usize::from(!waiting.loose);
-        if let Some(count) = self.callers.get_mut(&waiting.call.caller) {
+        let callers = &mut self.callers[usize::from(waiting.loose)];
+        if let Some(count) = callers.get_mut(&waiting.call.caller) {
             *count -= 1;
             if *count == 0 {
-                self.callers.remove(&waiting.call.caller);
+                callers.remove(&waiting.call.caller);
             }
         }
         Some(waiting)
     }
 
-    /// Calls ahead of `id` that compete for the same slots: all for a tight call, loose ones for a
-    /// loose call.
+    /// Calls of the same kind, tight or loose, ahead of `id`.
     pub(crate) fn ahead(&self, id: CallId) -> usize {
         let Some(key) = self.keys.get(&id) else {
             return 0;
         };
         let loose = self.order.get(key).is_some_and(|w| w.loose);
         let before = self.order.range(..key);
-        before.filter(|(_, w)| !loose || w.loose).count()
+        before.filter(|(_, w)| w.loose == loose).count()
     }
 
-    /// Calls of one caller that wait.
-    pub(crate) fn of_caller(&self, caller: u64) -> u32 {
-        self.callers.get(&caller).copied().unwrap_or(0)
+    /// Tight or loose calls of one caller that wait.
+    pub(crate) fn of_caller(&self, caller: u64, loose: bool) -> u32 {
+        let callers = &self.callers[usize::from(loose)];
+        callers.get(&caller).copied().unwrap_or(0)
     }
 
-    /// The caller with the most waiting calls, and their number.
-    pub(crate) fn largest_caller(&self) -> Option<(u64, u32)> {
-        let largest = self.callers.iter().max_by_key(|(_, count)| **count);
+    /// The caller with the most tight or loose calls waiting, and their number.
+    pub(crate) fn largest_caller(&self, loose: bool) -> Option<(u64, u32)> {
+        let callers = &self.callers[usize::from(loose)];
+        let largest = callers.iter().max_by_key(|(_, count)| **count);
         largest.map(|(caller, count)| (*caller, *count))
     }
 
+    /// Callers with tight or loose calls waiting.
+    pub(crate) fn callers(&self, loose: bool) -> usize {
+        self.callers[usize::from(loose)].len()
+    }
+
     /// The last call of a caller that was never started, tight or loose as asked.
     pub(crate) fn last_of(&self, caller: u64, loose: bool) -> Option<CallId> {
         let fits = |w: &&Waiting| w.call.caller == caller && w.loose == loose && w.tried.is_empty();
