--- a/crates/node/src/call/answer.rs
+++ b/crates/node/src/call/answer.rs
@@ -16,12 +16,14 @@
 use crate::call::{
     attempt::Sending,
     exchange::Exchange,
-    head::Length,
+    head::{Length, has_header},
     headers::{answer_hop_headers, says_close},
     keys::KeyGuard,
     response::mark,
 };
 
+/// Headers that the library adds to an answer that does not have them.
+const ADDED_HEADERS: [&str; 2] = ["content-type", "date"];
 /// Buffer between upstream and caller.
 const BUFFER: usize = 16 * 1024;
 
@@ -73,7 +75,11 @@
     pub fn into_response(self, key: Option<KeyGuard>) -> Response {
         let Self { head, mut passing } = self;
         passing.key = key;
-        let hop = answer_hop_headers(head.as_ref());
+        let mut hop = answer_hop_headers(head.as_ref());
+        let seen = passing.exchange.seen.clone();
+        let raw = seen.as_ref().and_then(|s| s.head()).unwrap_or_default();
+        let added = ADDED_HEADERS.iter().filter(|name| !has_header(raw, name));
+        hop.extend(added.map(|&name| name.to_owned()));
         let mut response = Response::new(head.status());
         let length = passing.length;
         if length == Length::Bytes(0) || length == Length::Absent {
@@ -89,7 +95,7 @@
         }
         response.remove_header("content-type");
         for (name, values) in &head {
-            if !hop.contains(name.as_str()) && !is_own_date(name.as_str(), values.as_str()) {
+            if !hop.contains(name.as_str()) {
                 response.insert_header(name, values);
             }
         }
@@ -98,11 +104,6 @@
     }
 }
 
-/// Whether the library made up a `date` header; it gives it a value that is not a date.
-fn is_own_date(name: &str, value: &str) -> bool {
-    name == "date" && value.starts_with("date:")
-}
-
 /// The body of an answer.
 pub struct Passing {
     exchange: Exchange,
--- a/crates/node/src/call/attempt.rs
+++ b/crates/node/src/call/attempt.rs
@@ -201,7 +201,10 @@
     let mut message = Request::new(head.method(), url);
     message.set_body(job.source.take()?);
     message.remove_header("content-type");
-    let hop = hop_headers(head.as_ref());
+    let mut hop = hop_headers(head.as_ref());
+    if !job.has_type {
+        hop.insert("content-type".to_owned());
+    }
     for (name, values) in head {
         if !hop.contains(name.as_str()) {
             message.insert_header(name, values);
--- a/crates/node/src/call/handle.rs
+++ b/crates/node/src/call/handle.rs
@@ -39,6 +39,8 @@
 pub struct Caller<'a> {
     /// Its connection.
     pub stream: &'a TcpStream,
+    /// Whether its request has a content type.
+    pub has_type: bool,
     /// Its address.
     pub peer: Option<SocketAddr>,
     /// Token of the connection.
@@ -130,6 +132,7 @@
                 call,
                 idempotent: class.class.idempotent,
                 head: req,
+                has_type: caller.has_type,
                 source,
                 body: state,
                 dispatcher: class.dispatcher,
--- a/crates/node/src/call/head.rs
+++ b/crates/node/src/call/head.rs
@@ -40,6 +40,15 @@
     if bare { Err(Code::BadRequest) } else { Ok(()) }
 }
 
+/// Whether a raw head has a header `name`. The library adds some that are not there.
+pub fn has_header(raw: &[u8], name: &str) -> bool {
+    raw.split(|b| *b == b'\n').skip(1).any(|line| {
+        let mut parts = line.splitn(2, |b| *b == b':');
+        let found = parts.next().unwrap_or_default();
+        found.eq_ignore_ascii_case(name.as_bytes()) && parts.next().is_some()
+    })
+}
+
 /// Length of a message's body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Length {
--- a/crates/node/src/call/head/tests.rs
+++ b/crates/node/src/call/head/tests.rs
@@ -57,3 +57,10 @@
     assert!(!is_same_target(b"GET /a/../b?x=1 HTTP/1.1\r\n", &req));
     assert!(!is_same_target(b"GET /b?x=1&y HTTP/1.1\r\n", &req));
 }
+
+#[test]
+fn has_header_by_name() {
+    let raw = b"GET / HTTP/1.1\r\nHost: h\r\nx-date: 1\r\n\r\n";
+    assert!(has_header(raw, "host"));
+    assert!(!has_header(raw, "date"));
+}
--- a/crates/node/src/call/job.rs
+++ b/crates/node/src/call/job.rs
@@ -26,6 +26,7 @@
     pub call: Call,
     pub idempotent: bool,
     pub head: Request,
+    pub has_type: bool,
     pub source: Source,
     pub body: Arc<BodyState>,
     pub dispatcher: Sender<DispatchMsg>,
@@ -44,6 +45,8 @@
     pub idempotent: bool,
     /// Head of the request.
     pub head: Request,
+    /// Whether the caller sent a content type; the library adds one.
+    pub has_type: bool,
     /// Body of the request.
     pub source: Source,
     /// State of the body as it arrives.
@@ -63,6 +66,7 @@
             call,
             idempotent,
             head,
+            has_type,
             source,
             body,
             dispatcher,
@@ -75,6 +79,7 @@
             wire_id,
             idempotent,
             head,
+            has_type,
             source,
             body,
             ledger: Ledger::default(),
--- a/crates/node/src/call/mod.rs
+++ b/crates/node/src/call/mod.rs
@@ -19,7 +19,7 @@
 pub use self::{
     body::{BodyState, RequestBody},
     handle::{Answered, Caller, handle_call},
-    head::{Length, body_length, check_request},
+    head::{Length, body_length, check_request, has_header},
     headers::says_close,
     keys::Keys,
     response::refusal,
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -22,7 +22,7 @@
     addresses::{ADDRESSES_PATH, answer_addresses},
     call::{
         Answered, BodyState, Caller, Length, Limits, RequestBody, body_length, check_request,
-        handle_call, refusal, says_close, supervise,
+        handle_call, has_header, refusal, says_close, supervise,
     },
     context::Context,
     tap::{Seen, Tap},
@@ -110,7 +110,8 @@
         Ok(Err(_)) => return reject(ctx, stream, Code::BadRequest).await,
         Err(_) => return reject(ctx, stream, Code::SlowSender).await,
     };
-    if let Err(code) = check_request(seen.head().unwrap_or_default(), &req) {
+    let raw = seen.head().unwrap_or_default();
+    if let Err(code) = check_request(raw, &req) {
         return reject(ctx, stream, code).await;
     }
     let Ok(length) = body_length(req.as_ref()) else {
@@ -122,6 +123,7 @@
     let state = Arc::clone(body.state());
     let caller = Caller {
         stream,
+        has_type: has_header(raw, "content-type"),
         peer: Some(peer),
         cancel,
     };
