--- a/crates/node/src/call/handle.rs
+++ b/crates/node/src/call/handle.rs
@@ -354,3 +354,6 @@
     }
     run.attempts.push(attempt(Arc::clone(job), target).boxed());
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/call/handle/tests.rs
@@ -0,0 +1,436 @@
+//! A call against a fake dispatcher, which is the test, and raw upstreams. Guards against calls that
+//! run twice, starts without an end, and false statements that a call was not run.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use async_std::{
+    channel::{Receiver, Sender, unbounded},
+    future::timeout,
+    io::{ReadExt, WriteExt},
+    net::TcpListener,
+    task,
+};
+use http_types::{Body, Method, Url};
+use model::{InstanceId, Settings, TargetId};
+use policy::{CallId, End, Event, Report, ServiceView, TargetState};
+
+use super::*;
+use crate::{
+    call::Length,
+    dispatch::DispatchMsg,
+    snapshot::{ServiceSnapshot, Snapshot},
+};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const BUSY: &[u8] = b"HTTP/1.1 503 Busy\r\nhw-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+
+/// The dispatcher of the only service.
+struct Desk {
+    ctx: Arc<Context>,
+    messages: Receiver<DispatchMsg>,
+    caller: TcpStream,
+    server: TcpStream,
+}
+
+impl Desk {
+    async fn open() -> Self {
+        let any = "127.0.0.1:1";
+        let text = format!(
+            "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"{any}\"\npeer = \"{any}\"\n\
+             admin = \"{any}\"\nlog = \"{any}\"\nlist = \"{any}\"\n"
+        );
+        let (control, _) = unbounded();
+        let ctx = Context::new(Settings::parse("test", &text).unwrap(), control);
+        let (sender, messages) = unbounded();
+        let mut services = BTreeMap::new();
+        services.insert("orders".into(), service());
+        let snapshot = Snapshot {
+            offset: 1,
+            ready: true,
+            services,
+        };
+        ctx.snapshot.store(Arc::new(snapshot));
+        let dispatchers = BTreeMap::from([("orders".into(), sender)]);
+        ctx.dispatchers.store(Arc::new(dispatchers));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let caller = TcpStream::connect(listener.local_addr().unwrap())
+            .await
+            .unwrap();
+        let (server, _) = listener.accept().await.unwrap();
+        Self {
+            ctx,
+            messages,
+            caller,
+            server,
+        }
+    }
+
+    /// Starts a call and waits for its announcement.
+    async fn call(&self, class: &str, deadline_ms: u64) -> (task::JoinHandle<Answered>, Open) {
+        let mut req = Request::new(Method::Post, Url::parse("http://h/do").unwrap());
+        req.insert_header("hw-service", "orders");
+        req.insert_header("hw-class", class);
+        req.insert_header("hw-deadline-ms", deadline_ms.to_string());
+        let (ctx, server) = (Arc::clone(&self.ctx), self.server.clone());
+        let running = task::spawn(async move {
+            let caller = Caller {
+                stream: &server,
+                has_type: false,
+                peer: None,
+                cancel: &Token::new(),
+            };
+            let body = RequestBody::new(ctx.clock, Body::empty(), Length::Absent);
+            handle_call(&ctx, &caller, req, body).await
+        });
+        let DispatchMsg::Arrive(call, replies) = self.next().await else {
+            panic!("the call is not announced");
+        };
+        let id = call.id;
+        (running, Open { id, replies })
+    }
+
+    async fn next(&self) -> DispatchMsg {
+        let message = timeout(PATIENCE, self.messages.recv()).await;
+        message.expect("no message").expect("channel closed")
+    }
+
+    /// The next event, which must be the end of an attempt.
+    async fn finish(&self) -> (TargetId, Report) {
+        match self.next().await {
+            DispatchMsg::Event(Event::Finish { target, report, .. }) => (target, report),
+            other => panic!("not a finish: {other:?}"),
+        }
+    }
+
+    async fn cancelled(&self, id: CallId) {
+        let message = self.next().await;
+        let matches = matches!(message, DispatchMsg::Event(Event::Cancel { call }) if call == id);
+        assert!(matches, "not a cancel: {message:?}");
+    }
+}
+
+/// A call that was announced.
+struct Open {
+    id: CallId,
+    replies: Sender<Reply>,
+}
+
+impl Open {
+    fn start(&self, target: &Arc<TargetView>) {
+        self.tell(Reply::Start(Arc::clone(target)));
+    }
+
+    fn tell(&self, reply: Reply) {
+        self.replies.try_send(reply).unwrap();
+    }
+}
+
+fn service() -> ServiceSnapshot {
+    let class = |name: &str, idempotent| Class {
+        name: name.into(),
+        target_ms: 60,
+        delay_ms: 20,
+        idempotent,
+        timeout_ms: 1_000,
+    };
+    let view = ServiceView {
+        view: 1,
+        name: "orders".into(),
+        me: InstanceId::new("i-1"),
+        zone: "a".into(),
+        classes: vec![class("confirmation", false), class("lookup", true)],
+        targets: Vec::new(),
+        owners: Vec::new(),
+        version: "v1".into(),
+        shift: None,
+    };
+    ServiceSnapshot {
+        view: Arc::new(view),
+        entries: Vec::new(),
+    }
+}
+
+fn target(id: &str, addr: SocketAddr) -> Arc<TargetView> {
+    Arc::new(TargetView {
+        id: id.into(),
+        incarnation: 1,
+        addr,
+        zone: "a".into(),
+        region: "r".into(),
+        version: "v1".into(),
+        slots: 3,
+        state: TargetState::Usable,
+        owner: InstanceId::new("i-1"),
+    })
+}
+
+/// A target that reads a request, waits, and sends `bytes`; empty bytes close the connection.
+async fn answering(id: &str, pause_ms: u64, bytes: &'static [u8]) -> Arc<TargetView> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 4_096];
+            if stream.read(&mut buf).await.unwrap_or(0) == 0 {
+                continue;
+            }
+            task::sleep(Duration::from_millis(pause_ms)).await;
+            if stream.write_all(bytes).await.is_ok() && !bytes.is_empty() {
+                let _ = stream.read(&mut buf).await;
+            }
+        }
+    });
+    target(id, addr)
+}
+
+fn unreachable(id: &str) -> Arc<TargetView> {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    target(id, listener.local_addr().unwrap())
+}
+
+async fn read_body(answered: Answered) -> String {
+    let mut response = answered.response;
+    response.take_body().into_string().await.unwrap()
+}
+
+#[test]
+fn call_served_ends_once() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 1_000).await;
+        open.start(&answering("t-1", 0, OK).await);
+        let answered = running.await;
+        assert_eq!(answered.code, Code::Served);
+        // The slot is held until the whole answer has passed.
+        assert!(desk.messages.is_empty());
+        assert_eq!(read_body(answered).await, "ok");
+        let (target, report) = desk.finish().await;
+        assert_eq!((target.as_str(), report.end), ("t-1", End::Good));
+        assert!(desk.messages.is_empty());
+    });
+}
+
+#[test]
+fn call_retried_after_refusal() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 1_000).await;
+        open.start(&answering("t-1", 0, BUSY).await);
+        let (_, report) = desk.finish().await;
+        assert_eq!((report.end, report.retryable), (End::Refused, true));
+        open.start(&answering("t-2", 0, OK).await);
+        assert_eq!(running.await.code, Code::Served);
+    });
+}
+
+#[test]
+fn call_retried_after_failed_connect() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 1_000).await;
+        open.start(&unreachable("t-1"));
+        let (_, report) = desk.finish().await;
+        assert_eq!((report.end, report.retryable), (End::ConnectFailed, true));
+        open.start(&answering("t-2", 0, OK).await);
+        assert_eq!(running.await.code, Code::Served);
+    });
+}
+
+#[test]
+fn call_idempotent_retried_after_cut() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("lookup", 1_000).await;
+        open.start(&answering("t-1", 0, b"").await);
+        let (_, report) = desk.finish().await;
+        assert_eq!((report.end, report.retryable), (End::Cut, true));
+        open.start(&answering("t-2", 0, OK).await);
+        assert_eq!(running.await.code, Code::Served);
+    });
+}
+
+#[test]
+fn call_refused_after_cut_is_unknown() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("lookup", 1_000).await;
+        open.start(&answering("t-1", 0, b"").await);
+        desk.finish().await;
+        open.tell(Reply::Refuse {
+            code: Code::CannotMeet,
+            retry_ms: 50,
+        });
+        let answered = running.await;
+        assert_eq!(answered.code, Code::UpstreamClosed);
+        let outcome = answered.response.header("hw-outcome").unwrap();
+        assert_eq!(outcome.as_str(), "unknown");
+    });
+}
+
+#[test]
+fn call_non_idempotent_never_sent_twice() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 1_000).await;
+        open.start(&answering("t-1", 0, b"").await);
+        let (_, report) = desk.finish().await;
+        assert_eq!((report.end, report.retryable), (End::Cut, false));
+        open.start(&answering("t-2", 0, OK).await);
+        let (target, report) = desk.finish().await;
+        assert_eq!((target.as_str(), report.end), ("t-2", End::Cancelled));
+        assert_eq!(report.service_us, 0);
+        open.tell(Reply::GiveUp);
+        assert_eq!(running.await.code, Code::UpstreamClosed);
+    });
+}
+
+#[test]
+fn call_non_idempotent_never_hedged() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 1_000).await;
+        open.start(&answering("t-1", 50, OK).await);
+        open.start(&answering("t-2", 0, OK).await);
+        let (target, report) = desk.finish().await;
+        assert_eq!((target.as_str(), report.end), ("t-2", End::Cancelled));
+        read_body(running.await).await;
+        let (target, report) = desk.finish().await;
+        assert_eq!((target.as_str(), report.end), ("t-1", End::Good));
+    });
+}
+
+#[test]
+fn hedge_first_answer_wins() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("lookup", 1_000).await;
+        open.start(&answering("t-1", 300, OK).await);
+        open.start(&answering("t-2", 0, OK).await);
+        let answered = running.await;
+        let (target, report) = desk.finish().await;
+        assert_eq!((target.as_str(), report.end), ("t-1", End::Cancelled));
+        assert_eq!(read_body(answered).await, "ok");
+        let (target, report) = desk.finish().await;
+        assert_eq!((target.as_str(), report.end), ("t-2", End::Good));
+        assert!(desk.messages.is_empty());
+    });
+}
+
+#[test]
+fn hedge_survives_failed_first() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("lookup", 1_000).await;
+        open.start(&answering("t-1", 0, b"").await);
+        open.start(&answering("t-2", 50, OK).await);
+        let (target, report) = desk.finish().await;
+        assert_eq!((target.as_str(), report.end), ("t-1", End::Cut));
+        open.tell(Reply::GiveUp);
+        assert_eq!(running.await.code, Code::Served);
+    });
+}
+
+#[test]
+fn start_after_the_answer_is_ended() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("lookup", 1_000).await;
+        open.start(&answering("t-1", 0, OK).await);
+        let answered = running.await;
+        // The place is closed: the dispatcher's task sees that and ends the start itself.
+        let late = Reply::Start(answering("t-2", 0, OK).await);
+        assert!(open.replies.try_send(late).is_err());
+        assert_eq!(read_body(answered).await, "ok");
+    });
+}
+
+#[test]
+fn start_not_taken_over_is_ended() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("lookup", 1_000).await;
+        running.cancel().await;
+        // Either the seat ends the start or the channel is closed already.
+        let sent = open
+            .replies
+            .try_send(Reply::Start(unreachable("t-1")))
+            .is_ok();
+        assert!(!sent);
+        desk.cancelled(open.id).await;
+    });
+}
+
+#[test]
+fn task_dropped_ends_attempt() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 1_000).await;
+        open.start(&answering("t-1", 500, OK).await);
+        task::sleep(Duration::from_millis(20)).await;
+        running.cancel().await;
+        let (_, report) = desk.finish().await;
+        assert_eq!((report.end, report.retryable), (End::Cancelled, false));
+        desk.cancelled(open.id).await;
+    });
+}
+
+#[test]
+fn answer_dropped_ends_attempt() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 1_000).await;
+        open.start(&answering("t-1", 0, OK).await);
+        drop(running.await);
+        let (_, report) = desk.finish().await;
+        assert_eq!(report.end, End::Cancelled);
+    });
+}
+
+#[test]
+fn deadline_while_waiting_is_not_run() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 40).await;
+        let answered = running.await;
+        assert_eq!(answered.code, Code::DeadlinePassed);
+        desk.cancelled(open.id).await;
+    });
+}
+
+#[test]
+fn deadline_while_running_is_unknown() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 40).await;
+        open.start(&answering("t-1", 500, OK).await);
+        assert_eq!(running.await.code, Code::UpstreamTimeout);
+        assert_eq!(desk.finish().await.1.end, End::Timeout);
+        desk.cancelled(open.id).await;
+    });
+}
+
+#[test]
+fn caller_gone_while_waiting() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 5_000).await;
+        desk.caller.shutdown(std::net::Shutdown::Both).unwrap();
+        assert_eq!(running.await.code, Code::CancelledEarly);
+        desk.cancelled(open.id).await;
+    });
+}
+
+#[test]
+fn caller_gone_while_running() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 5_000).await;
+        open.start(&answering("t-1", 2_000, OK).await);
+        task::sleep(Duration::from_millis(20)).await;
+        desk.caller.shutdown(std::net::Shutdown::Both).unwrap();
+        assert_eq!(running.await.code, Code::CallerGone);
+        assert_eq!(desk.finish().await.1.end, End::Cancelled);
+        desk.cancelled(open.id).await;
+    });
+}
--- a/crates/node/src/dispatch/task.rs
+++ b/crates/node/src/dispatch/task.rs
@@ -181,3 +181,6 @@
 fn find(view: &ServiceView, id: &TargetId) -> Option<Arc<TargetView>> {
     view.targets.iter().find(|t| t.id == *id).cloned()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/dispatch/task/tests.rs
@@ -0,0 +1,82 @@
+//! Guards against slots that stay taken by starts that no call took over.
+
+use async_std::channel::bounded;
+use model::{Class, Settings};
+use policy::{Call, TargetState};
+
+use super::*;
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn context() -> Arc<Context> {
+    let any = "127.0.0.1:1";
+    let text = format!(
+        "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"{any}\"\npeer = \"{any}\"\n\
+         admin = \"{any}\"\nlog = \"{any}\"\nlist = \"{any}\"\n"
+    );
+    let (control, _) = unbounded();
+    Context::new(Settings::parse("test", &text).unwrap(), control)
+}
+
+fn view() -> Arc<ServiceView> {
+    let target = TargetView {
+        id: "t-1".into(),
+        incarnation: 1,
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        region: "r".into(),
+        version: "v1".into(),
+        slots: 1,
+        state: TargetState::Usable,
+        owner: "i-1".into(),
+    };
+    Arc::new(ServiceView {
+        view: 1,
+        name: "orders".into(),
+        me: "i-1".into(),
+        zone: "a".into(),
+        classes: vec![Class {
+            name: "lookup".into(),
+            target_ms: 1_000,
+            delay_ms: 1_000,
+            idempotent: true,
+            timeout_ms: 1_000,
+        }],
+        targets: vec![Arc::new(target)],
+        owners: vec!["i-1".into()],
+        version: "v1".into(),
+        shift: None,
+    })
+}
+
+fn call(ctx: &Context) -> Call {
+    let now = ctx.clock.now();
+    Call {
+        id: ctx.next_call(),
+        class: 0,
+        caller: 1,
+        bytes: 0,
+        arrived: now,
+        deadline: now.plus_ms(1_000),
+        replayable: true,
+        retries: 2,
+    }
+}
+
+#[test]
+fn start_of_gone_call_frees_slot() {
+    task::block_on(async {
+        let ctx = context();
+        let cancel = Token::new();
+        let dispatcher = spawn_dispatcher(&ctx, &cancel, view());
+        let (gone, _) = bounded(4);
+        let arrive = DispatchMsg::Arrive(call(&ctx), gone);
+        dispatcher.send(arrive).await.unwrap();
+        let (sender, replies) = bounded(4);
+        let arrive = DispatchMsg::Arrive(call(&ctx), sender);
+        dispatcher.send(arrive).await.unwrap();
+        let reply = timeout(PATIENCE, replies.recv()).await.unwrap().unwrap();
+        assert!(matches!(reply, Reply::Start(_)), "{reply:?}");
+        cancel.cancel();
+    });
+}
--- a/crates/node/tests/caller_faults.rs
+++ b/crates/node/tests/caller_faults.rs
@@ -79,7 +79,7 @@
     task::block_on(async {
         let (_upstream, rig) = echo_rig().await;
         let long = format!("x-long: {}\r\n", "a".repeat(9_000));
-        let many: String = (0..110).map(|i| format!("x-{i}: a\r\n")).collect();
+        let many = "x-more: a\r\n".repeat(110);
         for lines in [long, many] {
             let request = with_lines(&format!("{lines}content-length: 0\r\n"));
             let reply = Reply::parse(&rig.raw(request.as_bytes()).await);
@@ -178,7 +178,7 @@
             .write_all(&call_head("confirmation", "", 1_000_000))
             .await
             .unwrap();
-        caller.write_all(&[1; 300_000]).await.unwrap();
+        caller.write_all(&vec![1; 300_000]).await.unwrap();
         common::wait_for(|| upstream.accepted.load(Ordering::SeqCst) == 1).await;
         drop(caller);
         // The upstream must not take the part for the whole.
--- /dev/null
+++ b/crates/node/tests/planned_stop.rs
@@ -0,0 +1,206 @@
+//! SIGTERM to the real program. Guards against calls that a planned stop cuts, and against a stop that
+//! callers learn of too late (P9).
+
+mod common;
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use async_std::{io::WriteExt, net::TcpStream, task};
+use model::Settings;
+use wire::EntryState;
+
+use common::{Act, Asked, Platform, RawUpstream, Reply, call_head, read_all, wait_ready};
+
+/// The program with its own settings file.
+struct Program {
+    child: Child,
+    entry: SocketAddr,
+    file: PathBuf,
+}
+
+impl Program {
+    async fn start(platform: &Platform, name: &str) -> Self {
+        let text = format!("{}stop_ms = 3000\nthreads = 2\n", platform.settings_text());
+        let entry = Settings::parse("test", &text).unwrap().listen;
+        let file = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
+        fs::write(&file, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_hibiscusway"))
+            .arg("--settings")
+            .arg(&file)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let program = Self { child, entry, file };
+        wait_ready(entry).await;
+        program
+    }
+
+    fn signal(&self) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    async fn wait(&mut self) -> Option<i32> {
+        for _ in 0..1_500 {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            task::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the program does not end");
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+/// Calls on kept connections as a caller does: connects again when told to close, and stops using the
+/// address when answers that named it have expired.
+async fn call_on(entry: SocketAddr, until: Arc<AtomicBool>, served: Arc<AtomicU64>) {
+    let mut kept: Option<TcpStream> = None;
+    while !until.load(Ordering::SeqCst) {
+        let mut stream = match kept.take() {
+            Some(stream) => stream,
+            None => TcpStream::connect(entry).await.unwrap(),
+        };
+        stream
+            .write_all(&call_head("confirmation", "", 0))
+            .await
+            .unwrap();
+        let reply = read_answer(&mut stream).await;
+        assert_eq!(reply.result(), (200, 1000, "served"), "{reply:?}");
+        served.fetch_add(1, Ordering::SeqCst);
+        if reply.header("connection") != Some("close") {
+            kept = Some(stream);
+        }
+    }
+}
+
+/// Reads one answer whose body is `ok`.
+async fn read_answer(stream: &mut TcpStream) -> Reply {
+    use async_std::io::ReadExt;
+    let mut bytes = Vec::new();
+    let mut buf = [0; 1_024];
+    while !bytes.ends_with(b"\r\n\r\nok") {
+        let count = stream.read(&mut buf).await.unwrap();
+        assert!(count > 0, "cut: {}", String::from_utf8_lossy(&bytes));
+        bytes.extend_from_slice(&buf[..count]);
+    }
+    Reply::parse(&String::from_utf8_lossy(&bytes))
+}
+
+#[test]
+fn sigterm_under_load_cuts_nothing() {
+    task::block_on(async {
+        let script = |asked: &Asked| vec![Act::Pause(10), Act::Send(asked.answer("ok"))];
+        let upstream = RawUpstream::start(true, script).await;
+        let platform = Platform::start(upstream.addr, 8).await;
+        let mut program = Program::start(&platform, "sigterm-load").await;
+        let (until, served) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(AtomicU64::new(0)),
+        );
+        let callers: Vec<_> = (0..6)
+            .map(|_| {
+                let (until, served) = (Arc::clone(&until), Arc::clone(&served));
+                task::spawn(call_on(program.entry, until, served))
+            })
+            .collect();
+        task::sleep(Duration::from_millis(200)).await;
+        let before = served.load(Ordering::SeqCst);
+        assert!(before > 0);
+        let start = Instant::now();
+        program.signal();
+        // Callers use the address up to the end of list lag and answer age.
+        task::sleep(Duration::from_millis(4_200)).await;
+        let during = served.load(Ordering::SeqCst);
+        assert!(during > before, "no call was served while leaving");
+        let entries = platform.list.entries();
+        let own = entries.iter().find(|e| e.id == "i-1").unwrap();
+        assert_eq!(own.state, EntryState::Leaving);
+        until.store(true, Ordering::SeqCst);
+        for caller in callers {
+            caller.await;
+        }
+        assert_eq!(program.wait().await, Some(0));
+        let took = start.elapsed();
+        assert!(took >= Duration::from_millis(4_400), "left after {took:?}");
+        assert!(took < Duration::from_secs(8), "left after {took:?}");
+        assert_eq!(upstream.count() as u64, served.load(Ordering::SeqCst));
+    });
+}
+
+#[test]
+fn sigterm_waits_for_running_call_and_closes_idle() {
+    task::block_on(async {
+        let script = |asked: &Asked| {
+            let pause = if asked.body.is_empty() { 0 } else { 6_000 };
+            vec![Act::Pause(pause), Act::Send(asked.answer("ok"))]
+        };
+        let upstream = RawUpstream::start(true, script).await;
+        let platform = Platform::start(upstream.addr, 8).await;
+        let mut program = Program::start(&platform, "sigterm-wait").await;
+        let mut idle = TcpStream::connect(program.entry).await.unwrap();
+        idle.write_all(&call_head("lookup", "", 0)).await.unwrap();
+        assert_eq!(read_answer(&mut idle).await.code(), 1000);
+        let mut long = TcpStream::connect(program.entry).await.unwrap();
+        let mut bytes = call_head("confirmation", "hw-deadline-ms: 9000\r\n", 1);
+        bytes.push(b'x');
+        long.write_all(&bytes).await.unwrap();
+        program.signal();
+        assert_eq!(read_all(&mut idle).await, "");
+        let reply = Reply::parse(&read_all(&mut long).await);
+        assert_eq!(reply.result(), (200, 1000, "served"));
+        assert_eq!(reply.header("connection"), Some("close"));
+        assert_eq!(program.wait().await, Some(0));
+    });
+}
+
+#[test]
+fn sigterm_twice_ends_at_once() {
+    task::block_on(async {
+        let upstream = RawUpstream::start(true, |_| vec![Act::Silence]).await;
+        let platform = Platform::start(upstream.addr, 8).await;
+        let mut program = Program::start(&platform, "sigterm-twice").await;
+        let start = Instant::now();
+        program.signal();
+        task::sleep(Duration::from_millis(100)).await;
+        program.signal();
+        assert_eq!(program.wait().await, Some(4));
+        assert!(start.elapsed() < Duration::from_secs(2));
+    });
+}
+
+#[test]
+fn sigterm_while_list_is_down() {
+    task::block_on(async {
+        let script = |asked: &Asked| vec![Act::Send(asked.answer("ok"))];
+        let upstream = RawUpstream::start(true, script).await;
+        let platform = Platform::start(upstream.addr, 8).await;
+        let mut program = Program::start(&platform, "sigterm-list").await;
+        platform.list.set_down(true);
+        program.signal();
+        task::sleep(Duration::from_millis(700)).await;
+        platform.list.set_down(false);
+        assert_eq!(program.wait().await, Some(0));
+        let entries = platform.list.entries();
+        let own = entries.iter().find(|e| e.id == "i-1").unwrap();
+        assert_eq!(own.state, EntryState::Leaving);
+    });
+}
