--- a/crates/node/src/dispatch/task.rs
+++ b/crates/node/src/dispatch/task.rs
@@ -211,3 +211,6 @@
         .map(|t| (t.id.clone(), Arc::clone(t)))
         .collect()
 }
+
+#[cfg(test)]
+mod tests;
