--- a/crates/node/src/admin/endpoints.rs
+++ b/crates/node/src/admin/endpoints.rs
@@ -14,7 +14,7 @@
         ask::ask,
         filter::{visible_entries, visible_status},
         problem::{Problem, json, status},
-        proposals::{check_id, lookup, propose, record_id, with_id},
+        proposals::{check_id, lookup, propose},
     },
     clock::Clock,
     context::Context,
@@ -125,13 +125,12 @@
     if !may_read(&operator, tenant.as_ref()) {
         return Err(forbidden("read proposals of this tenant"));
     }
-    let found = lookup(&req.state().ctx, &record_id(tenant.as_ref(), &id)).await?;
-    let visible = found.filter(|p| may_read(&operator, p.tenant.as_ref()));
-    let Some(found) = visible else {
+    let found = lookup(&req.state().ctx, tenant.as_ref(), &id).await?;
+    let Some(found) = found else {
         let detail = format!("{id}: neither taken by this instance nor read from the log");
         return Err(Problem::new(Code::UnknownProposal, detail));
     };
-    Ok(json(StatusCode::Ok, &with_id(found.answer, &id)))
+    Ok(json(StatusCode::Ok, &found))
 }
 
 /// `GET /v1/status`.
--- a/crates/node/src/admin/proposals.rs
+++ b/crates/node/src/admin/proposals.rs
@@ -7,24 +7,17 @@
 
 use crate::{
     admin::{
-        access::may_read,
         ask::{ask, ask_within},
         problem::Problem,
     },
     context::Context,
-    control::{AdminRequest, Proposal},
+    control::AdminRequest,
 };
 
 /// Longest wait for the log's decision before the answer is "pending". An append may take 2 s, its
 /// batch 100 ms and the read that confirms it 2 s.
 const DECISION_LIMIT: Duration = Duration::from_secs(5);
 
-/// Record id of an operator's proposal: `tenant/id`, or `id` for role platform. Tenants therefore
-/// cannot use up or find out each other's ids.
-pub fn record_id(tenant: Option<&Tenant>, id: &str) -> String {
-    tenant.map_or_else(|| id.to_owned(), |tenant| format!("{tenant}/{id}"))
-}
-
 /// Refuses an id that an operator may not choose.
 pub fn check_id(id: &str) -> Result<(), Problem> {
     if is_valid_id(id) {
@@ -44,7 +37,7 @@
     body: Body,
 ) -> Result<ProposalAnswer, Problem> {
     let record = Record {
-        id: record_id(operator.tenant.as_ref(), id),
+        id: id.to_owned(),
         author: operator.name.clone(),
         at,
         body,
@@ -53,61 +46,62 @@
         let detail = format!("{}; shorten the document", e.detail);
         Problem::new(e.code, detail)
     })?;
-    let record_id = record.id.clone();
-    if let Some(first) = lookup(ctx, &record_id).await? {
-        return repeated(ctx, operator, id, first, &record.body).await;
+    let tenant = operator.tenant.as_ref();
+    if let Some(first) = lookup(ctx, tenant, id).await? {
+        return repeated(ctx, first, &record.body).await;
     }
+    let sent = record.clone();
     let answer = ask_within(ctx, DECISION_LIMIT, |reply| AdminRequest::Propose {
-        record: record.clone(),
+        record: sent,
         reply,
     })
     .await;
-    match answer {
-        None => Ok(pending(id)),
-        Some(answer) if answer.code == Code::Repeated => match lookup(ctx, &record_id).await? {
-            Some(first) => repeated(ctx, operator, id, first, &record.body).await,
-            None => Ok(with_id(answer, id)),
-        },
-        Some(answer) => Ok(with_id(answer, id)),
+    let Some(answer) = answer else {
+        return Ok(pending(id));
+    };
+    if answer.code != Code::Repeated {
+        return Ok(answer);
+    }
+    match lookup(ctx, tenant, id).await? {
+        Some(first) => repeated(ctx, first, &record.body).await,
+        None => Ok(answer),
     }
 }
 
-/// The proposal with a record id, if this instance knows it.
-pub async fn lookup(ctx: &Context, record_id: &str) -> Result<Option<Proposal>, Problem> {
-    let id = record_id.to_owned();
-    ask(ctx, |reply| AdminRequest::Lookup { id, reply }).await
+/// Where the proposal of a tenant, or of a zone for `None`, stands at this instance.
+pub async fn lookup(
+    ctx: &Context,
+    tenant: Option<&Tenant>,
+    id: &str,
+) -> Result<Option<ProposalAnswer>, Problem> {
+    let (tenant, id) = (tenant.cloned(), id.to_owned());
+    ask(ctx, |reply| AdminRequest::Lookup { tenant, id, reply }).await
 }
 
 /// The answer to a repeat is the first decision, unless the repeat is known to ask for another
 /// document.
 async fn repeated(
     ctx: &Context,
-    operator: &Operator,
-    id: &str,
-    first: Proposal,
+    first: ProposalAnswer,
     body: &Body,
 ) -> Result<ProposalAnswer, Problem> {
-    if !may_read(operator, first.tenant.as_ref()) {
-        return Err(Problem::new(
-            Code::Repeated,
-            "id: used before; choose another",
-        ));
+    let Body::Config { tenant, text, .. } = body else {
+        return Ok(first);
+    };
+    if first.code != Code::Accepted {
+        return Ok(first);
     }
-    if let Body::Config { tenant, text, .. } = body
-        && first.answer.code == Code::Accepted
-    {
-        let tenant = tenant.clone();
-        let config: ConfigAnswer = ask(ctx, |reply| AdminRequest::Config { tenant, reply }).await?;
-        if Some(config.revision) == first.answer.offset && config.text != *text {
-            let detail = format!(
-                "id: used before for another document, which is in force as revision {}; choose \
-                 another id",
-                config.revision
-            );
-            return Err(Problem::new(Code::Repeated, detail));
-        }
+    let tenant = tenant.clone();
+    let config: ConfigAnswer = ask(ctx, |reply| AdminRequest::Config { tenant, reply }).await?;
+    if Some(config.revision) == first.offset && config.text != *text {
+        let detail = format!(
+            "id: used before for another document, which is in force as revision {}; choose \
+             another id",
+            config.revision
+        );
+        return Err(Problem::new(Code::Repeated, detail));
     }
-    Ok(with_id(first.answer, id))
+    Ok(first)
 }
 
 fn pending(id: &str) -> ProposalAnswer {
@@ -118,11 +112,3 @@
         detail: "the log has not confirmed the proposal yet; ask for it by its id".to_owned(),
     }
 }
-
-/// The answer under the id that the operator used.
-pub fn with_id(answer: ProposalAnswer, id: &str) -> ProposalAnswer {
-    ProposalAnswer {
-        id: id.to_owned(),
-        ..answer
-    }
-}
--- a/crates/node/src/admin/tests.rs
+++ b/crates/node/src/admin/tests.rs
@@ -21,7 +21,7 @@
     Token,
     admin::serve_admin,
     context::Context,
-    control::{AdminRequest, ControlEvent, Proposal, StatusReply},
+    control::{AdminRequest, ControlEvent, StatusReply},
 };
 
 const ORDERS: &str = "[[service]]\nname = \"orders\"\nversion = \"v1\"\n[[service.class]]\nname = \
@@ -35,9 +35,10 @@
 ];
 
 /// A control loop that decides at once: proposals against revision 7 of a tenant's document or
-/// change 0 of a zone are accepted at offset 9, ids that contain `silent` get no reply.
+/// change 0 of a zone are accepted at offset 9, ids that contain `silent` get no reply, and ids
+/// that contain `race` are decided through another instance.
 async fn control_loop(events: Receiver<ControlEvent>) {
-    let mut decided: BTreeMap<String, Proposal> = BTreeMap::new();
+    let mut decided = BTreeMap::new();
     let mut held = Vec::new();
     let mut text = ORDERS.to_owned();
     while let Ok(event) = events.recv().await {
@@ -49,17 +50,21 @@
                 held.push((record, reply));
             }
             AdminRequest::Propose { record, reply } => {
-                let proposal = decide(&record);
+                let (tenant, answer) = decide(&record);
                 if let (Body::Config { text: new, .. }, Code::Accepted) =
-                    (&record.body, proposal.answer.code)
+                    (&record.body, answer.code)
                 {
                     text.clone_from(new);
                 }
-                let _ = reply.try_send(proposal.answer.clone());
-                decided.insert(record.id, proposal);
+                let mut told = answer.clone();
+                if record.id.contains("race") {
+                    told.code = Code::Repeated;
+                }
+                let _ = reply.try_send(told);
+                decided.insert((tenant, record.id), answer);
             }
-            AdminRequest::Lookup { id, reply } => {
-                let _ = reply.try_send(decided.get(&id).cloned());
+            AdminRequest::Lookup { tenant, id, reply } => {
+                let _ = reply.try_send(decided.get(&(tenant, id)).cloned());
             }
             AdminRequest::Status { reply } => {
                 let _ = reply.try_send(status());
@@ -80,7 +85,7 @@
     }
 }
 
-fn decide(record: &Record) -> Proposal {
+fn decide(record: &Record) -> (Option<Tenant>, ProposalAnswer) {
     let (tenant, base, expected) = match &record.body {
         Body::Config { tenant, base, .. } => (Some(tenant.clone()), *base, 7),
         Body::Zone { base, .. } => (None, *base, 0),
@@ -97,7 +102,7 @@
         offset: Some(9),
         detail: String::new(),
     };
-    Proposal { tenant, answer }
+    (tenant, answer)
 }
 
 fn status() -> StatusReply {
@@ -412,6 +417,36 @@
     });
 }
 
+/// Guards against a proposal that was accepted through another instance and is reported as a mere
+/// repeat.
+#[test]
+fn publish_race() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        let (status, answer) = publish(addr, "race-1", 7, ORDERS).await;
+        assert_eq!((status, &answer["code"]), (200, &json!(6001)));
+        cancel.cancel();
+    });
+}
+
+/// Guards against tenants that find out or use up each other's proposal ids.
+#[test]
+fn proposal_ids_by_tenant() {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        publish(addr, "p-1", 7, ORDERS).await;
+        let token = token("sacaria", "publish");
+        let path = "/v1/proposals/p-1";
+        let (status, _) = send(addr, Some(&token), Method::Get, path, b"").await;
+        assert_eq!(status, 404);
+        let body = json!({"id": "p-1", "base": 6, "text": ORDERS}).to_string();
+        let path = "/v1/config/sacaria";
+        let (status, answer) = send(addr, Some(&token), Method::Post, path, body.as_bytes()).await;
+        assert_eq!((status, &answer["code"]), (409, &json!(6003)));
+        cancel.cancel();
+    });
+}
+
 #[test]
 fn zone_unknown_name() {
     task::block_on(async {
--- a/crates/node/src/control/admin_request.rs
+++ b/crates/node/src/control/admin_request.rs
@@ -18,20 +18,24 @@
 )]
 pub enum AdminRequest {
     /// Appends a record and replies once it was read back or rejected. A reply of
-    /// [`model::Code::Pending`] may be sent at any time. A record id that was seen before is not
+    /// [`model::Code::Pending`] may be sent at any time. A proposal that was seen before is not
     /// appended again.
     Propose {
         /// The record.
         record: Record,
-        /// Gets the answer, whose id is the record's id.
+        /// Gets the answer.
         reply: Sender<ProposalAnswer>,
     },
     /// Asks for a proposal that this instance took or read from the log.
     Lookup {
-        /// Record id.
+        /// Whose proposal: of a tenant's document, or of a zone for `None`. Each tenant chooses ids
+        /// of its own.
+        tenant: Option<Tenant>,
+        /// Proposal id.
         id: String,
-        /// Gets the proposal, `None` if it is not known here.
-        reply: Sender<Option<Proposal>>,
+        /// Gets where it stands, [`model::Code::Pending`] while undecided; `None` if it is not known
+        /// here.
+        reply: Sender<Option<ProposalAnswer>>,
     },
     /// Asks for the state in force here.
     Status {
@@ -56,15 +60,6 @@
     },
 }
 
-/// A proposal and the tenant that may read it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Proposal {
-    /// Tenant concerned; `None` for zones.
-    pub tenant: Option<Tenant>,
-    /// Where it stands, [`model::Code::Pending`] while undecided. The id is the record's id.
-    pub answer: ProposalAnswer,
-}
-
 /// The state in force at this instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StatusReply {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -7,7 +7,7 @@
 mod thread;
 
 pub use self::{
-    admin_request::{AdminRequest, Proposal, StatusReply},
+    admin_request::{AdminRequest, StatusReply},
     event::ControlEvent,
     list_reader::read_list,
     log_reader::read_log,
