--- a/crates/node/src/call/handle/tests.rs
+++ b/crates/node/src/call/handle/tests.rs
@@ -37,7 +37,7 @@
     async fn open() -> Self {
         let any = "127.0.0.1:1";
         let text = format!(
-            "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"{any}\"\npeer = \"{any}\"\n\
+            "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\n\
              admin = \"{any}\"\nlog = \"{any}\"\nlist = \"{any}\"\n"
         );
         let (control, _) = unbounded();
@@ -46,6 +46,7 @@
         let mut services = BTreeMap::new();
         services.insert("orders".into(), service());
         let snapshot = Snapshot {
+            view: 1,
             offset: 1,
             ready: true,
             services,
@@ -98,7 +99,7 @@
     /// The next event, which must be the end of an attempt.
     async fn finish(&self) -> (TargetId, Report) {
         match self.next().await {
-            DispatchMsg::Event(Event::Finish { target, report, .. }) => (target, report),
+            DispatchMsg::Ended { target, report, .. } => (target, report),
             other => panic!("not a finish: {other:?}"),
         }
     }
--- a/crates/node/src/control/admin.rs
+++ b/crates/node/src/control/admin.rs
@@ -8,16 +8,16 @@
 use wire::{Body, ConfigAnswer, Fact, MoveStatus, ProposalAnswer, Record, Status};
 
 use crate::control::{
-    AdminRequest, Proposal, StatusReply, peer_events, proposals::pending, records::is_log_up,
-    thread::Control,
+    AdminRequest, StatusReply, peer_events, proposals::pending, records::is_log_up, thread::Control,
 };
 
 /// Answers one request.
 pub fn answer(control: &mut Control, now: Time, request: AdminRequest) {
     match request {
         AdminRequest::Propose { record, reply } => propose(control, now, record, reply),
-        AdminRequest::Lookup { id, reply } => {
-            let _ = reply.try_send(lookup(control, &id));
+        AdminRequest::Lookup { tenant, id, reply } => {
+            let scope = tenant.map_or(Scope::Zones, Scope::Tenant);
+            let _ = reply.try_send(lookup(control, &scope, &id));
         }
         AdminRequest::Status { reply } => {
             let _ = reply.try_send(status(control, now));
@@ -110,28 +110,11 @@
     }
 }
 
-fn lookup(control: &Control, id: &str) -> Option<Proposal> {
-    if let Some(scope) = control.proposals.find(id) {
-        return Some(Proposal {
-            tenant: tenant_of(scope),
-            answer: pending(id),
-        });
-    }
-    let fold = control.state.fold();
-    let tenants = fold.tenants.keys().cloned().map(Scope::Tenant);
-    let mut scopes = tenants.chain([Scope::Zones]);
-    let known = scopes.find_map(|scope| control.state.proposal(&scope, id))?;
-    Some(Proposal {
-        tenant: tenant_of(&known.scope),
-        answer: decided(&known),
-    })
-}
-
-fn tenant_of(scope: &Scope) -> Option<model::Tenant> {
-    match scope {
-        Scope::Tenant(tenant) => Some(tenant.clone()),
-        Scope::Zones | Scope::Moves => None,
+fn lookup(control: &Control, scope: &Scope, id: &str) -> Option<ProposalAnswer> {
+    if control.proposals.is_waiting(scope, id) {
+        return Some(pending(id));
     }
+    control.state.proposal(scope, id).as_ref().map(decided)
 }
 
 fn status(control: &mut Control, now: Time) -> StatusReply {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -21,7 +21,7 @@
 mod thread;
 
 pub use self::{
-    admin_request::{AdminRequest, Proposal, StatusReply},
+    admin_request::{AdminRequest, StatusReply},
     appender::append_records,
     event::ControlEvent,
     list_reader::read_list,
--- a/crates/node/src/control/proposals.rs
+++ b/crates/node/src/control/proposals.rs
@@ -54,14 +54,6 @@
         self.waiting.contains_key(&(scope.clone(), id.to_owned()))
     }
 
-    /// The scope of a waiting proposal.
-    pub fn find(&self, id: &str) -> Option<&Scope> {
-        self.waiting
-            .keys()
-            .find(|(_, i)| i == id)
-            .map(|(scope, _)| scope)
-    }
-
     /// Adds a proposal whose record was passed to the appender.
     pub fn add(&mut self, now: Time, scope: Scope, record: Record, reply: Sender<ProposalAnswer>) {
         let key = (scope, record.id.clone());
--- a/crates/node/src/dispatch/task/tests.rs
+++ b/crates/node/src/dispatch/task/tests.rs
@@ -2,7 +2,7 @@
 
 use async_std::channel::bounded;
 use model::{Class, Settings};
-use policy::{Call, TargetState};
+use policy::{Call, TargetState, TargetView};
 
 use super::*;
 
@@ -11,7 +11,7 @@
 fn context() -> Arc<Context> {
     let any = "127.0.0.1:1";
     let text = format!(
-        "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"{any}\"\npeer = \"{any}\"\n\
+        "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\n\
          admin = \"{any}\"\nlog = \"{any}\"\nlist = \"{any}\"\n"
     );
     let (control, _) = unbounded();
--- a/crates/state/src/views.rs
+++ b/crates/state/src/views.rs
@@ -91,16 +91,26 @@
 }
 
 /// Instances that may be homes: live and in no zone that is out, or all live ones if none remains.
+/// Leaving instances count when the region has no other, since they still serve calls and a target
+/// without an owner could not be used at all.
 fn live(input: ViewInput<'_>) -> Live {
     let row = |i: &InstanceView| (i.id.clone(), i.zone.clone(), i.region.clone());
+    let local = |live: &Live| live.iter().any(|(_, _, r)| r == input.region);
     let all: Live = input.members.live().map(row).collect();
     let kept: Live = all
         .iter()
         .filter(|(_, zone, _)| !is_out(input, zone))
         .cloned()
         .collect();
-    let local = |live: &Live| live.iter().any(|(_, _, r)| r == input.region);
-    if local(&kept) { kept } else { all }
+    if local(&kept) {
+        return kept;
+    }
+    if local(&all) {
+        return all;
+    }
+    let leaving = |i: &&InstanceView| i.presence != Presence::Silent;
+    let rest = input.members.instances.iter().filter(leaving);
+    rest.map(row).collect()
 }
 
 fn home(input: ViewInput<'_>, id: &InstanceId) -> Option<Home> {
