--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -63,6 +63,7 @@
     split: Split,
     callers: Callers,
     last: Option<Time>,
+    grants_from: Time,
 }
 
 impl Dispatcher {
@@ -103,6 +104,7 @@
             split: Split::new(phase),
             callers: Callers::default(),
             last: None,
+            grants_from: Time::default(),
         }
     }
 
@@ -160,7 +162,7 @@
 
     /// Ends idle loans, lends idle slots, asks for slots and tells new owners about calls in progress.
     fn settle(&mut self, now: Time) {
-        self.return_idle(now);
+        self.return_idle();
         self.lend(now);
         self.recall(now);
         self.ask(now);
--- a/crates/policy/src/dispatcher/admit.rs
+++ b/crates/policy/src/dispatcher/admit.rs
@@ -9,6 +9,8 @@
 const MAX_WAITING: usize = 256;
 /// Bytes that waiting calls may hold: 8 MiB.
 const MAX_WAITING_BYTES: u64 = 8 * 1024 * 1024;
+/// Part of the other owners' slots that an instance may expect to borrow: one of this many.
+const LENT_PART: u32 = 8;
 /// Shortest advice to callers that were refused, in milliseconds.
 const MIN_RETRY_MS: u32 = 10;
 /// Longest advice to callers that were refused, in milliseconds.
@@ -131,13 +133,15 @@
         ((ahead + 1.0) / rate.max(reach / mean)) as u64
     }
 
-    /// Slots that may serve this instance although none of its calls runs on them: those that other
-    /// owners may lend, while they answer.
+    /// Slots that other owners are likely to lend, although none of this instance's calls runs on them
+    /// now. With too small a figure an instance without targets refuses calls before the slots come.
     fn reach(&self) -> u32 {
-        let answered = |l: &crate::lender::Lender| l.gap_us < crate::lender::MAX_GAP_US;
-        let lending = self.view.owners.iter().filter(|o| **o != self.view.me);
-        let lending = lending.filter(|o| self.lenders.get(*o).is_none_or(answered));
-        u32::try_from(lending.count()).unwrap_or(u32::MAX)
+        let others = self
+            .targets
+            .values()
+            .filter(|t| t.view.owner != self.view.me);
+        let open = others.filter(|t| t.is_open());
+        open.map(|t| t.view.slots).sum::<u32>() / LENT_PART
     }
 
     /// Refuses calls whose latest start has passed.
--- a/crates/policy/src/dispatcher/borrow.rs
+++ b/crates/policy/src/dispatcher/borrow.rs
@@ -35,7 +35,9 @@
         lender.told.1 = lender.told.1.saturating_sub(1);
         let known = self.targets.get(&target);
         let agreed = known.is_some_and(|t| t.is_open() && t.view.owner == *from);
-        if repeated || !agreed {
+        // A grant that waited in a buffer during a pause has an unknown part of its hold behind it.
+        let stale = now < self.grants_from;
+        if repeated || stale || !agreed {
             self.send(from, empty_return(loan));
             return;
         }
@@ -66,7 +68,7 @@
     }
 
     /// Returns loans on which no call was started.
-    pub(super) fn return_idle(&mut self, _now: Time) {
+    pub(super) fn return_idle(&mut self) {
         let idle = self.borrowed.iter().filter(|(_, b)| b.call.is_none());
         let idle: Vec<_> = idle.map(|(key, _)| key.clone()).collect();
         for key in idle {
--- a/crates/policy/src/dispatcher/claim.rs
+++ b/crates/policy/src/dispatcher/claim.rs
@@ -217,6 +217,7 @@
     /// The process was paused: others may have taken over. Slots are claimed again before use.
     pub(super) fn resume(&mut self, now: Time) {
         self.stats.pauses += 1;
+        self.grants_from = now.plus_ms(SLACK_MS);
         self.borrowed.values_mut().for_each(|b| b.closed = true);
         self.wishes.clear();
         let mine = self
--- a/crates/policy/src/dispatcher/start.rs
+++ b/crates/policy/src/dispatcher/start.rs
@@ -33,11 +33,11 @@
     /// the one slot that they always may use, so that they are not starved for ever.
     fn next_start(&self, now: Time) -> Option<(CallId, TargetId, Slot)> {
         let loose = self.classes.iter().filter(|c| c.loose);
-        if loose.map(|c| c.running).sum::<u32>() == 0 {
-            return self.first_start(now, true, |_| true);
-        }
-        let tight = self.first_start(now, true, |w| !w.loose);
-        tight.or_else(|| self.first_start(now, self.loose_fits(now), |w| w.loose))
+        let starved = loose.map(|c| c.running).sum::<u32>() == 0;
+        let first = starved.then(|| self.first_start(now, true, |_| true));
+        let tight = || self.first_start(now, true, |w| !w.loose);
+        let loose = || self.first_start(now, self.loose_fits(now), |w| w.loose);
+        first.flatten().or_else(tight).or_else(loose)
     }
 
     /// The first of some calls for which a slot is free. `own` permits own slots beside lent ones.
