--- a/crates/policy/src/dispatcher/claim.rs
+++ b/crates/policy/src/dispatcher/claim.rs
@@ -28,8 +28,8 @@
             target.told = None;
             target.claims = 0;
             target.asked.clone_from(&peers);
+            target.adopted = None;
             target.hold = Hold::Claiming {
-                previous,
                 until: now.plus_ms(CLAIM_MS),
             };
             if peers.is_empty() {
@@ -182,7 +182,7 @@
                 continue;
             }
             target.inherit(from, busy, until);
-            target.answered(from, limit);
+            target.answered(now, from, limit);
         }
         for id in kept {
             let mine = |t: &crate::target::Target| t.view.owner == self.view.me;
@@ -198,7 +198,7 @@
         let mut again = Vec::new();
         for (id, target) in &mut self.targets {
             match target.hold {
-                Hold::Claiming { until, .. } if until <= now => {
+                Hold::Claiming { until } if until <= now => {
                     target.limit.chill();
                     target.take();
                 }
--- a/crates/policy/src/dispatcher/view.rs
+++ b/crates/policy/src/dispatcher/view.rs
@@ -12,6 +12,10 @@
 
 impl Dispatcher {
     pub(super) fn set_view(&mut self, now: Time, view: Arc<ServiceView>) {
+        if view.view < self.view.view {
+            // Overtaken by a newer one; owners must not go back.
+            return;
+        }
         self.view = view;
         self.load_classes();
         self.split.set(self.view.shift.as_ref());
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -1,16 +1,15 @@
 //! Whether this instance hands out the slots of a target.
 
-use model::{InstanceId, Time};
+use model::Time;
 
 /// Standing of this instance towards a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Hold {
     /// Another instance owns the target.
     Foreign,
-    /// This instance owns it by its view and asks who handed out its slots before.
+    /// This instance owns it by its view and asks others to stop handing out
+    /// its slots.
     Claiming {
-        /// Previous owner, if known.
-        previous: Option<InstanceId>,
         /// When the claim counts as unanswered.
         until: Time,
     },
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -35,6 +35,8 @@
     pub(crate) inherited: BTreeMap<InstanceId, (u32, Time)>,
     /// Peers that have not answered a claim yet.
     pub(crate) asked: Vec<InstanceId>,
+    /// Smallest limit that an answer to the claim named.
+    pub(crate) adopted: Option<u32>,
     /// Claims sent since the last change of owner.
     pub(crate) claims: u32,
     /// When a claim without an answer is repeated.
@@ -64,6 +66,7 @@
             lent: BTreeMap::new(),
             inherited: BTreeMap::new(),
             asked: Vec::new(),
+            adopted: None,
             claims: 0,
             claim_at: Time::default(),
             told: None,
@@ -129,36 +132,42 @@
         self.listed = false;
     }
 
-    /// Counts calls that a previous owner still has in progress. A report that was overtaken by a
-    /// later one must not raise the count again.
+    /// Counts calls that a previous owner still has in progress. The first answer to a claim replaces
+    /// what was known; a report that was overtaken by a later one must not raise the count again.
     pub(crate) fn inherit(&mut self, peer: &InstanceId, busy: u32, until: Time) {
-        let first = self.hold != Hold::Held || self.asked.contains(peer);
-        match self.inherited.get_mut(peer) {
-            Some((count, _)) if busy < *count => *count = busy,
-            None if busy > 0 && first => {
-                self.inherited.insert(peer.clone(), (busy, until));
-            }
-            _ => {}
+        if self.asked.contains(peer) {
+            self.inherited.insert(peer.clone(), (busy, until));
+        } else if let Some((count, _)) = self.inherited.get_mut(peer) {
+            *count = busy.min(*count);
         }
         self.inherited.retain(|_, (count, _)| *count > 0);
     }
 
     /// Takes a peer's statement that it hands out no slots. `limit` is its limit if it did before.
-    pub(crate) fn answered(&mut self, peer: &InstanceId, limit: u32) {
+    pub(crate) fn answered(&mut self, now: Time, peer: &InstanceId, limit: u32) {
         self.asked.retain(|p| p != peer);
-        let last = match &self.hold {
-            Hold::Held | Hold::Foreign => return,
-            Hold::Yielded { .. } => true,
-            Hold::Claiming { previous, .. } => {
-                self.asked.is_empty() || previous.as_ref() == Some(peer)
-            }
-        };
+        match &mut self.hold {
+            // The answer may be older than the one of the peer that goes first: claim again.
+            Hold::Yielded { until } if limit > 0 => *until = now,
+            Hold::Claiming { .. } => self.end_claim(limit),
+            Hold::Held | Hold::Foreign | Hold::Yielded { .. } => {}
+        }
+    }
+
+    /// Counts an answer to a claim. All peers must answer: the previous owner by this instance's view
+    /// need not be the last one that handed out slots.
+    fn end_claim(&mut self, limit: u32) {
         if limit > 0 {
-            self.limit.adopt(limit);
+            let least = self.adopted.map_or(limit, |adopted| adopted.min(limit));
+            self.adopted = Some(least);
+        }
+        if !self.asked.is_empty() {
+            return;
         }
-        if limit > 0 || last {
-            self.take();
+        if let Some(limit) = self.adopted.take() {
+            self.limit.adopt(limit);
         }
+        self.take();
     }
 
     /// Whether recent calls took much longer than on other targets.
--- a/crates/policy/tests/random.rs
+++ b/crates/policy/tests/random.rs
@@ -49,3 +49,17 @@
         fleet.drain();
     }
 }
+
+/// An older view that arrived late took a target back, and a late answer of a third instance then
+/// ended a yield: two owners handed out the same slots.
+#[test]
+fn fleet_overtaken_view() {
+    let faults = Faults {
+        views: true,
+        ..Faults::default()
+    };
+    let mut fleet = Fleet::new(7_361_442_036_875_806_634, 3, faults);
+    fleet.strict = true;
+    fleet.run(4_000);
+    fleet.drain();
+}
