--- a/crates/policy/src/dispatcher/claim.rs
+++ b/crates/policy/src/dispatcher/claim.rs
@@ -120,7 +120,7 @@
                 kept.push(id);
                 continue;
             }
-            self.yield_target(now, &id);
+            self.yield_target(now, &id, from);
             let Some(target) = self.targets.get_mut(&id) else {
                 given.push((id, 0, 0));
                 continue;
@@ -151,7 +151,7 @@
     }
 
     /// Stops handing out the slots of a target that this instance owns by its view.
-    fn yield_target(&mut self, now: Time, id: &TargetId) {
+    fn yield_target(&mut self, now: Time, id: &TargetId, to: &InstanceId) {
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
@@ -161,6 +161,7 @@
         let wait = YIELD_MS / 2 + self.rng.random_range(0..YIELD_MS);
         target.hold = Hold::Yielded {
             until: now.plus_ms(wait),
+            to: to.clone(),
         };
         target.asked.clear();
         self.recall_all(id);
@@ -187,7 +188,7 @@
         for id in kept {
             let mine = |t: &crate::target::Target| t.view.owner == self.view.me;
             if self.targets.get(&id).is_some_and(mine) {
-                self.yield_target(now, &id);
+                self.yield_target(now, &id, from);
             }
         }
     }
@@ -202,7 +203,9 @@
                     target.limit.chill();
                     target.take();
                 }
-                Hold::Yielded { until } if until <= now => again.push((id.clone(), None)),
+                Hold::Yielded { until, ref to } if until <= now => {
+                    again.push((id.clone(), Some(to.clone())));
+                }
                 _ => {}
             }
             let open = !target.asked.is_empty() && target.claims < MAX_CLAIMS;
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -1,6 +1,6 @@
 //! Whether this instance hands out the slots of a target.
 
-use model::Time;
+use model::{InstanceId, Time};
 
 /// Standing of this instance towards a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,5 +19,7 @@
     Yielded {
         /// Time of the next claim.
         until: Time,
+        /// The instance that goes first.
+        to: InstanceId,
     },
 }
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -148,7 +148,7 @@
         self.asked.retain(|p| p != peer);
         match &mut self.hold {
             // The answer may be older than the one of the peer that goes first: claim again.
-            Hold::Yielded { until } if limit > 0 => *until = now,
+            Hold::Yielded { until, .. } if limit > 0 => *until = now,
             Hold::Claiming { .. } => self.end_claim(limit),
             Hold::Held | Hold::Foreign | Hold::Yielded { .. } => {}
         }
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -262,7 +262,9 @@
     }
 
     fn handle(&mut self, i: usize, event: Event) {
-        if let Event::View(view) = &event {
+        if let Event::View(view) = &event
+            && view.view >= self.nodes[i].view.view
+        {
             self.nodes[i].view = view.clone();
         }
         if let Event::Arrive(call) = &event {
