--- a/crates/policy/src/dispatcher/claim.rs
+++ b/crates/policy/src/dispatcher/claim.rs
@@ -28,8 +28,8 @@
             target.told = None;
             target.claims = 0;
             target.asked.clone_from(&peers);
+            target.adopted = None;
             target.hold = Hold::Claiming {
-                previous,
                 until: now.plus_ms(CLAIM_MS),
             };
             if peers.is_empty() {
@@ -120,7 +120,7 @@
                 kept.push(id);
                 continue;
             }
-            self.yield_target(now, &id);
+            self.yield_target(now, &id, from);
             let Some(target) = self.targets.get_mut(&id) else {
                 given.push((id, 0, 0));
                 continue;
@@ -151,7 +151,7 @@
     }
 
     /// Stops handing out the slots of a target that this instance owns by its view.
-    fn yield_target(&mut self, now: Time, id: &TargetId) {
+    fn yield_target(&mut self, now: Time, id: &TargetId, to: &InstanceId) {
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
@@ -161,6 +161,7 @@
         let wait = YIELD_MS / 2 + self.rng.random_range(0..YIELD_MS);
         target.hold = Hold::Yielded {
             until: now.plus_ms(wait),
+            to: to.clone(),
         };
         target.asked.clear();
         self.recall_all(id);
@@ -182,12 +183,12 @@
                 continue;
             }
             target.inherit(from, busy, until);
-            target.answered(from, limit);
+            target.answered(now, from, limit);
         }
         for id in kept {
             let mine = |t: &crate::target::Target| t.view.owner == self.view.me;
             if self.targets.get(&id).is_some_and(mine) {
-                self.yield_target(now, &id);
+                self.yield_target(now, &id, from);
             }
         }
     }
@@ -198,11 +199,13 @@
         let mut again = Vec::new();
         for (id, target) in &mut self.targets {
             match target.hold {
-                Hold::Claiming { until, .. } if until <= now => {
+                Hold::Claiming { until } if until <= now => {
                     target.limit.chill();
                     target.take();
                 }
-                Hold::Yielded { until } if until <= now => again.push((id.clone(), None)),
+                Hold::Yielded { until, ref to } if until <= now => {
+                    again.push((id.clone(), Some(to.clone())));
+                }
                 _ => {}
             }
             let open = !target.asked.is_empty() && target.claims < MAX_CLAIMS;
@@ -217,6 +220,7 @@
     /// The process was paused: others may have taken over. Slots are claimed again before use.
     pub(super) fn resume(&mut self, now: Time) {
         self.stats.pauses += 1;
+        self.grants_from = now.plus_ms(SLACK_MS);
         self.borrowed.values_mut().for_each(|b| b.closed = true);
         self.wishes.clear();
         let mine = self
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -7,10 +7,9 @@
 pub(crate) enum Hold {
     /// Another instance owns the target.
     Foreign,
-    /// This instance owns it by its view and asks who handed out its slots before.
+    /// This instance owns it by its view and asks others to stop handing out
+    /// its slots.
     Claiming {
-        /// Previous owner, if known.
-        previous: Option<InstanceId>,
         /// When the claim counts as unanswered.
         until: Time,
     },
@@ -20,5 +19,7 @@
     Yielded {
         /// Time of the next claim.
         until: Time,
+        /// The instance that goes first.
+        to: InstanceId,
     },
 }
