--- a/crates/ctl/src/failure.rs
+++ b/crates/ctl/src/failure.rs
@@ -19,7 +19,7 @@
     #[error("{}: {}", .0.code, .0.detail)]
     Refused(ErrorBody),
     /// No address gave a usable answer.
-    #[error("no administration address answered: {0}")]
+    #[error("no administration address gave a usable answer: {0}")]
     Unreachable(String),
     /// A proposal was sent but no address answered; it may have been accepted.
     #[error("proposal {id}: no answer, it may have been accepted: {detail}")]
