--- a/crates/node/src/admin/tests.rs
+++ b/crates/node/src/admin/tests.rs
@@ -13,6 +13,7 @@
 use http_types::Method;
 use model::{Code, Settings, Tenant, Version, Wall};
 use platform::{HttpRequest, exchange};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use wire::{AuditEntry, Body, ConfigAnswer, MoveStatus, ProposalAnswer, Record, Status};
@@ -190,6 +191,27 @@
     (admin, cancel)
 }
 
+fn with_server(test: impl AsyncFnOnce(SocketAddr)) {
+    task::block_on(async {
+        let (addr, cancel) = start().await;
+        test(addr).await;
+        cancel.cancel();
+    });
+}
+
+/// Status and result code of an answer.
+fn codes((status, answer): (u16, Value)) -> (u16, u64) {
+    (status, answer["code"].as_u64().unwrap_or(0))
+}
+
+async fn get(addr: SocketAddr, token: &str, path: &str) -> (u16, Value) {
+    send(addr, Some(token), Method::Get, path, b"").await
+}
+
+async fn post(addr: SocketAddr, token: &str, path: &str, body: &str) -> (u16, Value) {
+    send(addr, Some(token), Method::Post, path, body.as_bytes()).await
+}
+
 async fn send(
     addr: SocketAddr,
     token: Option<&str>,
@@ -217,7 +239,7 @@
     let body = json!({"id": id, "base": base, "text": text}).to_string();
     let token = token("lemovka", "publish");
     let path = "/v1/config/lemovka";
-    send(addr, Some(&token), Method::Post, path, body.as_bytes()).await
+    post(addr, &token, path, &body).await
 }
 
 /// Every endpoint with every role. The columns are no token, an unknown token, and `OPERATORS`.
@@ -279,8 +301,7 @@
         (get, "/v1/moves", "", [401, 401, 200, 200, 200, 200, 200]),
         (get, "/v1/audit", "", [401, 401, 200, 200, 200, 200, 200]),
     ];
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         let mut tokens = vec![None, Some("token-unknown".to_owned())];
         tokens.extend(OPERATORS.map(|(tenant, role)| Some(token(tenant, role))));
         for (method, path, body, expected) in table {
@@ -297,14 +318,12 @@
                 }
             }
         }
-        cancel.cancel();
     });
 }
 
 #[test]
 fn answers_hold_own_tenant_only() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         for tenant in ["lemovka", "sacaria"] {
             let other = if tenant == "lemovka" {
                 "dispatch"
@@ -312,37 +331,35 @@
                 "orders"
             };
             let token = token(tenant, "read");
-            let (_, status) = send(addr, Some(&token), Method::Get, "/v1/status", b"").await;
+            let (_, status) = get(addr, &token, "/v1/status").await;
             assert_eq!(status["revisions"].as_object().unwrap().len(), 1);
             assert!(status["revisions"][tenant].is_u64());
             assert_eq!(status["zones"]["b"], json!([true, 6]));
             for path in ["/v1/status", "/v1/moves"] {
-                let (_, answer) = send(addr, Some(&token), Method::Get, path, b"").await;
+                let (_, answer) = get(addr, &token, path).await;
                 assert_eq!(answer["moves"].as_array().unwrap().len(), 1);
                 assert!(!answer["moves"].to_string().contains(other));
             }
-            let (_, audit) = send(addr, Some(&token), Method::Get, "/v1/audit", b"").await;
+            let (_, audit) = get(addr, &token, "/v1/audit").await;
             let entries = audit["entries"].as_array().unwrap();
             assert_eq!((entries.len(), &audit["next"]), (10, &Value::Null));
             assert!(entries.iter().all(|e| e["tenant"] == tenant));
         }
         let token = token("", "platform");
-        let (_, status) = send(addr, Some(&token), Method::Get, "/v1/status", b"").await;
+        let (_, status) = get(addr, &token, "/v1/status").await;
         assert_eq!(status["moves"].as_array().unwrap().len(), 3);
-        cancel.cancel();
     });
 }
 
 /// Guards against entries lost or repeated between pages.
 #[test]
 fn audit_pages_join() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         let token = token("sacaria", "read");
         let (mut from, mut offsets) = (0, Vec::new());
         for _ in 0..30 {
             let path = format!("/v1/audit?from={from}&limit=3");
-            let (status, page) = send(addr, Some(&token), Method::Get, &path, b"").await;
+            let (status, page) = get(addr, &token, &path).await;
             assert_eq!(status, 200);
             let entries = page["entries"].as_array().unwrap();
             assert!(entries.len() <= 3);
@@ -355,49 +372,44 @@
         assert_eq!(offsets, (0..10).map(|i| 3 * i + 2).collect::<Vec<u64>>());
         for query in ["limit=0", "limit=1001", "from=x", "limi=3"] {
             let path = format!("/v1/audit?{query}");
-            let (status, answer) = send(addr, Some(&token), Method::Get, &path, b"").await;
-            assert_eq!((status, &answer["code"]), (400, &json!(6014)), "{query}");
+            assert_eq!(
+                codes(get(addr, &token, &path).await),
+                (400, 6014),
+                "{query}"
+            );
         }
-        cancel.cancel();
     });
 }
 
 #[test]
 fn publish_checks_before_proposing() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         let wrong = ORDERS.replace("target_ms = 60", "target_ms = 0\nweight = 1");
         let (status, answer) = publish(addr, "p-1", 7, &wrong).await;
-        assert_eq!((status, &answer["code"]), (422, &json!(5002)));
+        assert_eq!(codes((status, answer.clone())), (422, 5002));
         let detail = answer["detail"].as_str().unwrap();
         assert!(detail.contains("service[0].class[0].weight"), "{detail}");
         assert!(detail.contains("target_ms: got 0;"), "{detail}");
         // 48 KiB of quotes are 96 KiB of JSON, more than a record may have.
         let quoted = format!("{ORDERS}# {}\n", "\"".repeat(40 * 1024));
-        let (status, answer) = publish(addr, "p-1", 7, &quoted).await;
-        assert_eq!((status, &answer["code"]), (413, &json!(7004)));
+        assert_eq!(codes(publish(addr, "p-1", 7, &quoted).await), (413, 7004));
         let large = "#".repeat(300 * 1024);
-        let (status, answer) = publish(addr, "p-1", 7, &large).await;
-        assert_eq!((status, &answer["code"]), (413, &json!(5007)));
-        let (status, answer) = publish(addr, "../p-1", 7, ORDERS).await;
-        assert_eq!((status, &answer["code"]), (400, &json!(6014)));
+        assert_eq!(codes(publish(addr, "p-1", 7, &large).await), (413, 5007));
+        assert_eq!(codes(publish(addr, "../p-1", 7, ORDERS).await), (400, 6014));
         let token = token("lemovka", "publish");
-        for body in [
-            "",
-            "{",
-            "{}",
-            r#"{"id":"p-1","base":7,"text":"","force":true}"#,
-        ] {
+        let extra = r#"{"id":"p-1","base":7,"text":"","force":true}"#;
+        for body in ["", "{", "{}", extra] {
             let path = "/v1/config/lemovka";
-            let (status, answer) =
-                send(addr, Some(&token), Method::Post, path, body.as_bytes()).await;
-            assert_eq!((status, &answer["code"]), (400, &json!(6014)), "{body}");
+            assert_eq!(
+                codes(post(addr, &token, path, body).await),
+                (400, 6014),
+                "{body}"
+            );
         }
         // Nothing of this reached the log: the id is still free.
         let (status, answer) = publish(addr, "p-1", 7, ORDERS).await;
         let accepted = json!({"id": "p-1", "code": 6001, "offset": 9, "detail": ""});
         assert_eq!((status, answer), (200, accepted));
-        cancel.cancel();
     });
 }
 
@@ -405,15 +417,14 @@
 /// of another document.
 #[test]
 fn publish_repeat() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         let first = publish(addr, "p-1", 7, ORDERS).await;
         assert_eq!(publish(addr, "p-1", 7, ORDERS).await, first);
-        let (status, answer) = publish(addr, "p-1", 7, &format!("{ORDERS}# changed\n")).await;
-        assert_eq!((status, &answer["code"]), (409, &json!(6004)));
-        let (status, answer) = publish(addr, "p-2", 6, ORDERS).await;
-        assert_eq!((status, &answer["code"]), (409, &json!(6003)));
-        cancel.cancel();
+        assert_eq!(
+            codes(publish(addr, "p-1", 7, &format!("{ORDERS}# changed\n")).await),
+            (409, 6004)
+        );
+        assert_eq!(codes(publish(addr, "p-2", 6, ORDERS).await), (409, 6003));
     });
 }
 
@@ -421,50 +432,41 @@
 /// repeat.
 #[test]
 fn publish_race() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
-        let (status, answer) = publish(addr, "race-1", 7, ORDERS).await;
-        assert_eq!((status, &answer["code"]), (200, &json!(6001)));
-        cancel.cancel();
+    with_server(async |addr| {
+        assert_eq!(codes(publish(addr, "race-1", 7, ORDERS).await), (200, 6001));
     });
 }
 
 /// Guards against tenants that find out or use up each other's proposal ids.
 #[test]
 fn proposal_ids_by_tenant() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         publish(addr, "p-1", 7, ORDERS).await;
         let token = token("sacaria", "publish");
         let path = "/v1/proposals/p-1";
-        let (status, _) = send(addr, Some(&token), Method::Get, path, b"").await;
+        let (status, _) = get(addr, &token, path).await;
         assert_eq!(status, 404);
         let body = json!({"id": "p-1", "base": 6, "text": ORDERS}).to_string();
         let path = "/v1/config/sacaria";
-        let (status, answer) = send(addr, Some(&token), Method::Post, path, body.as_bytes()).await;
-        assert_eq!((status, &answer["code"]), (409, &json!(6003)));
-        cancel.cancel();
+        assert_eq!(codes(post(addr, &token, path, &body).await), (409, 6003));
     });
 }
 
 #[test]
 fn zone_unknown_name() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         let token = token("", "platform");
         let body = json!({"id": "z-1", "base": 0, "out": true}).to_string();
         let path = "/v1/zones/c";
-        let (status, answer) = send(addr, Some(&token), Method::Post, path, body.as_bytes()).await;
-        assert_eq!((status, &answer["code"]), (409, &json!(6005)));
-        assert_eq!(answer["detail"], "zone: got c; allowed: a, b");
-        cancel.cancel();
+        let answer = post(addr, &token, path, &body).await;
+        let detail = "zone: got c; allowed: a, b";
+        assert_eq!(answer, (409, json!({"code": 6005, "detail": detail})));
     });
 }
 
 #[test]
 fn errors_have_bodies() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         let token = token("", "platform");
         let cases = [
             (Method::Get, "/", 404, 6014),
@@ -479,7 +481,6 @@
             assert_eq!((got, &answer["code"]), (status, &json!(code)), "{path}");
             assert!(!answer["detail"].as_str().unwrap().is_empty());
         }
-        cancel.cancel();
     });
 }
 
@@ -487,8 +488,7 @@
 /// its time limit of 5 s, and the server serves others meanwhile.
 #[test]
 fn slow_parts_end_in_time() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         let head = task::spawn(raw(addr, b"GET /v1/status HTTP/1.1\r\nhost: x".to_vec()));
         let token = token("lemovka", "publish");
         let half = format!(
@@ -510,9 +510,8 @@
             "{body}"
         );
         let (status, answer) = silent.await;
-        assert_eq!((status, &answer["code"]), (202, &json!(6002)));
         assert_eq!(answer["id"], "silent-1");
-        cancel.cancel();
+        assert_eq!(codes((status, answer)), (202, 6002));
     });
 }
 
@@ -532,10 +531,56 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Guards against heads that end the process or leave the server unable to answer others.
+#[test]
+fn malformed_heads() {
+    let token = token("lemovka", "publish");
+    let good = format!(
+        "GET /v1/status HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {token}\r\n\
+         content-length: 2\r\n\r\n{{}}"
+    );
+    let mut rng = StdRng::seed_from_u64(7);
+    with_server(async |addr| {
+        for _ in 0..300 {
+            let mut bytes = good.clone().into_bytes();
+            for _ in 0..rng.random_range(1..4) {
+                let at = rng.random_range(0..bytes.len());
+                bytes[at] = *b"\r\n\0 :/?%\xff9A"
+                    .get(rng.random_range(0..12))
+                    .unwrap_or(&b'x');
+            }
+            let answer = raw_ended(addr, &bytes).await;
+            assert!(
+                answer.is_empty() || answer.starts_with("HTTP/1.1 "),
+                "{answer}"
+            );
+        }
+        let large = format!(
+            "GET /v1/status HTTP/1.1\r\nhost: x\r\nx: {}\r\n\r\n",
+            "y".repeat(9_000)
+        );
+        let answer = raw_ended(addr, large.as_bytes()).await;
+        assert!(
+            answer.starts_with("HTTP/1.1 400") && answer.contains("6014"),
+            "{answer}"
+        );
+        assert_eq!(codes(get(addr, &token, "/v1/status").await), (200, 0));
+    });
+}
+
+/// Sends `bytes`, then ends its side of the connection.
+async fn raw_ended(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown(std::net::Shutdown::Write);
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
 #[test]
 fn connections_bounded() {
-    task::block_on(async {
-        let (addr, cancel) = start().await;
+    with_server(async |addr| {
         let mut held = Vec::new();
         for _ in 0..64 {
             held.push(TcpStream::connect(addr).await.unwrap());
@@ -545,7 +590,6 @@
         task::sleep(Duration::from_millis(100)).await;
         let (status, _) = send(addr, None, Method::Get, "/v1/health", b"").await;
         assert_eq!(status, 503);
-        cancel.cancel();
     });
 }
 
