--- a/crates/state/src/audit.rs
+++ b/crates/state/src/audit.rs
@@ -15,7 +15,8 @@
 /// Bounded trail in offset order. Part of snapshots.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Audit {
-    entries: VecDeque<AuditEntry>,
+    /// Each entry with the trail's time when it was added, by which it ages.
+    entries: VecDeque<(Wall, AuditEntry)>,
     /// Latest author time. One record moves it by at most a day, so that a single wrong clock
     /// cannot empty the trail.
     clock: Wall,
@@ -29,19 +30,18 @@
             self.clock.plus_ms(DAY_MS)
         };
         self.clock = self.clock.max(entry.at.min(limit));
-        self.entries.push_back(entry);
+        self.entries.push_back((self.clock, entry));
         while self.entries.len() > MAX_ENTRIES || self.is_front_old() {
             self.entries.pop_front();
         }
     }
 
-    pub(crate) fn entries(&self) -> impl Iterator<Item = &AuditEntry> {
-        self.entries.iter()
+    pub(crate) fn entries(&self) -> impl DoubleEndedIterator<Item = &AuditEntry> {
+        self.entries.iter().map(|(_, entry)| entry)
     }
 
-    /// The newest entry stays whatever its author's clock says.
     fn is_front_old(&self) -> bool {
         let front = self.entries.front();
-        self.entries.len() > 1 && front.is_some_and(|e| self.clock.since_ms(e.at) > MAX_AGE_MS)
+        front.is_some_and(|(added, _)| self.clock.since_ms(*added) > MAX_AGE_MS)
     }
 }
--- a/crates/state/src/driver.rs
+++ b/crates/state/src/driver.rs
@@ -241,3 +241,6 @@
         body,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/state/src/driver/tests.rs
@@ -0,0 +1,304 @@
+//! Guards against moves that never end, that end wrongly when clocks, log or traffic fail, and
+//! against more appends than the log is given.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use model::Wall;
+use wire::{EntryKind, EntryState, ListAnswer, ListEntry};
+
+use super::*;
+use crate::{
+    Members, MembersView, State,
+    samples::{NOW, PLAN, code, moving, step, step_to_full, verdict},
+};
+
+/// Drivers of `size` instances that share one state, as if the log came back at once.
+struct Bench {
+    state: State,
+    members: Arc<MembersView>,
+    evidence: BTreeMap<String, MoveEvidence>,
+    facts: BTreeSet<Fact>,
+    drivers: Vec<Driver>,
+    ms: u64,
+    skew_ms: i64,
+    log_up: bool,
+    /// Ids of the proposals with their time.
+    made: Vec<(u64, String)>,
+}
+
+fn entry(id: &str, kind: EntryKind) -> ListEntry {
+    ListEntry {
+        id: id.to_owned(),
+        kind,
+        zone: "z".into(),
+        region: "r".into(),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        peer: None,
+        service: Some("orders".into()),
+        version: Some("v2".into()),
+        slots: Some(3),
+        state: EntryState::Live,
+        incarnation: 1,
+    }
+}
+
+impl Bench {
+    fn new(size: usize, state: State) -> Self {
+        let ids: Vec<String> = (0..size).map(|n| format!("i-{n:02}")).collect();
+        let mut members = Members::new(&entry(&ids[0], EntryKind::Entry), Time(0));
+        let mut entries: Vec<_> = ids.iter().map(|i| entry(i, EntryKind::Entry)).collect();
+        entries.push(entry("t", EntryKind::Upstream));
+        let version = 1;
+        members.poll(Time(0), &ListAnswer { version, entries });
+        let drivers = ids.iter().map(|i| Driver::new(&i.as_str().into(), Time(0)));
+        Self {
+            state,
+            members: members.view(Time(0)),
+            evidence: BTreeMap::new(),
+            facts: BTreeSet::new(),
+            drivers: drivers.collect(),
+            ms: 0,
+            skew_ms: 0,
+            log_up: true,
+            made: Vec::new(),
+        }
+    }
+
+    fn wall(&self) -> Wall {
+        Wall(NOW.plus_ms(self.ms).0.saturating_add_signed(self.skew_ms))
+    }
+
+    fn tick(&mut self, n: usize) {
+        let wall = self.wall();
+        let output = self.drivers[n].tick(DriverInput {
+            now: Time::from_ms(self.ms),
+            wall,
+            fold: self.state.fold(),
+            members: &self.members,
+            facts: &self.facts,
+            evidence: &self.evidence,
+        });
+        self.facts.extend(output.facts);
+        for record in output.records {
+            self.made.push((self.ms, record.id.clone()));
+            if self.log_up {
+                crate::samples::push_record(&mut self.state, &record);
+            }
+        }
+    }
+
+    fn run_until(&mut self, ms: u64) {
+        while self.ms < ms {
+            self.ms += 100;
+            (0..self.drivers.len()).for_each(|n| self.tick(n));
+        }
+    }
+
+    fn see(&mut self, opinion: Opinion, calls: u64) {
+        let suspicious = false;
+        let evidence = MoveEvidence {
+            opinion,
+            suspicious,
+            calls,
+        };
+        self.evidence.insert(PLAN.to_owned(), evidence);
+    }
+
+    fn share(&self) -> u16 {
+        self.state.fold().find_move(PLAN).unwrap().1.share
+    }
+
+    /// Verdict with its reason and time.
+    fn outcome(&self) -> Option<(Verdict, String, u64)> {
+        let shift = self.state.fold().find_move(PLAN).unwrap().1;
+        let outcome = shift.outcome.clone()?;
+        Some((outcome.verdict, outcome.reason, outcome.at.since_ms(NOW)))
+    }
+}
+
+#[test]
+fn tick_good_move_done_once() {
+    let mut bench = Bench::new(16, moving());
+    bench.see(Opinion::Good, 1_000);
+    bench.run_until(60_000);
+    let (verdict, _, at) = bench.outcome().unwrap();
+    assert_eq!(verdict, Verdict::Done);
+    assert!(at <= 58_000);
+    assert_eq!(
+        bench.made.len(),
+        6,
+        "one proposal for each step: {:?}",
+        bench.made
+    );
+}
+
+#[test]
+fn tick_little_traffic_goes_by_time() {
+    let mut bench = Bench::new(3, moving());
+    bench.see(Opinion::Continue, 3);
+    bench.run_until(14_000);
+    assert_eq!(bench.share(), 100, "a quarter of 57 s");
+    bench.run_until(60_000);
+    let (verdict, _, at) = bench.outcome().unwrap();
+    assert_eq!(verdict, Verdict::Done);
+    assert!(at <= 58_000);
+}
+
+#[test]
+fn tick_doubt_does_not_go_by_time() {
+    let mut bench = Bench::new(3, moving());
+    bench.see(Opinion::Continue, 3);
+    bench.evidence.get_mut(PLAN).unwrap().suspicious = true;
+    bench.run_until(59_000);
+    assert_eq!(bench.share(), 100);
+    bench.run_until(62_000);
+    assert_eq!(bench.outcome().unwrap().1, "deadline");
+}
+
+#[test]
+fn tick_no_traffic() {
+    let mut bench = Bench::new(3, moving());
+    bench.run_until(60_500);
+    assert_eq!((bench.share(), bench.outcome()), (10_000, None));
+    bench.run_until(62_000);
+    let (verdict, reason, _) = bench.outcome().unwrap();
+    assert_eq!((verdict, reason.as_str()), (Verdict::Undone, "no_traffic"));
+}
+
+#[test]
+fn tick_bad_version() {
+    let mut bench = Bench::new(16, moving());
+    bench.see(Opinion::Good, 1_000);
+    bench.run_until(10_000);
+    let reason = "slow:a".to_owned();
+    bench.see(Opinion::Bad { reason }, 1_000);
+    bench.run_until(10_100);
+    assert_eq!(bench.facts.len(), 1, "told at once, whoever's turn it is");
+    bench.run_until(11_000);
+    let (verdict, reason, _) = bench.outcome().unwrap();
+    assert_eq!((verdict, reason.as_str()), (Verdict::Undone, "slow:a"));
+    let count = |kind: &str| {
+        bench
+            .made
+            .iter()
+            .filter(|(_, id)| id.ends_with(kind))
+            .count()
+    };
+    assert_eq!((count("/stop"), count("/undone")), (1, 1));
+}
+
+#[test]
+fn tick_vanished_version() {
+    let mut bench = Bench::new(3, moving());
+    let all = Arc::clone(&bench.members);
+    bench.run_until(2_000);
+    let mut members = (*all).clone();
+    members.targets.clear();
+    let without = Arc::new(members);
+    bench.members = Arc::clone(&without);
+    bench.run_until(6_500);
+    bench.members = all;
+    bench.run_until(7_000);
+    assert_eq!(bench.outcome(), None, "back after 4.5 s");
+    bench.members = without;
+    bench.run_until(12_000);
+    assert_eq!(bench.outcome(), None);
+    bench.run_until(13_500);
+    assert_eq!(bench.outcome().unwrap().1, "vanished");
+}
+
+#[test]
+fn tick_deadline_during_log_outage() {
+    let mut state = moving();
+    step_to_full(&mut state);
+    let mut bench = Bench::new(3, state);
+    bench.see(Opinion::Good, 1_000);
+    bench.log_up = false;
+    bench.run_until(58_000);
+    assert!(bench.made.iter().all(|(_, id)| id.ends_with("/done")));
+    let last_done = bench.made.last().unwrap().0;
+    bench.run_until(75_000);
+    let late: Vec<_> = bench
+        .made
+        .iter()
+        .filter(|(at, _)| *at > last_done)
+        .collect();
+    assert!(
+        late.iter()
+            .all(|(at, id)| *at > 60_500 && id.ends_with("/undone"))
+    );
+    assert_eq!(bench.outcome(), None, "pending until the log answers");
+    // An append that was given up for lost turns out to have come first.
+    code(&mut bench.state, "late", verdict(Verdict::Done, "good"));
+    bench.log_up = true;
+    bench.run_until(90_000);
+    assert_eq!(bench.outcome().unwrap().0, Verdict::Done);
+}
+
+#[test]
+fn tick_paused_over_the_deadline() {
+    let mut state = moving();
+    step_to_full(&mut state);
+    let mut bench = Bench::new(1, state);
+    bench.see(Opinion::Good, 1_000);
+    bench.run_until(1_000);
+    bench.ms = 61_000;
+    bench.tick(0);
+    assert_eq!(bench.made, [], "takes its turn anew");
+    bench.run_until(62_000);
+    assert_eq!(bench.outcome().unwrap().0, Verdict::Undone);
+}
+
+#[test]
+fn tick_clocks_differ() {
+    for (skew_ms, latest) in [(-500, 58_500), (500, 57_500)] {
+        let mut state = moving();
+        step_to_full(&mut state);
+        let mut bench = Bench::new(1, state);
+        bench.skew_ms = skew_ms;
+        bench.log_up = false;
+        bench.see(Opinion::Good, 1_000);
+        bench.run_until(62_000);
+        let times = |kind: &str| {
+            let made = bench.made.iter().filter(|(_, id)| id.ends_with(kind));
+            made.map(|(at, _)| *at).collect::<Vec<u64>>()
+        };
+        assert!(
+            times("/done").iter().all(|at| *at <= latest),
+            "{:?}",
+            bench.made
+        );
+        assert!(times("/undone").iter().all(|at| *at > 60_000));
+    }
+}
+
+#[test]
+fn tick_repeats_under_the_same_id() {
+    let mut bench = Bench::new(1, moving());
+    bench.log_up = false;
+    bench.run_until(10_000);
+    let ids: BTreeSet<&String> = bench.made.iter().map(|(_, id)| id).collect();
+    assert!(bench.made.len() >= 3);
+    assert_eq!(ids.len(), 1);
+    code(&mut bench.state, &bench.made[0].1.clone(), step(0, 100));
+    bench.log_up = true;
+    bench.run_until(11_000);
+    assert_eq!(bench.share(), 100);
+}
+
+#[test]
+fn take_refills_and_bounds() {
+    let mut bucket = TokenBucket::new(Time(0));
+    let mut taken = |from: u64, to: u64| {
+        (from..to)
+            .filter(|ms| bucket.take(Time::from_ms(*ms)))
+            .count()
+    };
+    assert_eq!(taken(0, 999), 10);
+    assert_eq!(taken(1_000, 6_000), 5);
+    assert_eq!(
+        taken(100_000, 100_900),
+        10,
+        "no more than the burst is saved up"
+    );
+}
--- a/crates/state/src/fold.rs
+++ b/crates/state/src/fold.rs
@@ -199,3 +199,6 @@
 fn bounded(text: &str) -> &str {
     &text[..text.floor_char_boundary(MAX_TEXT_BYTES)]
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,6 +8,8 @@
 mod fold;
 mod members;
 mod outcomes;
+#[cfg(test)]
+mod samples;
 mod snapshot;
 mod state;
 mod views;
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -239,3 +239,6 @@
         silent.map(|t| &t.id)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/state.rs
+++ b/crates/state/src/state.rs
@@ -133,7 +133,8 @@
     }
 
     /// The audit trail in offset order.
-    pub fn audit(&self) -> impl Iterator<Item = &AuditEntry> {
+    #[must_use]
+    pub fn audit(&self) -> impl DoubleEndedIterator<Item = &AuditEntry> {
         self.fold.audit.entries()
     }
 
@@ -257,3 +258,6 @@
         detail: detail.to_owned(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/state/src/state/tests.rs
@@ -0,0 +1,201 @@
+//! Guards against snapshots that lose or change something, and against instances that fall behind
+//! and never catch up, or go back.
+
+use model::{Code, OperatorName};
+use wire::{Body, Record};
+
+use super::*;
+use crate::samples::{NOW, code, config, moving, push, push_record, step, text};
+
+fn author() -> OperatorName {
+    OperatorName::new("i-1")
+}
+
+/// A state whose snapshot takes several records, and all records behind it.
+fn large() -> (State, Vec<String>) {
+    let mut state = State::default();
+    let mut log = Vec::new();
+    for n in 0..40 {
+        let comment = format!("# {}\n", "\"x\\".repeat(1_000 + n));
+        let doc = comment + &text(&[&format!("s-{n}")], &[]);
+        let one = crate::samples::record(&format!("p-{n}"), config(&format!("t-{n}"), 0, &doc));
+        assert!(push_record(&mut state, &one).is_accepted());
+        log.push(one.encode().unwrap());
+    }
+    (state, log)
+}
+
+fn lines(records: &[Record]) -> Vec<String> {
+    records.iter().map(|r| r.encode().unwrap()).collect()
+}
+
+/// Reads `log` from `first` on as a reader does, until there is no more.
+fn catch_up(state: &mut State, log: &[String], first: u64) {
+    for _ in 0..10 * log.len() {
+        let offset = state.next().max(first);
+        let Some(data) = log.get(usize::try_from(offset).unwrap() - 1) else {
+            return;
+        };
+        state.apply(offset, data);
+    }
+    panic!("the reader does not come to an end");
+}
+
+#[test]
+fn snapshot_and_tail_equal_everything() {
+    let (mut state, mut log) = large();
+    let records = state.snapshot(&author(), NOW);
+    assert!(records.len() > 2, "{} parts", records.len());
+    // Another record comes between the covered ones and the parts, and one after them.
+    let more =
+        |n: u64| crate::samples::record(&format!("q-{n}"), config("new", n, &text(&["n"], &[])));
+    log.push(more(0).encode().unwrap());
+    log.extend(lines(&records));
+    log.push(more(41).encode().unwrap());
+    catch_up(&mut state, &log, 1);
+    let mut other = State::default();
+    catch_up(&mut other, &log, 30);
+    assert!(!other.is_behind());
+    assert_eq!(other.fold(), state.fold());
+    assert_eq!(
+        other.fold().tenants[&"new".into()].revision,
+        log.len() as u64
+    );
+    let json = |s: &State| serde_json::to_string(s.fold()).unwrap();
+    assert_eq!(json(&other), json(&state));
+}
+
+#[test]
+fn snapshot_duplicate_interleaved_and_lost_parts() {
+    let (mut state, mut log) = large();
+    let first = lines(&state.snapshot(&author(), NOW));
+    push(&mut state, "q-1", config("new", 0, &text(&["n"], &[])));
+    log.push("noise".to_owned());
+    state = State::default();
+    catch_up(&mut state, &log, 1);
+    let second = lines(&state.snapshot(&author(), NOW));
+    // The first one loses a part; both come twice, each in the gaps of the other.
+    for _ in 0..2 {
+        for (n, (a, b)) in first.iter().zip(&second).enumerate() {
+            log.extend((n != 1).then(|| a.clone()));
+            log.push(b.clone());
+        }
+    }
+    let mut other = State::default();
+    catch_up(&mut other, &log, 41);
+    catch_up(&mut state, &log, 1);
+    assert_eq!(other.fold(), state.fold());
+    assert!(!other.is_behind());
+}
+
+#[test]
+fn snapshot_with_changed_part_is_refused() {
+    let (state, mut log) = large();
+    let good = state.snapshot(&author(), NOW);
+    let mut bad = good.clone();
+    if let Body::Snapshot { data, .. } = &mut bad[1].body {
+        *data = data.replace("s-1", "s-x");
+    }
+    log.extend(lines(&bad));
+    let mut other = State::default();
+    catch_up(&mut other, &log, 41);
+    assert!(other.is_behind());
+    assert_eq!(other.offset(), 0);
+    log.extend(lines(&good));
+    catch_up(&mut other, &log, 41);
+    assert_eq!(other.fold().tenants, state.fold().tenants);
+}
+
+#[test]
+fn snapshot_impossible_parts() {
+    let mut state = moving();
+    let part = |covers, part, parts| Body::Snapshot {
+        covers,
+        part,
+        parts,
+        sha256: "0".repeat(64),
+        data: "x".to_owned(),
+    };
+    for body in [
+        part(1, 3, 3),
+        part(1, 0, 0),
+        part(9, 0, 1),
+        part(1, 0, u32::MAX),
+        part(1, 0, 1),
+    ] {
+        assert_eq!(code(&mut state, "s", body), Code::SnapshotIncomplete);
+    }
+    assert_eq!(state.assembly_bytes(), 0);
+}
+
+#[test]
+fn snapshot_incomplete_ones_bounded() {
+    let mut state = State::default();
+    for n in 0..100_u64 {
+        let body = Body::Snapshot {
+            covers: n,
+            part: 0,
+            parts: 200,
+            sha256: format!("{n:064x}"),
+            data: "x".repeat(60_000),
+        };
+        assert_eq!(code(&mut state, "s", body), Code::Accepted);
+    }
+    assert!(state.assembly_bytes() <= 4 * 60_000);
+}
+
+#[test]
+fn snapshot_due_after_512_records() {
+    let mut state = State::default();
+    let live: Vec<InstanceId> = (0..16)
+        .map(|n| InstanceId::new(&format!("i-{n}")))
+        .collect();
+    for n in 0..512 {
+        assert!(!state.is_snapshot_due());
+        assert_eq!(state.snapshot_wait_ms(&live[0], &live), None);
+        push(&mut state, &format!("p-{n}"), config("a", 9, ""));
+    }
+    let mut waits: Vec<u64> = live
+        .iter()
+        .map(|me| state.snapshot_wait_ms(me, &live).unwrap())
+        .collect();
+    waits.sort_unstable();
+    assert!(waits[0] < 1_000 && waits.windows(2).all(|w| w[1] > w[0] + 1_000));
+    for record in state.snapshot(&author(), NOW) {
+        push_record(&mut state, &record);
+    }
+    assert!(!state.is_snapshot_due());
+}
+
+#[test]
+fn apply_old_offset_changes_nothing() {
+    let mut state = moving();
+    push(&mut state, "a", step(0, 100));
+    let before = state.fold().clone();
+    let line = crate::samples::record("b", step(100, 500))
+        .encode()
+        .unwrap();
+    assert_eq!(state.apply(2, &line).code, Code::Repeated);
+    assert_eq!(state.apply(1, "noise").code, Code::Repeated);
+    assert_eq!(*state.fold(), before);
+}
+
+#[test]
+fn apply_gap_waits_and_peers_can_fill_it() {
+    let (mut state, log) = large();
+    let mut other = State::default();
+    catch_up(&mut other, &log[..20], 1);
+    let before = other.fold().clone();
+    assert_eq!(other.apply(30, &log[29]).code, Code::Expired);
+    assert!(other.is_behind());
+    assert_eq!((other.next(), other.fold()), (31, &before));
+    assert!(other.apply(21, &log[20]).is_accepted());
+    assert_eq!((other.is_behind(), other.next()), (false, 22));
+    let records = state.snapshot(&author(), NOW);
+    assert_eq!(other.adopt(&records[1..]).code, Code::SnapshotIncomplete);
+    assert_eq!(other.adopt(&records).code, Code::Accepted);
+    assert_eq!(other.fold(), state.fold());
+    push(&mut state, "q", config("t-0", 0, ""));
+    assert_eq!(state.adopt(&records).code, Code::Repeated);
+    assert_eq!(state.offset(), 41);
+}
--- a/crates/state/src/views.rs
+++ b/crates/state/src/views.rs
@@ -211,3 +211,6 @@
         owner,
     }
 }
+
+#[cfg(test)]
+mod tests;
