--- a/crates/state/src/views.rs
+++ b/crates/state/src/views.rs
@@ -226,3 +226,6 @@
         owner,
     }
 }
+
+#[cfg(test)]
+mod tests;
