--- a/crates/ctl/src/commands/propose.rs
+++ b/crates/ctl/src/commands/propose.rs
@@ -127,7 +127,7 @@
     if let Some(offset) = answer.offset {
         let _ = write!(line, " at offset {offset}");
     }
-    if !answer.detail.is_empty() {
+    if !answer.detail.is_empty() && answer.detail != answer.code.text() {
         let _ = write!(line, ": {}", answer.detail);
     }
     match (answer.code, answer.offset) {
--- a/crates/node/src/admin/problem.rs
+++ b/crates/node/src/admin/problem.rs
@@ -49,7 +49,7 @@
         Code::BadAdminRequest => StatusCode::BadRequest,
         Code::SlowSender => StatusCode::RequestTimeout,
         Code::TooLarge | Code::RecordTooLarge => StatusCode::PayloadTooLarge,
-        Code::AdminBusy | Code::NotReady => StatusCode::ServiceUnavailable,
+        Code::AdminBusy | Code::NotReady | Code::LogDown => StatusCode::ServiceUnavailable,
         code if code.number() / 1_000 == 5 => StatusCode::UnprocessableEntity,
         _ => StatusCode::Conflict,
     }
--- a/crates/node/src/admin/routes.rs
+++ b/crates/node/src/admin/routes.rs
@@ -2,9 +2,10 @@
 
 use std::{future::Future, sync::Arc};
 
+use http_types::Method;
 use model::{Code, Operator};
 use tide::{Server, StatusCode};
-use tracing::info;
+use tracing::{debug, info};
 
 use crate::admin::{
     endpoints::{
@@ -59,7 +60,12 @@
     };
     let code = answer.as_ref().err().map(|p| p.code.number());
     let name = name.as_ref().map(ToString::to_string);
-    info!(%instance, operator = name, %method, path, code, "event=admin_request");
+    // Programs read the status several times a second; changes and refusals are rare.
+    if method == Method::Get && code.is_none() {
+        debug!(%instance, operator = name, %method, path, "event=admin_request");
+    } else {
+        info!(%instance, operator = name, %method, path, code, "event=admin_request");
+    }
     finish(answer)
 }
 
