--- a/crates/node/src/dispatch/task.rs
+++ b/crates/node/src/dispatch/task.rs
@@ -50,7 +50,9 @@
     view: Arc<ServiceView>,
 ) -> Sender<DispatchMsg> {
     let (sender, receiver) = unbounded();
-    let seed = model::rendezvous(view.name.as_str(), ctx.settings.instance.as_str());
+    // A restarted process must not repeat the loan numbers of its predecessor.
+    let process = format!("{}/{}", ctx.settings.instance, ctx.incarnation);
+    let seed = model::rendezvous(view.name.as_str(), &process);
     let task = Task {
         ctx: Arc::clone(ctx),
         dispatcher: Dispatcher::new(Arc::clone(&view), seed),
