--- a/crates/policy/src/dispatcher/claim.rs
+++ b/crates/policy/src/dispatcher/claim.rs
@@ -7,7 +7,7 @@
 use wire::LoanMsg;
 
 use super::{Dispatcher, lend::SLACK_MS};
-use crate::hold::Hold;
+use crate::{hold::Hold, inherited::Inherited};
 
 /// Time after which a claim counts as unanswered.
 const CLAIM_MS: u64 = 500;
@@ -171,6 +171,7 @@
         &mut self,
         now: Time,
         from: &InstanceId,
+        view: u64,
         targets: Vec<(TargetId, u32, u32)>,
         kept: Vec<TargetId>,
     ) {
@@ -182,7 +183,7 @@
             if target.view.owner != self.view.me {
                 continue;
             }
-            target.inherit(from, busy, until);
+            target.inherit(from, Inherited { busy, until, view });
             target.answered(now, from, limit);
         }
         for id in kept {
--- a/crates/policy/src/dispatcher/lend.rs
+++ b/crates/policy/src/dispatcher/lend.rs
@@ -177,9 +177,7 @@
             let before = target.lent.len();
             target.lent.retain(|_, lent| lent.until > now);
             self.stats.reclaimed += (before - target.lent.len()) as u64;
-            target
-                .inherited
-                .retain(|_, (count, until)| *count > 0 && *until > now);
+            target.inherited.retain(|_, i| i.until > now);
             for (loan, lent) in &mut target.lent {
                 if lent.ask <= now {
                     lent.ask = now.plus_ms(ASK_MS);
--- a/crates/policy/src/dispatcher/messages.rs
+++ b/crates/policy/src/dispatcher/messages.rs
@@ -28,7 +28,11 @@
             } => self.on_grant(now, from, target, loan, hold_ms),
             LoanMsg::Recall { loan } => self.on_recall(from, loan),
             LoanMsg::Claim { view, targets } => self.on_claim(now, from, view, targets),
-            LoanMsg::Release { targets, kept, .. } => self.on_release(now, from, targets, kept),
+            LoanMsg::Release {
+                view,
+                targets,
+                kept,
+            } => self.on_release(now, from, view, targets, kept),
             msg @ LoanMsg::Return { .. } => self.on_return(now, from, &msg, out),
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 mod health;
 mod hold;
 mod homes;
+mod inherited;
 mod invariant;
 mod lender;
 mod lent;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -34,6 +34,7 @@
     }
 
     /// Whether the target is being warmed up.
+    #[cfg(test)]
     pub(crate) fn is_cold(&self) -> bool {
         self.cold
     }
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -4,7 +4,10 @@
 
 use model::{InstanceId, Time};
 
-use crate::{TargetState, TargetView, health::Health, hold::Hold, lent::Lent, limit::Limit};
+use crate::{
+    TargetState, TargetView, health::Health, hold::Hold, inherited::Inherited, lent::Lent,
+    limit::Limit,
+};
 
 /// Weight of a new sample in the relative service time.
 const SPEED_WEIGHT: f64 = 0.25;
@@ -31,8 +34,8 @@
     pub(crate) own: u32,
     /// Slots lent, by loan.
     pub(crate) lent: BTreeMap<u64, Lent>,
-    /// Calls still in progress from previous owners, and when they have ended at the latest.
-    pub(crate) inherited: BTreeMap<InstanceId, (u32, Time)>,
+    /// Calls still in progress from previous owners.
+    pub(crate) inherited: BTreeMap<InstanceId, Inherited>,
     /// Peers that have not answered a claim yet.
     pub(crate) asked: Vec<InstanceId>,
     /// Smallest limit that an answer to the claim named.
@@ -81,7 +84,7 @@
     /// Slots in use.
     pub(crate) fn used(&self) -> u32 {
         let lent = u32::try_from(self.lent.len()).unwrap_or(u32::MAX);
-        let inherited: u32 = self.inherited.values().map(|(count, _)| count).sum();
+        let inherited: u32 = self.inherited.values().map(|i| i.busy).sum();
         self.own.saturating_add(lent).saturating_add(inherited)
     }
 
@@ -112,7 +115,7 @@
 
     /// Slots in use without the calls that `peer` reported itself.
     pub(crate) fn used_without(&self, peer: &InstanceId) -> u32 {
-        let reported = self.inherited.get(peer).map_or(0, |(count, _)| *count);
+        let reported = self.inherited.get(peer).map_or(0, |i| i.busy);
         self.used().saturating_sub(reported)
     }
 
@@ -132,15 +135,16 @@
         self.listed = false;
     }
 
-    /// Counts calls that a previous owner still has in progress. The first answer to a claim replaces
-    /// what was known; a report that was overtaken by a later one must not raise the count again.
-    pub(crate) fn inherit(&mut self, peer: &InstanceId, busy: u32, until: Time) {
-        if self.asked.contains(peer) {
-            self.inherited.insert(peer.clone(), (busy, until));
-        } else if let Some((count, _)) = self.inherited.get_mut(peer) {
-            *count = busy.min(*count);
+    /// Counts calls that a previous owner still has in progress. An answer to a claim and a report
+    /// with a newer view replace what was known; one that was overtaken or repeated must not raise it.
+    pub(crate) fn inherit(&mut self, peer: &InstanceId, report: Inherited) {
+        let asked = self.asked.contains(peer);
+        let known = self.inherited.entry(peer.clone()).or_insert(report);
+        if report.view > known.view || (asked && report.view == known.view) {
+            *known = report;
+        } else if report.view == known.view {
+            known.busy = known.busy.min(report.busy);
         }
-        self.inherited.retain(|_, (count, _)| *count > 0);
     }
 
     /// Takes a peer's statement that it hands out no slots. `limit` is its limit if it did before.
--- a/crates/policy/tests/fleet/mod.rs
+++ b/crates/policy/tests/fleet/mod.rs
@@ -206,6 +206,11 @@
         self.spread_view();
         let end = self.now.plus_ms(12_000);
         self.advance(end);
+        // A run without starts, loans or ends would prove nothing.
+        let stats = self.nodes.iter().map(|n| n.dispatcher.stats());
+        let loans: u64 = stats.map(|s| s.loan_starts).sum();
+        let ended = self.calls.values().filter(|c| c.ends == 1).count();
+        assert!(loans > 10 && ended > 1_000, "{loans} loans, {ended} ends");
         for (i, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.alive) {
             let used = node.dispatcher.in_use();
             assert!(used.is_empty(), "instance {i} still accounts for {used:?}");
