--- a/crates/testkit/src/cluster/running.rs
+++ b/crates/testkit/src/cluster/running.rs
@@ -15,7 +15,9 @@
 use wire::{Body, EntryState};
 
 use super::{ClusterError, Instance, Target, publish::append};
-use crate::{ListServer, LogServer, Upstream, UpstreamCounts, UpstreamSpec, ask_addresses, load};
+use crate::{
+    ColdStart, ListServer, LogServer, Upstream, UpstreamCounts, UpstreamSpec, ask_addresses, load,
+};
 
 /// Stream of the log that instances read by default.
 const STREAM: &str = "hibiscusway";
@@ -120,14 +122,35 @@
         shape: &load::ServiceShape,
         version: &str,
     ) {
+        let upstream = self.start_upstream(shape).await;
+        self.list_target(Target::new(id, zone, shape, version, upstream));
+    }
+
+    /// Starts an upstream that is cold, and lists it.
+    pub async fn add_cold_target(
+        &mut self,
+        id: &str,
+        zone: &str,
+        shape: &load::ServiceShape,
+        version: &str,
+        cold: ColdStart,
+    ) {
+        let upstream = self.start_upstream(shape).await;
+        upstream.turn_cold(cold);
+        self.list_target(Target::new(id, zone, shape, version, upstream));
+    }
+
+    async fn start_upstream(&self, shape: &load::ServiceShape) -> Upstream {
         let spec = UpstreamSpec {
             slots: shape.slots,
             mean_us: shape.mean_us,
             sigma: 0.0,
             seed: self.spec.seed + self.targets.len() as u64,
         };
-        let upstream = Upstream::start_tail(spec, shape.tail).await;
-        let target = Target::new(id, zone, shape.name, version, shape.slots, upstream);
+        Upstream::start_tail(spec, shape.tail).await
+    }
+
+    fn list_target(&mut self, target: Target) {
         self.list.put(target.entry.clone());
         self.targets.push(target);
     }
--- a/crates/testkit/src/cluster/target.rs
+++ b/crates/testkit/src/cluster/target.rs
@@ -2,7 +2,7 @@
 
 use wire::{EntryKind, EntryState, ListEntry};
 
-use crate::Upstream;
+use crate::{Upstream, load::ServiceShape};
 
 /// An upstream of a cluster.
 #[derive(Debug)]
@@ -17,9 +17,8 @@
     pub(super) fn new(
         id: &str,
         zone: &str,
-        service: &str,
+        shape: &ServiceShape,
         version: &str,
-        slots: u32,
         upstream: Upstream,
     ) -> Self {
         let entry = ListEntry {
@@ -29,9 +28,9 @@
             region: "region-1".into(),
             addr: upstream.addr(),
             peer: None,
-            service: Some(service.into()),
+            service: Some(shape.name.into()),
             version: Some(version.into()),
-            slots: Some(slots),
+            slots: Some(shape.slots),
             state: EntryState::Live,
             incarnation: 1,
         };
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -29,8 +29,8 @@
     log::{LogFaults, LogServer},
     send::{CallAnswer, CallSpec, send_call},
     upstream::{
-        AnswerFault, BadVersion, ColdStart, Tail, Upstream, UpstreamCounts, UpstreamFaults,
-        UpstreamSpec,
+        ANSWER_BYTES, AnswerFault, BadVersion, ColdStart, Tail, Upstream, UpstreamCounts,
+        UpstreamFaults, UpstreamSpec,
     },
 };
 
--- a/crates/testkit/src/load/figures.rs
+++ b/crates/testkit/src/load/figures.rs
@@ -33,7 +33,7 @@
     pub unknown: u64,
     /// Calls whose connection could not be opened to any address.
     pub unsent: u64,
-    /// Answers that did not begin with the call's own id.
+    /// Successful answers that were not the call's own, not whole, or without result code.
     pub wrong: u64,
     /// Repeats by callers.
     pub repeats: u64,
@@ -60,6 +60,9 @@
         figures.calls += 1;
         figures.repeats += u64::from(sample.repeats);
         figures.wrong += u64::from(sample.wrong);
+        if sample.wrong {
+            continue;
+        }
         if sample.is_served() {
             figures.served += 1;
             histogram.saturating_record(sample.latency_us);
--- a/crates/testkit/src/load/run.rs
+++ b/crates/testkit/src/load/run.rs
@@ -9,7 +9,7 @@
 use async_std::{channel::unbounded, task};
 
 use super::{Arrival, Customer, Plan, Sample};
-use crate::{CALL_ID_HEADER, CallDone, CallSpec, Caller, CallerSpec};
+use crate::{ANSWER_BYTES, CALL_ID_HEADER, CallDone, CallSpec, Caller, CallerSpec};
 
 /// Time limit of a call at its caller.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
@@ -102,7 +102,7 @@
     let answer = done.answer.as_ref();
     let status = answer.map_or(0, |a| a.status);
     let code = answer.and_then(|a| a.code).unwrap_or(0);
-    let wrong = answer.is_some_and(|a| code == 1_000 && status == 200 && !names(&a.body, id));
+    let wrong = answer.is_some_and(|a| status == 200 && !(code == 1_000 && names(&a.body, id)));
     Sample {
         number,
         arrival,
@@ -115,8 +115,8 @@
     }
 }
 
-/// Whether an answer begins with `id`, followed by nothing or by filling.
+/// Whether an answer is whole and begins with `id`, followed by filling.
 fn names(body: &[u8], id: &str) -> bool {
     let rest = body.strip_prefix(id.as_bytes());
-    rest.is_some_and(|r| r.first().is_none_or(|b| *b == b'x'))
+    body.len() == ANSWER_BYTES && rest.is_some_and(|r| r.first() == Some(&b'x'))
 }
--- a/crates/testkit/src/load/sample.rs
+++ b/crates/testkit/src/load/sample.rs
@@ -17,17 +17,17 @@
     pub code: u16,
     /// Whether the call may have run without its answer arriving.
     pub unknown: bool,
-    /// Whether the answer did not begin with the call's own id.
+    /// Whether a successful answer was not the call's own, not whole, or without result code.
     pub wrong: bool,
     /// Repeats by the caller.
     pub repeats: u32,
 }
 
 impl Sample {
-    /// Whether the whole answer of an upstream arrived, and it was no error.
+    /// Whether the call's own, whole answer arrived, and it was no error.
     #[must_use]
     pub const fn is_served(&self) -> bool {
-        self.code == 1_000 && self.status == 200
+        self.code == 1_000 && self.status == 200 && !self.wrong
     }
 
     /// Whether the caller was told that the call was not run.
--- a/crates/testkit/src/load/table.rs
+++ b/crates/testkit/src/load/table.rs
@@ -7,12 +7,12 @@
 /// Prints a table of figures with times in milliseconds.
 pub fn print_table(rows: &[Figures]) {
     println!(
-        "{:<28} {:>7} {:>8} {:>8} {:>8} {:>8} {:>9}  refused / errors / unknown / unsent",
+        "{:<28} {:>7} {:>8} {:>8} {:>8} {:>8} {:>9}  refused / errors / unknown / unsent / wrong",
         "service/class", "calls", "p50 ms", "p99 ms", "p99.9 ms", "max ms", "in target"
     );
     for row in rows {
         println!(
-            "{:<28} {:>7} {:>8.1} {:>8.1} {:>8.1} {:>8.1} {:>8.2}%  {:?} / {:?} / {} / {}",
+            "{:<28} {:>7} {:>8.1} {:>8.1} {:>8.1} {:>8.1} {:>8.2}%  {:?} / {:?} / {} / {} / {}",
             row.name,
             row.calls,
             ms(row.p50_us),
@@ -24,6 +24,7 @@
             row.errors,
             row.unknown,
             row.unsent,
+            row.wrong,
         );
     }
 }
--- a/crates/testkit/src/upstream/answer.rs
+++ b/crates/testkit/src/upstream/answer.rs
@@ -11,8 +11,8 @@
 };
 use http_types::{Body, Request, Response};
 
-/// Default size of an answer in bytes.
-const ANSWER_BYTES: usize = 64;
+/// Size of an answer whose caller asked for none, in bytes.
+pub const ANSWER_BYTES: usize = 64;
 /// Header by which a caller asks for a size of the answer in bytes.
 const SIZE_HEADER: &str = "x-answer-bytes";
 
@@ -58,8 +58,8 @@
     Body::from_reader(BufReader::new(reader), Some(announced))
 }
 
-/// Writes an answer in addition to the one that follows.
-pub(super) async fn write_extra(stream: &TcpStream, mark: &CallMark) -> io::Result<()> {
+/// Writes an answer past the server, without a `date` header.
+pub(super) async fn write_answer(stream: &TcpStream, mark: &CallMark) -> io::Result<()> {
     let body = mark.body();
     let call = mark.call.as_deref().unwrap_or_default();
     let head = format!(
--- a/crates/testkit/src/upstream/counts.rs
+++ b/crates/testkit/src/upstream/counts.rs
@@ -24,6 +24,8 @@
     pub failed: u64,
     /// Calls that ran while cold, beyond the cold limit.
     pub cold_over: u64,
+    /// Answers that were wrong on the wire.
+    pub wrong: u64,
     /// Requests for health or load.
     pub probes: u64,
     /// Most calls that ran at a time.
@@ -41,6 +43,7 @@
         self.expired += other.expired;
         self.failed += other.failed;
         self.cold_over += other.cold_over;
+        self.wrong += other.wrong;
         self.probes += other.probes;
         self.peak = self.peak.max(other.peak);
         self.busy_us += other.busy_us;
@@ -57,10 +60,11 @@
     pub(super) expired: AtomicU64,
     pub(super) failed: AtomicU64,
     pub(super) cold_over: AtomicU64,
+    pub(super) wrong: AtomicU64,
     pub(super) probes: AtomicU64,
     pub(super) busy_us: AtomicU64,
     keys: Mutex<HashMap<String, u64>>,
-    last_start: Mutex<Option<Instant>>,
+    starts: Mutex<Option<(Instant, Instant)>>,
 }
 
 impl Counters {
@@ -72,6 +76,7 @@
             expired: self.expired.load(Relaxed),
             failed: self.failed.load(Relaxed),
             cold_over: self.cold_over.load(Relaxed),
+            wrong: self.wrong.load(Relaxed),
             probes: self.probes.load(Relaxed),
             peak: self.peak.load(Relaxed),
             busy_us: self.busy_us.load(Relaxed),
@@ -81,10 +86,7 @@
     /// Notes that a call starts to run.
     pub(super) fn start(&self, key: Option<&str>) {
         self.ran.fetch_add(1, Relaxed);
-        *self
-            .last_start
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+        self.note_start(Instant::now());
         if let Some(key) = key {
             let mut keys = self.keys.lock().unwrap_or_else(PoisonError::into_inner);
             *keys.entry(key.to_owned()).or_default() += 1;
@@ -103,10 +105,14 @@
             .clone()
     }
 
-    pub(super) fn last_start(&self) -> Option<Instant> {
-        *self
-            .last_start
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+    fn note_start(&self, now: Instant) {
+        let mut starts = self.starts.lock().unwrap_or_else(PoisonError::into_inner);
+        let first = starts.map_or(now, |(first, _)| first);
+        *starts = Some((first, now));
+    }
+
+    /// When the first and the last call started to run.
+    pub(super) fn starts(&self) -> Option<(Instant, Instant)> {
+        *self.starts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/testkit/src/upstream/faults.rs
+++ b/crates/testkit/src/upstream/faults.rs
@@ -5,6 +5,8 @@
 pub enum AnswerFault {
     /// Carries the call id and the body of the call answered before.
     Crossed,
+    /// Is right, but has no `date` header, as servers without a clock send it.
+    NoDate,
     /// Is sent twice on the same connection.
     Duplicated,
     /// Ends after half of the announced body.
--- a/crates/testkit/src/upstream/mod.rs
+++ b/crates/testkit/src/upstream/mod.rs
@@ -8,6 +8,7 @@
 mod spec;
 
 pub use self::{
+    answer::ANSWER_BYTES,
     cold::ColdStart,
     counts::UpstreamCounts,
     faults::{AnswerFault, BadVersion, UpstreamFaults},
--- a/crates/testkit/src/upstream/server.rs
+++ b/crates/testkit/src/upstream/server.rs
@@ -17,7 +17,7 @@
 
 use super::{
     AnswerFault, ColdStart, Tail, UpstreamCounts, UpstreamFaults, UpstreamSpec,
-    answer::{CallMark, short_body, write_extra},
+    answer::{CallMark, short_body, write_answer},
     cold::ColdRun,
     counts::Counters,
 };
@@ -120,7 +120,13 @@
     /// When a call last started to run.
     #[must_use]
     pub fn last_start(&self) -> Option<Instant> {
-        self.shared.counters.last_start()
+        self.shared.counters.starts().map(|(_, last)| last)
+    }
+
+    /// When a call first started to run.
+    #[must_use]
+    pub fn first_start(&self) -> Option<Instant> {
+        self.shared.counters.starts().map(|(first, _)| first)
     }
 
     /// Calls that were run to their end or are running.
@@ -331,7 +337,11 @@
     let number = shared.answered.fetch_add(1, Relaxed);
     let before = std::mem::replace(&mut *lock(&shared.before), mark.clone());
     let wrong = number.is_multiple_of(faults.answers_every.max(1));
-    match faults.answers.filter(|_| wrong) {
+    let fault = faults.answers.filter(|_| wrong);
+    if fault.is_some() {
+        shared.counters.wrong.fetch_add(1, Relaxed);
+    }
+    match fault {
         Some(AnswerFault::Crossed) => {
             before.write_id(&mut response);
             response.set_body(before.body());
@@ -341,8 +351,15 @@
             response.set_body(short_body(mark.body()));
             return Ok(response);
         }
+        Some(AnswerFault::NoDate) => {
+            write_answer(stream, &mark).await?;
+            return Err(http_types::Error::from_str(
+                StatusCode::Ok,
+                "answered already",
+            ));
+        }
         Some(AnswerFault::Duplicated) => {
-            write_extra(stream, &mark).await?;
+            write_answer(stream, &mark).await?;
             task::sleep(COPY_DELAY).await;
         }
         Some(AnswerFault::Late(ms)) => task::sleep(Duration::from_millis(ms)).await,
