platform: errors name the request and tell what was not sent

An append that could not connect certainly did not take effect, but was reported like one whose answer was lost. A too large answer has an error of its own, so that a reader can ask for fewer records.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use async_std::{future::timeout, io::ReadExt, net::TcpStream};
+use async_std::{
+    future::timeout,
+    io::{self, ReadExt},
+    net::TcpStream,
+};
 use http_types::{Method, Request, Url};
 
 use crate::PlatformError;
@@ -36,6 +40,21 @@
     pub body: Vec<u8>,
 }
 
+impl HttpRequest<'_> {
+    /// Method and path, for errors.
+    pub(crate) fn name(&self) -> String {
+        format!("{} {}", self.method, self.path)
+    }
+
+    fn broken(&self, detail: &impl ToString) -> PlatformError {
+        PlatformError::Broken {
+            addr: self.addr,
+            request: self.name(),
+            detail: detail.to_string(),
+        }
+    }
+}
+
 /// Sends a request and reads the whole answer.
 ///
 /// # Errors
@@ -43,51 +62,61 @@
 /// Any [`PlatformError`] but `Status`; the caller judges the status.
 pub async fn exchange(request: &HttpRequest<'_>) -> Result<HttpAnswer, PlatformError> {
     let limit = Duration::from_millis(request.limit_ms);
-    match timeout(limit, exchange_unlimited(request)).await {
-        Ok(answer) => answer,
-        Err(_) => Err(PlatformError::Timeout {
+    let exchanged = timeout(limit, Box::pin(exchange_unlimited(request))).await;
+    exchanged.unwrap_or_else(|_| {
+        Err(PlatformError::Timeout {
             addr: request.addr,
+            request: request.name(),
             limit_ms: request.limit_ms,
-        }),
-    }
+        })
+    })
 }
 
 async fn exchange_unlimited(request: &HttpRequest<'_>) -> Result<HttpAnswer, PlatformError> {
-    let addr = request.addr;
-    let broken = |detail: String| PlatformError::Broken { addr, detail };
-    let message = build(request).map_err(|e| broken(e.to_string()))?;
-    let stream = TcpStream::connect(addr)
-        .await
-        .map_err(|e| broken(e.to_string()))?;
-    stream
-        .set_nodelay(true)
-        .map_err(|e| broken(e.to_string()))?;
-    let mut answer = Box::pin(async_h1::connect(stream, message))
+    let message = build(request).map_err(|e| request.broken(&e))?;
+    let stream = connect(request.addr).await?;
+    let mut answer = async_h1::connect(stream, message)
         .await
-        .map_err(|e| broken(e.to_string()))?;
+        .map_err(|e| request.broken(&e))?;
     let status = u16::from(answer.status());
     let announced = answer.len();
     let mut body = Vec::new();
     let mut reader = answer.take_body().take(MAX_ANSWER_BYTES + 1);
-    reader
-        .read_to_end(&mut body)
-        .await
-        .map_err(|e| broken(e.to_string()))?;
-    check_length(addr, announced, body.len())?;
+    let read = reader.read_to_end(&mut body).await;
+    read.map_err(|e| request.broken(&e))?;
+    check_length(request, announced, body.len())?;
     Ok(HttpAnswer { status, body })
 }
 
+async fn connect(addr: SocketAddr) -> Result<TcpStream, PlatformError> {
+    let failed = |e: io::Error| PlatformError::Connect {
+        addr,
+        detail: e.to_string(),
+    };
+    let stream = TcpStream::connect(addr).await.map_err(failed)?;
+    stream.set_nodelay(true).map_err(failed)?;
+    Ok(stream)
+}
+
 fn check_length(
-    addr: SocketAddr,
+    request: &HttpRequest<'_>,
     announced: Option<usize>,
     got: usize,
 ) -> Result<(), PlatformError> {
-    let fail = |detail: String| Err(PlatformError::Body { addr, detail });
+    let addr = request.addr;
     if got as u64 > MAX_ANSWER_BYTES {
-        return fail(format!("answer larger than {MAX_ANSWER_BYTES} bytes"));
+        return Err(PlatformError::TooLarge {
+            addr,
+            request: request.name(),
+            limit: MAX_ANSWER_BYTES,
+        });
     }
     match announced {
-        Some(len) if len != got => fail(format!("got {got} of {len} bytes")),
+        Some(len) if len != got => Err(PlatformError::Body {
+            addr,
+            request: request.name(),
+            detail: format!("got {got} of {len} bytes"),
+        }),
         _ => Ok(()),
     }
 }
--- a/crates/platform/src/log_client.rs
+++ b/crates/platform/src/log_client.rs
@@ -52,7 +52,8 @@
     ///
     /// # Errors
     ///
-    /// Any [`PlatformError`]; the records may have been appended all the same.
+    /// Any [`PlatformError`]; the records may have been appended all the same, unless
+    /// [`PlatformError::is_unsent`].
     pub async fn append(&self, records: Vec<String>) -> Result<u64, PlatformError> {
         let path = format!("/v1/streams/{}/records", self.stream);
         let body = to_json(self.addr, &AppendRequest { records })?;
@@ -85,7 +86,7 @@
     addr: SocketAddr,
     value: &T,
 ) -> Result<Vec<u8>, PlatformError> {
-    serde_json::to_vec(value).map_err(|e| PlatformError::Body {
+    serde_json::to_vec(value).map_err(|e| PlatformError::Encode {
         addr,
         detail: e.to_string(),
     })
@@ -99,11 +100,13 @@
     if answer.status != 200 {
         return Err(PlatformError::Status {
             addr: request.addr,
+            request: request.name(),
             status: answer.status,
         });
     }
     serde_json::from_slice(&answer.body).map_err(|e| PlatformError::Body {
         addr: request.addr,
+        request: request.name(),
         detail: e.to_string(),
     })
 }
