--- a/crates/testkit/examples/balance.rs
+++ b/crates/testkit/examples/balance.rs
@@ -232,7 +232,10 @@
 fn cost(before: UpstreamCounts, after: UpstreamCounts, measured: &[Sample]) -> Value {
     let ran = after.ran - before.ran;
     let served = measured.iter().filter(|s| s.is_served()).count();
+    let mut late: Vec<u64> = measured.iter().map(|s| s.late_us).collect();
+    late.sort_unstable();
     json!({
+        "tool_late_p99_us": late.get(late.len() * 99 / 100),
         "upstream_ran": ran,
         "served": served,
         "upstream_refused": after.refused - before.refused,
--- a/crates/testkit/src/load/ideal.rs
+++ b/crates/testkit/src/load/ideal.rs
@@ -103,6 +103,7 @@
         number,
         arrival,
         latency_us,
+        late_us: 0,
         status: if code == 1_000 { 200 } else { 503 },
         code,
         unknown: false,
--- a/crates/testkit/src/load/run.rs
+++ b/crates/testkit/src/load/run.rs
@@ -87,9 +87,9 @@
         body: BODY,
         headers: &[(CALL_ID_HEADER, id), ("x-service-us", &service_us)],
     };
+    let late = at.elapsed();
     let done = caller.call(&spec, CALL_LIMIT).await;
-    let latency = at.elapsed();
-    sample_of(&done, id, number, arrival, latency)
+    sample_of(&done, id, number, arrival, [late, at.elapsed()])
 }
 
 fn sample_of(
@@ -97,8 +97,9 @@
     id: &str,
     number: usize,
     arrival: Arrival,
-    latency: Duration,
+    [late, latency]: [Duration; 2],
 ) -> Sample {
+    let us = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
     let answer = done.answer.as_ref();
     let status = answer.map_or(0, |a| a.status);
     let code = answer.and_then(|a| a.code).unwrap_or(0);
@@ -106,7 +107,8 @@
     Sample {
         number,
         arrival,
-        latency_us: u64::try_from(latency.as_micros()).unwrap_or(u64::MAX),
+        latency_us: us(latency),
+        late_us: us(late),
         status,
         code,
         unknown: done.unknown,
--- a/crates/testkit/src/load/sample.rs
+++ b/crates/testkit/src/load/sample.rs
@@ -11,6 +11,8 @@
     pub arrival: Arrival,
     /// Time from the intended send time to the end, in microseconds.
     pub latency_us: u64,
+    /// Time from the intended to the actual start, in microseconds: what the load tool itself adds.
+    pub late_us: u64,
     /// HTTP status; 0 without answer.
     pub status: u16,
     /// Result code; 0 without answer.
