--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,20 +2,27 @@
 //! are made by `policy` and `state`; this crate moves bytes and events.
 
 mod addresses;
+mod admin;
 mod call;
 mod cancel;
 mod clock;
+mod connection;
 mod context;
 mod control;
 mod dispatch;
 mod listener;
 mod logging;
+mod metrics;
 mod node;
+mod peer;
 mod pool;
 mod snapshot;
+mod stop;
+mod tap;
 
 pub use crate::{
     cancel::Token,
     logging::init_logging,
     node::{Node, NodeError},
+    stop::Stopped,
 };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,8 +1,12 @@
 //! One running instance.
 
-use std::{io, net::SocketAddr, sync::Arc, thread};
+use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
 
-use async_std::{channel::unbounded, net::TcpListener, task};
+use async_std::{
+    channel::{bounded, unbounded},
+    net::TcpListener,
+    task,
+};
 use model::Settings;
 use platform::{ListClient, PlatformError};
 use thiserror::Error;
@@ -11,11 +15,19 @@
 
 use crate::{
     Token,
+    admin::serve_admin,
     context::Context,
-    control::{read_list, read_log, spawn_control},
+    control::{append_records, read_list, read_log, spawn_control},
     listener::serve_callers,
+    peer::serve_peers,
+    stop::{Stopped, stop_planned},
 };
 
+/// Interval of the work that keeps idle resources small.
+const HOUSE_INTERVAL: Duration = Duration::from_secs(1);
+/// Records that may wait for the appender.
+const APPEND_QUEUE: usize = 1_024;
+
 /// Why an instance could not start.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -54,11 +66,12 @@
         let (sender, receiver) = unbounded();
         let ctx = Context::new(settings, sender);
         let addr = ctx.settings.listen;
-        let listener = TcpListener::bind(addr)
-            .await
-            .map_err(|error| NodeError::Listen { addr, error })?;
-        let control =
-            spawn_control(Arc::clone(&ctx), cancel.child(), receiver).map_err(NodeError::Thread)?;
+        let listener = bind(addr).await?;
+        let admin = bind(ctx.settings.admin).await?;
+        let peers = bind(ctx.settings.peer).await?;
+        let (appender, records) = bounded(APPEND_QUEUE);
+        let control = spawn_control(Arc::clone(&ctx), cancel.child(), receiver, appender)
+            .map_err(NodeError::Thread)?;
         let node = Self {
             ctx,
             cancel,
@@ -66,6 +79,13 @@
         };
         register(&node.ctx, EntryState::Live).await?;
         let ctx = &node.ctx;
+        task::spawn(keep_house(Arc::clone(ctx), node.cancel.child()));
+        task::spawn(append_records(
+            Arc::clone(ctx),
+            node.cancel.child(),
+            records,
+        ));
+        task::spawn(serve_peers(Arc::clone(ctx), node.cancel.child(), peers));
         task::spawn(read_log(Arc::clone(ctx), node.cancel.child()));
         task::spawn(read_list(Arc::clone(ctx), node.cancel.child()));
         task::spawn(serve_callers(
@@ -73,23 +93,58 @@
             node.cancel.child(),
             listener,
         ));
+        task::spawn(serve_admin(Arc::clone(ctx), node.cancel.child(), admin));
         info!(instance = %ctx.settings.instance, %addr, "event=started");
         Ok(node)
     }
 
+    /// Runs a planned stop: lists the instance as leaving, serves on until callers know, waits for
+    /// the calls in progress. The instance may be killed or the process ended after it.
+    pub async fn stop(&self) -> Stopped {
+        stop_planned(&self.ctx).await
+    }
+
+    /// Invariants violated so far.
+    #[must_use]
+    pub fn violations(&self) -> u64 {
+        self.ctx.metrics.violations()
+    }
+
     /// Ends the instance at once.
     pub fn kill(mut self) {
         self.cancel.cancel();
+        self.ctx.pools.clear();
         if let Some(control) = self.control.take() {
             let _ = control.join();
         }
     }
 }
 
+async fn bind(addr: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|error| NodeError::Listen { addr, error })
+}
+
+/// Closes idle connections to targets and reports gauges until cancelled.
+async fn keep_house(ctx: Arc<Context>, cancel: Token) {
+    while cancel.run(task::sleep(HOUSE_INTERVAL)).await.is_some() {
+        ctx.pools.sweep();
+        ctx.metrics.connections(ctx.progress.connections());
+    }
+}
+
 /// Announces this instance in the platform's list.
-async fn register(ctx: &Context, state: EntryState) -> Result<(), PlatformError> {
+pub async fn register(ctx: &Context, state: EntryState) -> Result<(), PlatformError> {
+    ListClient::new(ctx.settings.list)
+        .register(&own_entry(ctx, state))
+        .await
+}
+
+/// This instance as the list shows it.
+pub fn own_entry(ctx: &Context, state: EntryState) -> ListEntry {
     let settings = &ctx.settings;
-    let entry = ListEntry {
+    ListEntry {
         id: settings.instance.as_str().to_owned(),
         kind: EntryKind::Entry,
         zone: settings.zone.clone(),
@@ -101,6 +156,5 @@
         slots: None,
         state,
         incarnation: ctx.incarnation,
-    };
-    ListClient::new(settings.list).register(&entry).await
+    }
 }
