Deadline admission uses only measured service times

Cause: a class without samples was expected to take a quarter of its target, so calls with shorter deadlines were refused for ever. Change: until there is a sample, the deadline alone bounds the start.

--- a/crates/policy/src/class_state.rs
+++ b/crates/policy/src/class_state.rs
@@ -53,6 +53,12 @@
         self.mean.max(1.0)
     }
 
+    /// Measured mean service time in microseconds, 0 without samples. A guess must not refuse calls
+    /// with short deadlines, since the refused calls would never show the true time.
+    pub(crate) fn known_us(&self) -> f64 {
+        if self.samples == 0 { 0.0 } else { self.mean }
+    }
+
     /// Time after which few calls are still in progress, in microseconds, once known.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub(crate) fn p95_us(&self) -> Option<u64> {
@@ -97,3 +103,6 @@
 fn millis(ms: u64) -> f64 {
     micros(ms.saturating_mul(1_000))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/dispatcher/admit.rs
+++ b/crates/policy/src/dispatcher/admit.rs
@@ -51,7 +51,7 @@
 
     fn waiting(&self, call: Call, class: usize) -> Waiting {
         let state = &self.classes[class];
-        let latest = latest_start(&call, call.arrived, state.class.delay_ms, state.mean_us());
+        let latest = latest_start(&call, call.arrived, state.class.delay_ms, state.known_us());
         // A caller is behind others only while there is somebody to be behind of.
         let over = self.queue.len() > 0 && self.callers.is_over(call.caller);
         Waiting {
--- a/crates/policy/src/dispatcher/finish.rs
+++ b/crates/policy/src/dispatcher/finish.rs
@@ -144,7 +144,7 @@
         let most = BACKOFF_US << attempt;
         waiting.earliest = now.plus_us(self.rng.random_range(0..most));
         let class = &self.classes[waiting.class];
-        waiting.latest = latest_start(&waiting.call, now, class.class.delay_ms, class.mean_us());
+        waiting.latest = latest_start(&waiting.call, now, class.class.delay_ms, class.known_us());
         self.queue.push(waiting);
     }
 
