--- a/crates/testkit/src/load/run.rs
+++ b/crates/testkit/src/load/run.rs
@@ -9,7 +9,7 @@
 use async_std::{channel::unbounded, task};
 
 use super::{Arrival, Customer, Plan, Sample};
-use crate::{CALL_ID_HEADER, CallDone, CallSpec, Caller, CallerSpec};
+use crate::{ANSWER_BYTES, CALL_ID_HEADER, CallDone, CallSpec, Caller, CallerSpec};
 
 /// Time limit of a call at its caller.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
@@ -87,9 +87,9 @@
         body: BODY,
         headers: &[(CALL_ID_HEADER, id), ("x-service-us", &service_us)],
     };
+    let late = at.elapsed();
     let done = caller.call(&spec, CALL_LIMIT).await;
-    let latency = at.elapsed();
-    sample_of(&done, id, number, arrival, latency)
+    sample_of(&done, id, number, arrival, [late, at.elapsed()])
 }
 
 fn sample_of(
@@ -97,16 +97,18 @@
     id: &str,
     number: usize,
     arrival: Arrival,
-    latency: Duration,
+    [late, latency]: [Duration; 2],
 ) -> Sample {
+    let us = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
     let answer = done.answer.as_ref();
     let status = answer.map_or(0, |a| a.status);
     let code = answer.and_then(|a| a.code).unwrap_or(0);
-    let wrong = answer.is_some_and(|a| code == 1_000 && status == 200 && !names(&a.body, id));
+    let wrong = answer.is_some_and(|a| status == 200 && !(code == 1_000 && names(&a.body, id)));
     Sample {
         number,
         arrival,
-        latency_us: u64::try_from(latency.as_micros()).unwrap_or(u64::MAX),
+        latency_us: us(latency),
+        late_us: us(late),
         status,
         code,
         unknown: done.unknown,
@@ -115,8 +117,8 @@
     }
 }
 
-/// Whether an answer begins with `id`, followed by nothing or by filling.
+/// Whether an answer is whole and begins with `id`, followed by filling.
 fn names(body: &[u8], id: &str) -> bool {
     let rest = body.strip_prefix(id.as_bytes());
-    rest.is_some_and(|r| r.first().is_none_or(|b| *b == b'x'))
+    body.len() == ANSWER_BYTES && rest.is_some_and(|r| r.first() == Some(&b'x'))
 }
