--- a/crates/node/src/admin/server.rs
+++ b/crates/node/src/admin/server.rs
@@ -1,11 +1,8 @@
 //! Accepts connections and serves one request on each, with a time limit for every phase.
 
 use std::{
-    net::Shutdown,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    net::{IpAddr, Shutdown},
+    sync::{Arc, Weak},
     time::Duration,
 };
 
@@ -14,7 +11,6 @@
     future::timeout,
     io::{self, ReadExt},
     net::{TcpListener, TcpStream},
-    stream::StreamExt,
     task,
 };
 use http_types::{Method, Response, StatusCode};
@@ -29,6 +25,8 @@
 
 /// Most connections at a time. Operators and their programs are few.
 const MAX_CONNECTIONS: usize = 64;
+/// Most connections from one address, so that one host with stuck clients does not lock out others.
+const MAX_PER_ADDRESS: usize = 32;
 /// Time for a whole request head to arrive.
 const HEAD_LIMIT: Duration = Duration::from_secs(5);
 /// Time for a whole answer to be taken by the client.
@@ -41,19 +39,23 @@
 /// Pause after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Counts a connection until dropped.
-struct Slot(Arc<AtomicUsize>);
-
-impl Slot {
-    fn take(open: &Arc<AtomicUsize>) -> (Self, bool) {
-        let before = open.fetch_add(1, Ordering::Relaxed);
-        (Self(Arc::clone(open)), before < MAX_CONNECTIONS)
-    }
+/// Open connections with the addresses of their peers. Owned by the task that accepts.
+#[derive(Debug, Default)]
+struct Open {
+    held: Vec<(IpAddr, Weak<()>)>,
 }
 
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+impl Open {
+    /// Room for one more connection until the result is dropped, if there is any.
+    fn take(&mut self, peer: IpAddr) -> Option<Arc<()>> {
+        self.held.retain(|(_, slot)| slot.strong_count() > 0);
+        let same = self.held.iter().filter(|(ip, _)| *ip == peer).count();
+        if self.held.len() >= MAX_CONNECTIONS || same >= MAX_PER_ADDRESS {
+            return None;
+        }
+        let slot = Arc::new(());
+        self.held.push((peer, Arc::downgrade(&slot)));
+        Some(slot)
     }
 }
 
@@ -61,17 +63,15 @@
 pub async fn serve_admin(ctx: Arc<Context>, cancel: Token, listener: TcpListener) {
     let operators = Operators::new(&ctx.settings.operators);
     let app = routes(Arc::new(Admin { ctx, operators }));
-    let open = Arc::new(AtomicUsize::new(0));
-    let mut incoming = listener.incoming();
-    while let Some(Some(next)) = cancel.run(incoming.next()).await {
-        let Ok(stream) = next else {
+    let mut open = Open::default();
+    while let Some(next) = cancel.run(listener.accept()).await {
+        let Ok((stream, peer)) = next else {
             cancel.run(task::sleep(ACCEPT_PAUSE)).await;
             continue;
         };
-        let (slot, free) = Slot::take(&open);
-        if !free {
+        let Some(slot) = open.take(peer.ip()) else {
             continue;
-        }
+        };
         let app = app.clone();
         let cancel = cancel.child();
         task::spawn(async move {
--- a/crates/node/src/admin/tests.rs
+++ b/crates/node/src/admin/tests.rs
@@ -16,6 +16,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
+use socket2::{Domain, Socket, Type};
 use wire::{AuditEntry, Body, ConfigAnswer, MoveStatus, ProposalAnswer, Record, Status};
 
 use crate::{
@@ -578,21 +579,35 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// Guards against one host that takes all connections, and against counts that never fall.
 #[test]
 fn connections_bounded() {
     with_server(async |addr| {
         let mut held = Vec::new();
-        for _ in 0..64 {
+        for _ in 0..32 {
             held.push(TcpStream::connect(addr).await.unwrap());
         }
-        assert_eq!(raw(addr, b"GET /v1/health HTTP/1.1\r\n".to_vec()).await, "");
-        held.clear();
+        let refused = raw(addr, b"GET /v1/health HTTP/1.1\r\n".to_vec()).await;
+        assert_eq!(refused, "");
+        let others: Vec<TcpStream> = (0..32)
+            .map(|_| connect_from([127, 0, 0, 2], addr))
+            .collect();
+        let mut full = connect_from([127, 0, 0, 3], addr);
+        assert_eq!(full.read(&mut [0]).await.unwrap_or(0), 0);
+        drop((held, others));
         task::sleep(Duration::from_millis(100)).await;
         let (status, _) = send(addr, None, Method::Get, "/v1/health", b"").await;
         assert_eq!(status, 503);
     });
 }
 
+fn connect_from(source: [u8; 4], addr: SocketAddr) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from((source, 0)).into()).unwrap();
+    socket.connect(&addr.into()).unwrap();
+    std::net::TcpStream::from(socket).into()
+}
+
 /// Guards against digests that match in part, and against tokens in other places or forms.
 #[test]
 fn find_operator() {
