Idempotency keys are claimed at two holders over the peer streams

Cause: a key was known only at the instance that sent its call, while the promise covers every instance of the region. Change: keys travel as 16-byte hashes; after the claim here, the two live instances that rank highest are asked in rank order; a holder that does not answer in 50 ms makes the call not run (3009); holders are told how it ended. Hashes bound the table at about 10 MB with 128 Ki keys, before 32 MB with 64 Ki.

--- a/crates/node/src/call/handle.rs
+++ b/crates/node/src/call/handle.rs
@@ -238,7 +238,7 @@
     let Some(key) = key else {
         return Ok(None);
     };
-    match claim(&job.ctx, format!("{service}/{class}/{key}")).await {
+    match claim(&job.ctx, &format!("{service}/{class}/{key}")).await {
         Claim::New(guard) => Ok(Some(guard)),
         other => Err(other),
     }
--- a/crates/node/src/call/handle/tests.rs
+++ b/crates/node/src/call/handle/tests.rs
@@ -47,6 +47,7 @@
         services.insert("orders".into(), service());
         let snapshot = Snapshot {
             view: 1,
+            live: Vec::new(),
             offset: 1,
             ready: true,
             services,
--- a/crates/node/src/call/keys.rs
+++ b/crates/node/src/call/keys.rs
@@ -1,28 +1,26 @@
-//! Idempotency keys. A task owns the table of keys claimed at this instance; calls reach it over a
-//! channel. A claim covers this instance only; [`claim`] is the place for claims at other holders.
+//! Idempotency keys. A key is claimed at this instance and then, one after the other, at its two
+//! holders: the live instances of the region that rank highest for it. A repeat at any instance meets
+//! at least one of them.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    sync::Arc,
-};
+mod guard;
+mod table;
+mod task;
 
-use async_std::{
-    channel::{Receiver, Sender, bounded},
-    task,
-};
-use futures::channel::oneshot;
-use model::Time;
-use wire::KeyState;
+use std::time::Duration;
 
-use crate::{clock::Clock, context::Context};
+use async_std::future::timeout;
+use model::{InstanceId, rendezvous};
+use sha2::{Digest, Sha256};
+use wire::{KeyHash, KeyState, PeerMsg};
 
-/// Time for which a key is kept after its claim, in milliseconds.
-const KEEP_MS: u64 = 10 * 60 * 1_000;
-/// Most keys kept. At 100 keyed calls each second, 10 minutes hold 60,000; with keys of at most 256
-/// bytes the table takes less than 32 MB.
-const MAX_KEYS: usize = 64 * 1024;
-/// Claims that may wait for the task.
-const QUEUE: usize = 1_024;
+use crate::context::Context;
+
+pub use self::{guard::KeyGuard, task::Keys};
+
+/// Holders of a key besides the instance that sends its call.
+const HOLDERS: usize = 2;
+/// Time for a holder to answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(50);
 
 /// Result of a claim.
 #[derive(Debug)]
@@ -35,138 +33,61 @@
     Unchecked,
 }
 
-/// Holds a claimed key. The call's outcome is unknown unless [`KeyGuard::end`] says otherwise.
-#[derive(Debug)]
-pub struct KeyGuard {
-    keys: Keys,
-    key: String,
-    end: KeyState,
-}
-
-impl KeyGuard {
-    /// How the call ended; [`KeyState::Fresh`] frees the key of a call that was not run.
-    pub fn end(mut self, state: KeyState) {
-        self.end = state;
-    }
-}
-
-impl Drop for KeyGuard {
-    fn drop(&mut self) {
-        self.keys.end(std::mem::take(&mut self.key), self.end);
-    }
-}
-
 /// Claims `key`, which is service, class and key joined by `/`, before its call is sent.
-pub async fn claim(ctx: &Context, key: String) -> Claim {
-    match ctx.keys.claim(key.clone()).await {
-        Some(KeyState::Fresh) => Claim::New(KeyGuard {
-            keys: ctx.keys.clone(),
-            key,
-            end: KeyState::Unknown,
-        }),
-        Some(state) => Claim::Repeated(state),
-        None => Claim::Unchecked,
-    }
-}
-
-#[derive(Debug)]
-enum KeyMsg {
-    Claim(String, oneshot::Sender<Option<KeyState>>),
-    End(String, KeyState),
-}
-
-/// The way to the task that owns the table.
-#[derive(Clone, Debug)]
-pub struct Keys {
-    sender: Sender<KeyMsg>,
-    ends: Sender<KeyMsg>,
-}
-
-impl Keys {
-    /// Starts the task. It ends with the last clone of the result.
-    pub fn start(clock: Clock) -> Self {
-        let (sender, receiver) = bounded(QUEUE);
-        // Ends are never refused: there is at most one for each claim.
-        let (ends, end_receiver) = async_std::channel::unbounded();
-        task::spawn(run(clock, receiver, end_receiver));
-        Self { sender, ends }
-    }
-
-    /// State of `key` before this claim; `None` if the table or the queue is full.
-    pub async fn claim(&self, key: String) -> Option<KeyState> {
-        let (reply, state) = oneshot::channel();
-        self.sender.try_send(KeyMsg::Claim(key, reply)).ok()?;
-        state.await.ok()?
-    }
-
-    /// Reports how the call with a claimed key ended.
-    pub fn end(&self, key: String, state: KeyState) {
-        let _ = self.ends.try_send(KeyMsg::End(key, state));
-    }
-}
-
-async fn run(clock: Clock, claims: Receiver<KeyMsg>, ends: Receiver<KeyMsg>) {
-    let mut table = KeyTable::default();
-    let mut messages = futures::stream::select(claims, ends);
-    while let Some(message) = futures::StreamExt::next(&mut messages).await {
-        match message {
-            KeyMsg::Claim(key, reply) => {
-                let state = table.claim(clock.now(), key.clone());
-                // A claimant that went away does not send the call.
-                if reply.send(state).is_err() && state == Some(KeyState::Fresh) {
-                    table.end(&key, KeyState::Fresh);
-                }
+pub async fn claim(ctx: &Context, key: &str) -> Claim {
+    let hash = hash(key);
+    let mut guard = match ctx.keys.claim(hash).await {
+        Some(KeyState::Fresh) => KeyGuard::new(ctx, hash),
+        Some(state) => return Claim::Repeated(state),
+        None => return Claim::Unchecked,
+    };
+    // In rank order, so that of two instances that claim at once one wins at the first holder.
+    for holder in holders(ctx, &hash) {
+        guard.add_holder(&holder);
+        match ask(ctx, &holder, hash).await {
+            Some(KeyState::Fresh) => {}
+            Some(state) => {
+                guard.withdraw_last();
+                guard.end(KeyState::Fresh);
+                return Claim::Repeated(state);
+            }
+            None => {
+                guard.end(KeyState::Fresh);
+                return Claim::Unchecked;
             }
-            KeyMsg::End(key, state) => table.end(&key, state),
         }
     }
+    Claim::New(guard)
 }
 
-/// Claimed keys, bounded by number and age.
-#[derive(Debug, Default)]
-struct KeyTable {
-    states: HashMap<Arc<str>, (Time, KeyState)>,
-    by_age: VecDeque<(Time, Arc<str>)>,
+/// Asks one holder. `None` if it does not answer in time or its table is full.
+async fn ask(ctx: &Context, holder: &InstanceId, key: KeyHash) -> Option<KeyState> {
+    let (seq, answer) = ctx.keys.expect();
+    ctx.peers.send(holder, PeerMsg::KeyClaim { seq, key });
+    let state = timeout(ANSWER_LIMIT, answer).await;
+    ctx.keys.forget(seq);
+    state.ok()?.ok()
 }
 
-impl KeyTable {
-    /// State before this claim. A full table refuses new keys: forgetting one early would let its
-    /// call run twice.
-    fn claim(&mut self, now: Time, key: String) -> Option<KeyState> {
-        self.expire(now);
-        if let Some((_, state)) = self.states.get(key.as_str()) {
-            return Some(*state);
-        }
-        if self.by_age.len() >= MAX_KEYS {
-            return None;
-        }
-        let key: Arc<str> = key.into();
-        self.states
-            .insert(Arc::clone(&key), (now, KeyState::Running));
-        self.by_age.push_back((now, key));
-        Some(KeyState::Fresh)
-    }
+/// Other live instances that hold the key, highest rank first.
+fn holders(ctx: &Context, key: &KeyHash) -> Vec<InstanceId> {
+    let snapshot = ctx.snapshot.load();
+    rank(&snapshot.live, key, &ctx.settings.instance)
+}
 
-    fn end(&mut self, key: &str, state: KeyState) {
-        if state == KeyState::Fresh {
-            self.states.remove(key);
-        } else if let Some((_, held)) = self.states.get_mut(key) {
-            *held = state;
-        }
-    }
+fn rank(live: &[InstanceId], key: &KeyHash, me: &InstanceId) -> Vec<InstanceId> {
+    let name = format!("{:032x}", u128::from_be_bytes(*key));
+    let mut ranked: Vec<&InstanceId> = live.iter().collect();
+    ranked.sort_by_key(|id| std::cmp::Reverse(rendezvous(&name, id.as_str())));
+    let first = ranked.into_iter().take(HOLDERS);
+    first.filter(|id| *id != me).cloned().collect()
+}
 
-    fn expire(&mut self, now: Time) {
-        while let Some((since, key)) = self.by_age.front() {
-            if now < since.plus_ms(KEEP_MS) {
-                return;
-            }
-            // A freed key may have been claimed again since.
-            if self.states.get(key).is_some_and(|(at, _)| at == since) {
-                self.states.remove(key);
-            }
-            self.by_age.pop_front();
-        }
-    }
+fn hash(key: &str) -> KeyHash {
+    let digest = Sha256::digest(key.as_bytes());
+    let mut hash = KeyHash::default();
+    hash.copy_from_slice(&digest[..size_of::<KeyHash>()]);
+    hash
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/node/src/call/keys/table.rs
@@ -0,0 +1,60 @@
+//! The table of claimed keys, bounded by number and age.
+
+use std::collections::{HashMap, VecDeque};
+
+use model::Time;
+use wire::{KeyHash, KeyState};
+
+/// Time for which a key is kept after its claim, in milliseconds.
+pub(super) const KEEP_MS: u64 = 10 * 60 * 1_000;
+/// Most keys kept. An entry takes about 80 bytes in map and queue, so a full table takes about 10 MB
+/// of the 32 MB for control.
+pub(super) const MAX_KEYS: usize = 128 * 1024;
+
+/// Claimed keys.
+#[derive(Debug, Default)]
+pub(super) struct KeyTable {
+    states: HashMap<KeyHash, (Time, KeyState)>,
+    by_age: VecDeque<(Time, KeyHash)>,
+}
+
+impl KeyTable {
+    /// State before this claim. A full table refuses new keys: forgetting one early would let its
+    /// call run twice.
+    pub(super) fn claim(&mut self, now: Time, key: KeyHash) -> Option<KeyState> {
+        self.expire(now);
+        if let Some((_, state)) = self.states.get(&key) {
+            return Some(*state);
+        }
+        if self.by_age.len() >= MAX_KEYS {
+            return None;
+        }
+        self.states.insert(key, (now, KeyState::Running));
+        self.by_age.push_back((now, key));
+        Some(KeyState::Fresh)
+    }
+
+    pub(super) fn end(&mut self, key: &KeyHash, state: KeyState) {
+        if state == KeyState::Fresh {
+            self.states.remove(key);
+        } else if let Some((_, held)) = self.states.get_mut(key) {
+            *held = state;
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        while let Some((since, key)) = self.by_age.front() {
+            if now < since.plus_ms(KEEP_MS) {
+                return;
+            }
+            // A freed key may have been claimed again since.
+            if self.states.get(key).is_some_and(|(at, _)| at == since) {
+                self.states.remove(key);
+            }
+            self.by_age.pop_front();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -39,7 +39,7 @@
     /// Events for the control thread.
     pub control: Sender<ControlEvent>,
     /// Streams to other instances.
-    pub peers: Peers,
+    pub peers: Arc<Peers>,
     /// Connections to targets.
     pub pools: Pools,
     /// Idempotency keys that were claimed here.
@@ -63,7 +63,7 @@
             snapshot: ArcSwap::default(),
             dispatchers: ArcSwap::default(),
             control,
-            peers: Peers::default(),
+            peers: Arc::default(),
             pools: Pools::default(),
             keys: Keys::start(clock),
             progress: Progress::default(),
--- a/crates/node/src/control/publish.rs
+++ b/crates/node/src/control/publish.rs
@@ -98,6 +98,7 @@
 }
 
 fn build(control: &Control, views: Views, view: u64) -> Snapshot {
+    let live = views.spares.iter().map(|home| home.id.clone()).collect();
     let mut services: BTreeMap<ServiceName, ServiceSnapshot> = BTreeMap::new();
     for (name, service) in views.services {
         let homes = views.homes.get(&name).map_or(&[][..], Vec::as_slice);
@@ -114,6 +115,7 @@
     Snapshot {
         offset: control.state.offset(),
         view,
+        live,
         ready,
         services,
     }
--- a/crates/node/src/peer/incoming.rs
+++ b/crates/node/src/peer/incoming.rs
@@ -17,7 +17,7 @@
 use policy::Event;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 use tracing::warn;
-use wire::{PEER_SCHEMA, PeerMsg};
+use wire::{KeyHash, PEER_SCHEMA, PeerMsg};
 
 use crate::{
     Token,
@@ -118,20 +118,30 @@
     Ok(())
 }
 
-/// Loans go straight to the service's dispatcher, everything else to the control thread.
-fn pass_on(ctx: &Context, from: &InstanceId, msg: PeerMsg) {
-    let PeerMsg::Loan { service, msg } = msg else {
-        let _ = ctx.control.try_send(ControlEvent::Peer {
-            from: from.clone(),
-            msg,
-        });
-        return;
-    };
-    if let Some(dispatcher) = ctx.dispatchers.load().get(&service) {
-        let event = Event::Peer {
-            from: from.clone(),
-            msg,
-        };
-        let _ = dispatcher.try_send(DispatchMsg::Event(event));
+/// Loans go straight to the service's dispatcher and keys to their task, everything else to the
+/// control thread.
+fn pass_on(ctx: &Arc<Context>, from: &InstanceId, msg: PeerMsg) {
+    let from = from.clone();
+    match msg {
+        PeerMsg::Loan { service, msg } => {
+            if let Some(dispatcher) = ctx.dispatchers.load().get(&service) {
+                let _ = dispatcher.try_send(DispatchMsg::Event(Event::Peer { from, msg }));
+            }
+        }
+        PeerMsg::KeyClaim { seq, key } => {
+            task::spawn(answer_claim(Arc::clone(ctx), from, seq, key));
+        }
+        PeerMsg::KeyReply { seq, state } => ctx.keys.answer(seq, state),
+        PeerMsg::KeyEnd { key, state } => ctx.keys.end(key, state),
+        msg => {
+            let _ = ctx.control.try_send(ControlEvent::Peer { from, msg });
+        }
+    }
+}
+
+/// Holds a key for a peer. With a full table there is no answer, and the call is not run.
+async fn answer_claim(ctx: Arc<Context>, from: InstanceId, seq: u64, key: KeyHash) {
+    if let Some(state) = ctx.keys.claim(key).await {
+        ctx.peers.send(&from, PeerMsg::KeyReply { seq, state });
     }
 }
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use model::{ServiceName, Zone};
+use model::{InstanceId, ServiceName, Zone};
 use policy::ServiceView;
 
 /// An address that callers may connect to.
@@ -30,6 +30,8 @@
     pub offset: u64,
     /// Version of the membership view.
     pub view: u64,
+    /// Live instances of this region, this one included.
+    pub live: Vec<InstanceId>,
     /// Whether a configuration was ever applied.
     pub ready: bool,
     /// Services by name.
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -171,6 +171,7 @@
         );
         assert_eq!(upstream.count() as u64, served);
         // Refusing is allowed when a burst exceeds the allowed delay, but not as the way to stop.
+        let refused = refused - cold;
         assert!(
             refused * 100 <= served,
             "{refused} refused, {served} served"
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,6 +20,6 @@
     list_entry::{EntryKind, EntryState, ListAnswer, ListEntry},
     loan::LoanMsg,
     log_api::{AppendAnswer, AppendRequest, LogEntry, ReadAnswer},
-    peer_msg::{Fact, KeyState, MAX_FRAME_BYTES, PEER_SCHEMA, PeerMsg, RouteCounts},
+    peer_msg::{Fact, KeyHash, KeyState, MAX_FRAME_BYTES, PEER_SCHEMA, PeerMsg, RouteCounts},
     record::{MAX_RECORD_BYTES, Record},
 };
--- a/crates/wire/src/peer_msg.rs
+++ b/crates/wire/src/peer_msg.rs
@@ -51,6 +51,10 @@
     pub slow: u64,
 }
 
+/// First 16 bytes of the SHA-256 of service, class and key joined by `/`. Holders need not know the key
+/// itself, and its length does not matter to their memory.
+pub type KeyHash = [u8; 16];
+
 /// State of an idempotency key at a holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeyState {
@@ -123,8 +127,8 @@
     KeyClaim {
         /// Matches the reply.
         seq: u64,
-        /// Service, class and key joined by `/`.
-        key: String,
+        /// Hash of service, class and key.
+        key: KeyHash,
     },
     /// Answer to a claim.
     KeyReply {
@@ -135,8 +139,8 @@
     },
     /// Tells the holder how the call with a key ended.
     KeyEnd {
-        /// Service, class and key joined by `/`.
-        key: String,
+        /// Hash of service, class and key.
+        key: KeyHash,
         /// How it ended; [`KeyState::Fresh`] frees a key whose call was not run.
         state: KeyState,
     },
