--- a/crates/testkit/src/caller/calls.rs
+++ b/crates/testkit/src/caller/calls.rs
@@ -15,8 +15,8 @@
 
 /// Kind of result codes that say "not run" and may be repeated.
 const REJECTIONS: std::ops::Range<u16> = 3_000..4_000;
-/// Result code of an instance without configuration; another address is used at once.
-const NOT_READY: u16 = 3_007;
+/// Result codes on which another address is used at once: no usable target, no configuration.
+const ELSEWHERE: [u16; 2] = [3_003, 3_007];
 
 /// Who calls, and from where.
 #[derive(Clone, Debug)]
@@ -82,7 +82,7 @@
         let mut done = CallDone::default();
         loop {
             let left = until.saturating_duration_since(Instant::now());
-            match self.attempt(spec, left).await {
+            match self.attempt(spec, left, done.repeats).await {
                 Attempt::Answer(answer) => done.answer = Some(answer),
                 Attempt::Unsent => done.answer = None,
                 Attempt::Lost => {
@@ -102,20 +102,26 @@
         }
     }
 
-    async fn attempt(&self, spec: &CallSpec<'_>, limit: Duration) -> Attempt {
-        let addresses = self.addresses(spec.service).await;
+    /// Tries the addresses in order. A repeat begins with the one after that of the attempt before.
+    async fn attempt(&self, spec: &CallSpec<'_>, limit: Duration, repeats: u32) -> Attempt {
+        let mut addresses = self.addresses(spec.service).await;
+        let skip = repeats as usize % addresses.len().max(1);
+        addresses.rotate_left(skip);
+        let mut last = Attempt::Unsent;
         for addr in addresses {
             let Ok(stream) = self.pool.get(addr).await else {
                 self.pool.forget(addr);
                 continue;
             };
             let attempt = self.exchange(spec, addr, stream, limit).await;
-            let not_ready = matches!(&attempt, Attempt::Answer(a) if a.code == Some(NOT_READY));
-            if !not_ready {
+            let elsewhere = matches!(&attempt, Attempt::Answer(a)
+                if a.code.is_some_and(|c| ELSEWHERE.contains(&c)));
+            if !elsewhere {
                 return attempt;
             }
+            last = attempt;
         }
-        Attempt::Unsent
+        last
     }
 
     async fn exchange(
--- a/crates/testkit/src/load/customer.rs
+++ b/crates/testkit/src/load/customer.rs
@@ -1,4 +1,5 @@
-//! Shapes of the two customers' services.
+//! Shapes of the two customers' services. Classes are those of `docs/ops/examples`; service times and
+//! shares of classes are assumptions.
 
 use std::fmt::Write as _;
 
@@ -105,8 +106,9 @@
                 mean_us: 16_000.0,
                 tail: Tail::LogNormal(0.5),
                 classes: vec![
-                    class("confirmation", 0.6, 60, 20, false),
-                    class("bulk", 0.4, 2_000, 1_000, true),
+                    class("confirmation", 0.4, 60, 20, false),
+                    class("urgent-lookup", 0.2, 80, 30, true),
+                    class("bulk-transfer", 0.4, 2_000, 1_500, true),
                 ],
             },
             ServiceShape {
@@ -116,8 +118,8 @@
                 mean_us: 16_000.0,
                 tail: Tail::LogNormal(0.5),
                 classes: vec![
-                    class("urgent-lookup", 0.5, 60, 20, true),
-                    class("lookup", 0.5, 500, 250, true),
+                    class("lookup", 0.7, 150, 60, true),
+                    class("upload", 0.3, 1_500, 500, false),
                 ],
             },
         ],
@@ -137,8 +139,9 @@
                 mean_us: 30_000.0,
                 tail: Tail::LogNormal(0.5),
                 classes: vec![
-                    class("sale", 0.7, 120, 40, false),
-                    class("report", 0.3, 3_000, 1_500, true),
+                    class("sale", 0.5, 120, 50, false),
+                    class("price-lookup", 0.3, 150, 60, true),
+                    class("stock-report", 0.2, 5_000, 4_000, true),
                 ],
             },
             ServiceShape {
@@ -148,8 +151,8 @@
                 mean_us: 30_000.0,
                 tail: Tail::Pareto(2.5),
                 classes: vec![
-                    class("loading", 0.5, 200, 60, false),
-                    class("transfer", 0.5, 2_000, 1_000, true),
+                    class("ramp-slot", 0.5, 200, 100, false),
+                    class("route-plan", 0.5, 3_000, 2_000, true),
                 ],
             },
         ],
--- a/crates/testkit/tests/found.rs
+++ b/crates/testkit/tests/found.rs
@@ -32,7 +32,7 @@
         let stream = TcpStream::connect(addr).await.unwrap();
         let spec = CallSpec {
             service: "orders",
-            class: "bulk",
+            class: "bulk-transfer",
             path: "/",
             body: b"order",
             headers: &[(CALL_ID_HEADER, "call-1")],
