testkit: callers check the announced length; demo ends wrong answers before the planned stop

112 short answers counted as passed on whole were cut by the instance as documented: the stand-in caller did not compare the length.

--- a/crates/testkit/examples/demo/main.rs
+++ b/crates/testkit/examples/demo/main.rs
@@ -88,7 +88,7 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match task::block_on(run(&args)) {
-        Ok(promises) => end(&promises),
+        Ok((promises, violations)) => end(&promises, violations),
         Err(error) => {
             eprintln!("demo: {error}");
             ExitCode::FAILURE
@@ -96,8 +96,8 @@
     }
 }
 
-fn end(promises: &[Promise]) -> ExitCode {
-    let broken = promises.iter().any(|p| p.verdict == Verdict::Broken);
+fn end(promises: &[Promise], violations: u64) -> ExitCode {
+    let broken = violations > 0 || promises.iter().any(|p| p.verdict == Verdict::Broken);
     if broken {
         ExitCode::FAILURE
     } else {
@@ -105,7 +105,7 @@
     }
 }
 
-async fn run(args: &Args) -> Result<Vec<Promise>, Box<dyn Error>> {
+async fn run(args: &Args) -> Result<(Vec<Promise>, u64), Box<dyn Error>> {
     let story = Story::begin(args.json);
     let customer = Arc::new(args.customer.clone());
     let mut cluster = start(args, &customer).await?;
@@ -133,10 +133,11 @@
     seen.offset_back = offsets.await;
     seen.runs = cluster.runs();
     seen.counts = cluster.counts(|_| true);
+    seen.violations = cluster.violations();
     story.tell("the load has ended");
     let promises = check_all(&customer, &seen);
     print(args, &customer, &seen, &promises);
-    Ok(promises)
+    Ok((promises, seen.violations))
 }
 
 async fn start(args: &Args, customer: &Arc<Customer>) -> Result<Cluster, Box<dyn Error>> {
@@ -183,6 +184,7 @@
     phases::leave_zone(story, cluster, customer, seen).await?;
     phases::kill_instance(story, cluster, customer).await;
     task::sleep(AFTER_KILL).await;
+    phases::end_wrong_answers(story, cluster);
     phases::stop_planned(story, cluster, customer, seen).await?;
     story.tell(&format!(
         "all events took {:.1} s",
@@ -204,14 +206,19 @@
                 "verdict": p.verdict.as_str(), "seen": p.seen});
             println!("{line}");
         }
+        println!(
+            "{}",
+            json!({"bench": "demo", "violations": seen.violations})
+        );
         return;
     }
     println!("\ntail latency by class, from the intended send time, over all events:");
     print_table(&rows);
     let served = seen.samples.iter().filter(|s| s.is_served()).count();
     println!(
-        "upstreams ran {} calls for {served} served, refused {}, saw {} cancelled\n",
-        seen.counts.ran, seen.counts.refused, seen.counts.cancelled
+        "upstreams ran {} calls for {served} served, refused {}, saw {} cancelled\n\
+         invariants violated at running instances: {}\n",
+        seen.counts.ran, seen.counts.refused, seen.counts.cancelled, seen.violations
     );
     for p in promises {
         println!(
--- a/crates/testkit/examples/demo/phases.rs
+++ b/crates/testkit/examples/demo/phases.rs
@@ -119,7 +119,7 @@
     code.is_some_and(|code| code / 1_000 != 2 && code != NOT_READY)
 }
 
-/// Wrong answers of one upstream, until the demo ends.
+/// Wrong answers of three upstreams, until they are ended.
 pub fn send_wrong_answers(story: &Story, cluster: &Cluster) {
     story.tell("three upstreams answer wrongly at times: crossed, short, twice");
     let kinds = [
@@ -136,6 +136,15 @@
     }
 }
 
+/// Ends the wrong answers. An instance closes the caller's connection after a short one, which would
+/// look like a call that the planned stop cut.
+pub fn end_wrong_answers(story: &Story, cluster: &Cluster) {
+    story.tell("the wrong answers end");
+    for target in cluster.targets.iter().take(3) {
+        target.upstream.set_faults(UpstreamFaults::default());
+    }
+}
+
 /// Drains one upstream, while others join cold.
 pub async fn drain_and_join_cold(
     story: &Story,
--- a/crates/testkit/examples/demo/seen.rs
+++ b/crates/testkit/examples/demo/seen.rs
@@ -69,6 +69,8 @@
     pub zone: Option<Leaving>,
     /// The bad version.
     pub bad: Option<BadRun>,
+    /// Violations that running instances counted themselves.
+    pub violations: u64,
     /// The planned stop.
     pub stop: Option<Stop>,
 }
--- a/crates/testkit/src/cluster/running.rs
+++ b/crates/testkit/src/cluster/running.rs
@@ -235,6 +235,13 @@
         running.map(|i| i.addr).collect()
     }
 
+    /// Violated invariants that running instances counted.
+    #[must_use]
+    pub fn violations(&self) -> u64 {
+        let nodes = self.instances.iter().filter_map(|i| i.node.as_ref());
+        nodes.map(node::Node::violations).sum()
+    }
+
     /// Records of the log that are still kept.
     #[must_use]
     pub fn records(&self) -> Vec<wire::LogEntry> {
--- a/crates/testkit/src/send.rs
+++ b/crates/testkit/src/send.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use async_std::{io::ReadExt, net::TcpStream};
-use http_types::{Method, Request, Url};
+use http_types::{Method, Request, StatusCode, Url};
 
 /// A call to send.
 #[derive(Clone, Debug)]
@@ -39,7 +39,7 @@
 ///
 /// # Errors
 ///
-/// If the connection breaks or the answer is malformed.
+/// If the connection breaks, or the answer is malformed or shorter than announced.
 pub async fn send_call(
     stream: TcpStream,
     addr: SocketAddr,
@@ -59,8 +59,13 @@
     let outcome = text("hw-outcome");
     let retry_ms = text("hw-retry-after-ms").and_then(|ms| ms.parse().ok());
     let status = u16::from(answer.status());
+    let announced = answer.len();
     let mut body = Vec::new();
     answer.take_body().read_to_end(&mut body).await?;
+    if announced.is_some_and(|len| len != body.len()) {
+        let text = "the answer ended before its announced length";
+        return Err(http_types::Error::from_str(StatusCode::BadGateway, text));
+    }
     Ok(CallAnswer {
         status,
         code,
--- a/crates/testkit/tests/stand_ins.rs
+++ b/crates/testkit/tests/stand_ins.rs
@@ -72,7 +72,10 @@
         upstream.set_faults(with(AnswerFault::Crossed));
         assert!(call(&upstream, "b").await.unwrap().body.starts_with(b"a"));
         upstream.set_faults(with(AnswerFault::Short));
-        assert!(call(&upstream, "c").await.is_none_or(|a| a.body.len() < 64));
+        assert!(
+            call(&upstream, "c").await.is_none(),
+            "shorter than announced"
+        );
         upstream.set_faults(with(AnswerFault::Late(5_000)));
         assert!(call(&upstream, "d").await.is_none());
         upstream.set_faults(with(AnswerFault::Duplicated));
