--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -61,6 +61,16 @@
             && self.sent.1 <= BYTE_BURST + BYTES_PER_S * seconds + ROUNDING
     }
 
+    /// The bucket with all tokens although they were spent, as a faulty refill would leave it.
+    #[cfg(test)]
+    pub(crate) fn refilled(&self) -> Self {
+        Self {
+            messages: MESSAGE_BURST,
+            bytes: BYTE_BURST,
+            ..self.clone()
+        }
+    }
+
     fn fill(&mut self, now: Time) {
         let Some(filled) = self.filled.replace(now) else {
             self.since = now;
--- a/crates/policy/src/dispatcher/choose.rs
+++ b/crates/policy/src/dispatcher/choose.rs
@@ -7,6 +7,9 @@
 
 /// Cost of another availability zone: 0.5 ms each way, in microseconds.
 const ZONE_COST_US: f64 = 1_000.0;
+/// Cost of a target whose limit is used up, in microseconds. Below the cost of another zone, because a
+/// free slot is as fast on a busy target as on an idle one.
+const LOAD_COST_US: f64 = 800.0;
 /// Relative service times in this range count as equal, so that noise does not crowd some targets.
 const SAME_SPEED: std::ops::Range<f64> = 0.6..1.6;
 /// A tight call waits for another slot rather than start on a slow target, until this long before its
@@ -100,7 +103,7 @@
             ZONE_COST_US
         };
         (
-            mean * (speed + load) + zone,
+            mean * speed + load * LOAD_COST_US + zone,
             target.started,
             id.clone(),
             slot,
--- a/crates/policy/src/dispatcher/claim.rs
+++ b/crates/policy/src/dispatcher/claim.rs
@@ -25,6 +25,11 @@
             let Some(target) = self.targets.get_mut(&id) else {
                 continue;
             };
+            if target.hold == Hold::Foreign {
+                // The own limit of an earlier time says nothing. Without a limit from the last owner,
+                // for example because lists disagree on it, the target counts as cold.
+                target.limit.chill();
+            }
             target.told = None;
             target.claims = 0;
             target.asked.clone_from(&peers);
--- a/crates/policy/src/target/tests.rs
+++ b/crates/policy/src/target/tests.rs
@@ -89,3 +89,19 @@
     assert_eq!(target.used(), 2, "a later handover did not count");
     assert_eq!(target.used_without(&peer), 0);
 }
+
+#[test]
+fn inherit_answer_to_a_new_claim() {
+    let mut target = warm();
+    let until = Time::from_ms(100);
+    let peer = InstanceId::new("old");
+    let report = |busy| Inherited {
+        busy,
+        until,
+        view: 5,
+    };
+    target.inherit(&peer, report(1));
+    target.asked.push(peer.clone());
+    target.inherit(&peer, report(3));
+    assert_eq!(target.used(), 3, "an earlier handover hid a later one");
+}
