--- a/crates/policy/src/dispatcher/borrow.rs
+++ b/crates/policy/src/dispatcher/borrow.rs
@@ -95,8 +95,9 @@
         }
     }
 
-    /// The stream to a peer broke. Its loans are used up but not again; what it lent and what it was
-    /// lent is settled by questions and holds.
+    /// The stream to a peer broke. Its loans are used up but not again. What it was lent stays with it
+    /// until it returns it or the hold ends: a new process of the same name would deny loans whose
+    /// calls still run.
     pub(super) fn peer_down(&mut self, peer: &InstanceId) {
         self.wishes.remove(peer);
         self.lenders.remove(peer);
@@ -105,6 +106,11 @@
             .iter_mut()
             .filter(|((lender, _), _)| lender == peer);
         lent.for_each(|(_, b)| b.closed = true);
+        let out = self.targets.values_mut().flat_map(|t| t.lent.values_mut());
+        for lent in out.filter(|l| l.to == *peer) {
+            lent.recalled = true;
+            lent.ask = Time::MAX;
+        }
     }
 
     /// Asks owners for slots while calls wait, one owner after the other, and withdraws wishes that
--- a/crates/policy/src/dispatcher/tests/loans.rs
+++ b/crates/policy/src/dispatcher/tests/loans.rs
@@ -226,6 +226,21 @@
     );
 }
 
+/// Guards against a slot freed by a new process of the borrower while calls of the old one run.
+#[test]
+fn reclaim_not_asked_after_a_broken_stream() {
+    let mut bed = Bed::warm(1);
+    loan_of(&bed.peer("peer", WANT));
+    let peer = InstanceId::new("peer");
+    bed.handle(Event::PeerDown { peer });
+    let hold_ms = bed.dispatcher.hold_ms(true);
+    let out = bed.pass(hold_ms + 249);
+    assert!(sent(&out).is_empty(), "the new process was asked: {out:?}");
+    assert_eq!(bed.dispatcher.in_use().values().sum::<u32>(), 1);
+    bed.pass(1);
+    assert!(bed.dispatcher.in_use().is_empty());
+}
+
 /// Guards against a return by an instance that does not hold the loan.
 #[test]
 fn return_from_another_instance() {
