--- a/crates/policy/examples/choosers.rs
+++ b/crates/policy/examples/choosers.rs
@@ -432,7 +432,7 @@
         else {
             return;
         };
-        let cancelled = finish(call, twin.target, End::Cancelled, 0);
+        let cancelled = finish(call, twin.target, End::Cancelled, at.since_us(twin.sent));
         self.push(at, Ev::Deliver(i, cancelled));
         self.push(
             at.plus_us(path(i, twin.target)),
--- a/crates/policy/src/dispatcher/borrow.rs
+++ b/crates/policy/src/dispatcher/borrow.rs
@@ -125,13 +125,16 @@
         if tight == 0 {
             self.withdraw(now, |told| told.1 > 0);
         }
-        let told = self.told(now);
+        let told = self.told(now, None);
         if tight <= told.1 && waiting <= told.0 {
             return;
         }
         let Some(owner) = self.owner_to_ask(now) else {
             return;
         };
+        let others = self.told(now, Some(&owner));
+        let tight = tight.saturating_sub(others.1);
+        let waiting = waiting.saturating_sub(others.0).max(tight).max(1);
         if !self.may_send(now, Urgency::Normal) {
             return;
         }
@@ -142,10 +145,12 @@
         self.send(&owner, LoanMsg::Want { waiting, tight });
     }
 
-    /// Calls covered by wishes that may still be answered: all, tight ones.
-    fn told(&self, now: Time) -> (u32, u32) {
-        let recent = |l: &&Lender| l.at.is_some_and(|at| now.since_us(at) < ANSWER_US);
-        let recent = self.lenders.values().filter(recent);
+    /// Calls covered by wishes that may still be answered, but for those to `except`: all, tight ones.
+    fn told(&self, now: Time, except: Option<&InstanceId>) -> (u32, u32) {
+        let recent = |l: &Lender| l.at.is_some_and(|at| now.since_us(at) < ANSWER_US);
+        let lenders = self.lenders.iter();
+        let recent = lenders.filter(|(id, l)| Some(*id) != except && recent(l));
+        let recent = recent.map(|(_, l)| l);
         recent.fold((0, 0), |(all, tight), l| (all + l.told.0, tight + l.told.1))
     }
 
--- a/crates/policy/src/dispatcher/finish.rs
+++ b/crates/policy/src/dispatcher/finish.rs
@@ -63,6 +63,8 @@
         let sheds = matches!(report.end, End::Refused | End::Timeout);
         if report.end == End::Good {
             target.good(ratio);
+        } else if report.end == End::Cancelled {
+            target.outrun(ratio);
         } else if report.end.is_bad() && target.bad(now, sheds, jitter) {
             self.stats.ejections += 1;
         }
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -196,6 +196,14 @@
         }
     }
 
+    /// Takes the relative time of an attempt that was cancelled, for example because its hedge won. It
+    /// only shows that the target takes at least as long.
+    pub(crate) fn outrun(&mut self, ratio: f64) {
+        if ratio > self.speed {
+            self.speed += SPEED_WEIGHT * (ratio - self.speed);
+        }
+    }
+
     /// Takes a failure. `sheds` if the upstream is overloaded rather than faulty. `jitter` is in 0..1.
     /// Returns whether the target is out now and was not before.
     pub(crate) fn bad(&mut self, now: Time, sheds: bool, jitter: f64) -> bool {
--- a/crates/policy/src/target/tests.rs
+++ b/crates/policy/src/target/tests.rs
@@ -52,6 +52,15 @@
     assert!(target.limit.now() <= 2);
 }
 
+#[test]
+fn outrun_shows_slow_target() {
+    let mut target = warm();
+    (0..9).for_each(|_| target.outrun(0.2));
+    assert!(!target.is_slow(), "a quick cancellation says nothing");
+    (0..9).for_each(|_| target.outrun(4.0));
+    assert!(target.is_slow(), "hedges hide a slow target");
+}
+
 #[test]
 fn bad_shedding_halves_and_errors_do_not() {
     let mut target = warm();
--- a/crates/policy/tests/sessions.rs
+++ b/crates/policy/tests/sessions.rs
@@ -24,7 +24,7 @@
 fn session_cold_start_and_cold_again() {
     let mut session = Session::new(&["i-0"], &["i-0"]);
     for n in 0..34 {
-        session.cold = n == 26;
+        session.cold = n == 27;
         session.arrive("i-0", URGENT);
         session.run(4.0);
     }
@@ -39,9 +39,9 @@
     let mut session = Session::new(&["i-0"], &["i-0", "i-0", "i-0"]);
     session.warm_up();
     session.slow = Some("t-0");
-    for _ in 0..30 {
-        session.arrive("i-0", URGENT);
-        session.run(4.0);
+    for n in 0..30 {
+        session.arrive("i-0", [CONFIRM, URGENT, CONFIRM][n % 3]);
+        session.run(2.0);
     }
     session.run(200.0);
     insta::assert_snapshot!(session.text());
