--- a/crates/policy/examples/choosers.rs
+++ b/crates/policy/examples/choosers.rs
@@ -1,28 +1,30 @@
 //! Compares ways to choose targets, in virtual time: 16 dispatchers, 25 targets of 3 slots, 3
 //! availability zones, open-loop Poisson arrivals, log-normal service. An arithmetic harness only.
 //!
-//! `cargo run --release -p policy --example choosers -- [--spread] [--sigma 0.5] [--seconds 30]
+//! `cargo run --release -p policy --example choosers -- [--spread 1] [--sigma 0.5] [--seconds 30]
 //! [--seed 1] [--only ours,ideal]`
+#![allow(clippy::cast_precision_loss, clippy::cast_possible_truncation)]
+#![allow(clippy::cast_sign_loss, reason = "figures of a measurement")]
 
 use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
+    fmt::Write,
     sync::Arc,
 };
 
 use hdrhistogram::Histogram;
-use model::{Class, InstanceId, Region, TargetId, Time, Zone};
+use model::{Class, InstanceId, TargetId, Time, Zone};
 use policy::{
-    Action, Call, CallId, Dispatcher, End, Event, Pick, Report, ServiceView, TargetState,
-    TargetView, home_instances, owner_of,
+    Action, Call, CallId, Dispatcher, End, Event, Pick, Report, ServiceView, Stats, TargetState,
+    TargetView,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rand_distr::{Distribution, Exp, LogNormal};
 
 const INSTANCES: usize = 16;
 const TARGETS: usize = 25;
-const SLOTS: u32 = 3;
-const ALL_SLOTS: u32 = 75;
+const SLOTS: usize = 3;
+/// Instances 0 to 2 are the homes, one in each zone.
 const ZONES: usize = 3;
 /// One way within a zone and between zones, in microseconds.
 const NEAR_US: u64 = 50;
@@ -33,21 +35,15 @@
 const WARM_UP_US: u64 = 3_000_000;
 const TICK_US: u64 = 5_000;
 const CALLERS: u64 = 20;
+/// The noisy caller adds this load.
+const NOISE: f64 = 0.5;
 const NOISY: u64 = 999;
 const NAMES: [&str; 3] = ["urgent", "confirm", "bulk"];
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
-enum Chooser {
-    Ours,
-    Random,
-    Least,
-    Two,
-    Ideal,
-}
-
-#[derive(Clone, Copy)]
+#[derive(Clone)]
 struct Case {
-    chooser: Chooser,
+    name: &'static str,
+    chooser: &'static str,
     load: f64,
     slow: bool,
     noisy: bool,
@@ -58,39 +54,14 @@
 }
 
 enum Ev {
-    Arrive { noisy: bool },
+    Arrive(bool),
     Deliver(usize, Event),
     Tick(usize),
-    Reach(usize, u64),
-    Done(usize, u64),
+    Reach(u64),
+    Done(u64),
     Abort(usize, u64),
 }
 
-struct Timed(Time, u64, Ev);
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
-#[derive(Clone, Copy)]
-struct Open {
-    class: usize,
-    caller: u64,
-    arrived: Time,
-}
-
 struct Attempt {
     instance: usize,
     call: CallId,
@@ -99,30 +70,21 @@
     work_us: u64,
 }
 
-#[derive(Default)]
-struct Upstream {
-    running: Vec<u64>,
-    queue: VecDeque<u64>,
-}
-
 struct World {
     case: Case,
     rng: StdRng,
-    heap: BinaryHeap<Reverse<Timed>>,
+    events: BTreeMap<(Time, u64), Ev>,
     seq: u64,
     dispatchers: Vec<Dispatcher>,
-    homes: Vec<usize>,
-    ids: HashMap<TargetId, usize>,
-    upstreams: Vec<Upstream>,
+    /// Attempts that run and that wait at each target.
+    running: Vec<Vec<u64>>,
+    queues: Vec<VecDeque<u64>>,
     attempts: HashMap<u64, Attempt>,
-    open: HashMap<CallId, Open>,
-    next: u64,
-    central: Vec<(Time, CallId)>,
-    busy: [u32; 2],
-    result: Outcome,
-}
-
-struct Outcome {
+    /// Class, caller and arrival of each call in the system.
+    open: HashMap<CallId, (usize, u64, Time)>,
+    /// Queue of the ideal chooser by latest start, and its slots in use on fast and slow targets.
+    central: BTreeMap<(Time, CallId), ()>,
+    busy: [usize; 2],
     latency: [Histogram<u64>; 3],
     offered: [u64; 3],
     within: [u64; 3],
@@ -130,18 +92,21 @@
     over: u64,
 }
 
-fn classes() -> Vec<Class> {
-    let class = |name: &str, target_ms, delay_ms, idempotent| Class {
+fn class(name: &str, target_ms: u64, delay_ms: u64, idempotent: bool) -> Class {
+    Class {
         name: name.into(),
         target_ms,
         delay_ms,
         idempotent,
         timeout_ms: (20 * target_ms).max(1_000),
-    };
-    vec![
-        class("urgent", 40, 15, true),
-        class("confirm", 60, 20, false),
-        class("bulk", 2_000, 1_500, true),
+    }
+}
+
+fn classes() -> [Class; 3] {
+    [
+        class(NAMES[0], 40, 15, true),
+        class(NAMES[1], 60, 20, false),
+        class(NAMES[2], 2_000, 1_500, true),
     ]
 }
 
@@ -153,180 +118,144 @@
     InstanceId::new(&format!("i-{i:02}"))
 }
 
-fn views() -> (Vec<Arc<ServiceView>>, Vec<usize>) {
-    let region = Region::new("r1");
-    let live: Vec<_> = (0..INSTANCES)
-        .map(|i| (instance(i), zone(i), region.clone()))
-        .collect();
-    let homes = home_instances(&"orders".into(), &region, &live);
-    let zone_of = |id: &InstanceId| live.iter().find(|l| l.0 == *id).map(|l| l.1.clone());
-    let target = |n: usize| {
-        let id = TargetId::new(&format!("t-{n:02}"));
-        let owner = owner_of(&id, &zone(n), &homes, zone_of).expect("there are homes");
-        Arc::new(TargetView {
-            incarnation: 1,
-            addr: ([127, 0, 0, 1], 9_000).into(),
-            zone: zone(n),
-            region: region.clone(),
-            version: "v1".into(),
-            slots: SLOTS,
-            state: TargetState::Usable,
-            owner,
-            id,
-        })
-    };
-    let targets: Vec<_> = (0..TARGETS).map(target).collect();
-    let mut owners = homes.clone();
-    owners.sort();
-    let view = |i: usize| {
-        Arc::new(ServiceView {
-            view: 1,
-            name: "orders".into(),
-            me: instance(i),
-            zone: zone(i),
-            classes: classes(),
-            targets: targets.clone(),
-            owners: owners.clone(),
-            version: "v1".into(),
-            shift: None,
-        })
+fn number_in(id: &str) -> usize {
+    id[2..].parse().expect("ids end in numbers")
+}
+
+fn view(me: usize) -> Arc<ServiceView> {
+    let target = |n: usize| TargetView {
+        id: TargetId::new(&format!("t-{n:02}")),
+        incarnation: 1,
+        addr: ([127, 0, 0, 1], 9_000).into(),
+        zone: zone(n),
+        region: "r1".into(),
+        version: "v1".into(),
+        slots: SLOTS as u32,
+        state: TargetState::Usable,
+        owner: instance(n % ZONES),
     };
-    let index = |h: &InstanceId| live.iter().position(|l| l.0 == *h).expect("homes are live");
-    (
-        (0..INSTANCES).map(view).collect(),
-        homes.iter().map(index).collect(),
-    )
+    Arc::new(ServiceView {
+        view: 1,
+        name: "orders".into(),
+        me: instance(me),
+        zone: zone(me),
+        classes: classes().into(),
+        targets: (0..TARGETS).map(|n| Arc::new(target(n))).collect(),
+        owners: (0..ZONES).map(instance).collect(),
+        version: "v1".into(),
+        shift: None,
+    })
+}
+
+fn path(i: usize, j: usize) -> u64 {
+    if i % ZONES == j % ZONES {
+        NEAR_US
+    } else {
+        FAR_US
+    }
 }
 
 impl World {
     fn new(case: Case) -> Self {
-        let (views, homes) = views();
         let pick = match case.chooser {
-            Chooser::Ours | Chooser::Ideal => Pick::Owned,
-            Chooser::Random => Pick::Random,
-            Chooser::Least => Pick::LeastInFlight,
-            Chooser::Two => Pick::TwoChoices,
+            "random" => Pick::Random,
+            "least" => Pick::LeastInFlight,
+            "two" => Pick::TwoChoices,
+            _ => Pick::Owned,
         };
-        let seeded = views.iter().zip(case.seed * 100..);
-        let dispatchers = seeded
-            .map(|(v, s)| Dispatcher::with_pick(v.clone(), s, pick))
-            .collect();
-        let ids = views[0]
-            .targets
-            .iter()
-            .enumerate()
-            .map(|(n, t)| (t.id.clone(), n))
-            .collect();
-        let histogram = || Histogram::new_with_bounds(1, 600_000_000, 3).expect("bounds are valid");
+        let seed = |i: usize| case.seed * 100 + i as u64;
+        let make = |i: usize| Dispatcher::with_pick(view(i), seed(i), pick);
+        let histogram = |_| Histogram::new_with_bounds(1, 600_000_000, 3).expect("valid bounds");
         Self {
-            case,
             rng: StdRng::seed_from_u64(case.seed),
-            heap: BinaryHeap::new(),
+            events: BTreeMap::new(),
             seq: 0,
-            dispatchers,
-            homes,
-            ids,
-            upstreams: (0..TARGETS).map(|_| Upstream::default()).collect(),
+            dispatchers: (0..INSTANCES).map(make).collect(),
+            running: vec![Vec::new(); TARGETS],
+            queues: vec![VecDeque::new(); TARGETS],
             attempts: HashMap::new(),
             open: HashMap::new(),
-            next: 0,
-            central: Vec::new(),
+            central: BTreeMap::new(),
             busy: [0; 2],
-            result: Outcome {
-                latency: std::array::from_fn(|_| histogram()),
-                offered: [0; 3],
-                within: [0; 3],
-                work_us: 0,
-                over: 0,
-            },
+            latency: std::array::from_fn(histogram),
+            offered: [0; 3],
+            within: [0; 3],
+            work_us: 0,
+            over: 0,
+            case,
         }
     }
 
     fn push(&mut self, at: Time, ev: Ev) {
         self.seq += 1;
-        self.heap.push(Reverse(Timed(at, self.seq, ev)));
+        self.events.insert((at, self.seq), ev);
     }
 
-    fn end(&self) -> Time {
-        Time(WARM_UP_US + self.case.seconds * 1_000_000)
-    }
-
-    fn run(mut self) -> (Outcome, Vec<policy::Stats>) {
-        self.push(Time(1), Ev::Arrive { noisy: false });
+    fn run(&mut self) {
+        self.push(Time(1), Ev::Arrive(false));
         if self.case.noisy {
-            self.push(Time(1), Ev::Arrive { noisy: true });
+            self.push(Time(1), Ev::Arrive(true));
         }
         for i in 0..INSTANCES {
             self.push(Time(i as u64 * 300 + 1), Ev::Tick(i));
         }
-        while let Some(Reverse(Timed(now, _, ev))) = self.heap.pop() {
-            if now > self.end() {
-                break;
-            }
+        let end = Time(WARM_UP_US + self.case.seconds * 1_000_000);
+        while let Some(((now, _), ev)) = self.events.pop_first().filter(|e| e.0.0 <= end) {
             self.step(now, ev);
         }
-        (
-            self.result,
-            self.dispatchers.iter().map(Dispatcher::stats).collect(),
-        )
+        // Calls still in the system were neither served nor refused.
+        for (class, caller, arrived) in self.open.values() {
+            let counted = arrived.0 > WARM_UP_US && *caller != NOISY;
+            self.offered[*class] -= u64::from(counted);
+        }
     }
 
     fn step(&mut self, now: Time, ev: Ev) {
         match ev {
-            Ev::Arrive { noisy } => self.arrive(now, noisy),
+            Ev::Arrive(noisy) => self.arrive(now, noisy),
             Ev::Deliver(i, event) => self.handle(now, i, event),
             Ev::Tick(i) => {
                 self.push(now.plus_us(TICK_US), Ev::Tick(i));
                 self.handle(now, i, Event::Tick);
             }
-            Ev::Reach(t, a) => {
-                self.upstreams[t].queue.push_back(a);
-                self.result.over += u64::from(self.upstreams[t].running.len() >= SLOTS as usize);
+            Ev::Reach(a) => {
+                let Some(t) = self.attempts.get(&a).map(|a| a.target) else {
+                    return;
+                };
+                self.over += u64::from(self.running[t].len() >= SLOTS);
+                self.queues[t].push_back(a);
                 self.serve(now, t);
             }
-            Ev::Done(t, a) => self.done(now, t, a),
+            Ev::Done(a) if self.case.chooser == "ideal" => self.done_central(now, a),
+            Ev::Done(a) => self.done(now, a),
             Ev::Abort(t, a) => {
-                self.upstreams[t].running.retain(|r| *r != a);
-                self.upstreams[t].queue.retain(|r| *r != a);
+                self.running[t].retain(|r| *r != a);
+                self.queues[t].retain(|r| *r != a);
                 self.serve(now, t);
             }
         }
     }
 
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn arrive(&mut self, now: Time, noisy: bool) {
-        let load = if noisy { 0.5 } else { self.case.load };
-        let rate = load * f64::from(ALL_SLOTS) / (MEAN_US * MIX);
+        let load = if noisy { NOISE } else { self.case.load };
+        let rate = load * (SLOTS * TARGETS) as f64 / (MEAN_US * MIX);
         let gap = Exp::new(rate).expect("positive rate").sample(&mut self.rng);
-        self.push(now.plus_us(gap as u64), Ev::Arrive { noisy });
-        let class = [0, 1, 2][usize::from(self.rng.random_bool(0.5))];
-        let class = if self.rng.random_bool(0.1) { 2 } else { class };
-        let caller = if noisy {
-            NOISY
-        } else {
-            self.rng.random_range(0..CALLERS)
-        };
+        self.push(now.plus_us(gap as u64), Ev::Arrive(noisy));
+        let bulk = self.rng.random_bool(0.1);
+        let class = if bulk { 2 } else { self.rng.random_range(0..2) };
+        let quiet = self.rng.random_range(0..CALLERS);
+        let caller = if noisy { NOISY } else { quiet };
         let id = CallId(self.seq);
         let spec = &classes()[class];
-        self.open.insert(
-            id,
-            Open {
-                class,
-                caller,
-                arrived: now,
-            },
-        );
-        if now.0 > WARM_UP_US && !noisy {
-            self.result.offered[class] += 1;
-        }
-        if self.case.chooser == Chooser::Ideal {
-            self.central.push((now.plus_ms(spec.delay_ms), id));
+        self.open.insert(id, (class, caller, now));
+        self.offered[class] += u64::from(now.0 > WARM_UP_US && !noisy);
+        if self.case.chooser == "ideal" {
+            self.central.insert((now.plus_ms(spec.delay_ms), id), ());
             self.start_central(now);
             return;
         }
-        let home = self.homes[self.rng.random_range(0..self.homes.len())];
-        let any = self.rng.random_range(0..INSTANCES);
-        let at = if self.case.spread { any } else { home };
+        let reached = if self.case.spread { INSTANCES } else { ZONES };
+        let at = self.rng.random_range(0..reached);
         let call = Call {
             id,
             class,
@@ -345,279 +274,219 @@
         self.dispatchers[i].handle(now, event, &mut out);
         for action in out {
             match action {
-                Action::Start { call, target } => self.start(now, i, call, &target),
-                Action::Refuse { call, .. } => {
-                    self.open.remove(&call);
-                }
+                Action::Start { call, target } => self.start(now, i, call, target.as_str()),
+                Action::Refuse { call, .. } => drop(self.open.remove(&call)),
                 Action::Send { to, msg } => {
-                    let j = (0..INSTANCES)
-                        .find(|j| instance(*j) == to)
-                        .expect("known peer");
-                    let event = Event::Peer {
-                        from: instance(i),
-                        msg,
-                    };
-                    self.push(now.plus_us(path(i, j)), Ev::Deliver(j, event));
+                    let from = instance(i);
+                    let to = number_in(to.as_str());
+                    let event = Event::Peer { from, msg };
+                    self.push(now.plus_us(path(i, to)), Ev::Deliver(to, event));
                 }
                 Action::GiveUp { .. } | Action::Draining { .. } => {}
             }
         }
     }
 
-    fn start(&mut self, now: Time, i: usize, call: CallId, target: &TargetId) {
-        let t = self.ids[target];
+    fn start(&mut self, now: Time, i: usize, call: CallId, target: &str) {
+        let t = number_in(target);
+        let (key, _) = self.attempt(now, i, call, t, self.case.slow && t == 0);
+        self.push(now.plus_us(path(i, t)), Ev::Reach(key));
+    }
+
+    fn attempt(
+        &mut self,
+        sent: Time,
+        instance: usize,
+        call: CallId,
+        target: usize,
+        slow: bool,
+    ) -> (u64, u64) {
         // A hedge may start while the answer to the first attempt is on its way.
-        let class = self.open.get(&call).map_or(0, |o| o.class);
-        let work_us = self.sample(class, self.case.slow && t == 0);
-        self.next += 1;
+        let class = self.open.get(&call).map_or(0, |o| o.0);
+        let work_us = self.sample(class, slow);
+        self.seq += 1;
         let attempt = Attempt {
-            instance: i,
+            instance,
             call,
-            target: t,
-            sent: now,
+            target,
+            sent,
             work_us,
         };
-        self.attempts.insert(self.next, attempt);
-        self.push(now.plus_us(path(i, t)), Ev::Reach(t, self.next));
+        self.attempts.insert(self.seq, attempt);
+        (self.seq, work_us)
     }
 
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn sample(&mut self, class: usize, slow: bool) -> u64 {
         let sigma = self.case.sigma;
         let normal = LogNormal::new(MEAN_US.ln() - sigma * sigma / 2.0, sigma);
         let unit = normal.expect("valid sigma").sample(&mut self.rng);
-        let factor = if class == 2 { 10.0 } else { 1.0 } * if slow { 5.0 } else { 1.0 };
-        (unit * factor) as u64
+        let bulk = if class == 2 { 10.0 } else { 1.0 };
+        (unit * bulk * if slow { 5.0 } else { 1.0 }) as u64
     }
 
     fn serve(&mut self, now: Time, t: usize) {
-        while self.upstreams[t].running.len() < SLOTS as usize {
-            let Some(a) = self.upstreams[t].queue.pop_front() else {
+        while self.running[t].len() < SLOTS {
+            let Some(a) = self.queues[t].pop_front() else {
                 return;
             };
-            self.upstreams[t].running.push(a);
-            let work = self.attempts.get(&a).map_or(0, |a| a.work_us);
-            self.push(now.plus_us(work), Ev::Done(t, a));
+            self.running[t].push(a);
+            self.push(now.plus_us(self.attempts[&a].work_us), Ev::Done(a));
         }
     }
 
-    fn done(&mut self, now: Time, t: usize, a: u64) {
-        if self.case.chooser == Chooser::Ideal {
-            self.busy[t] -= 1;
-            let attempt = self.attempts.remove(&a).expect("runs");
-            self.record(now, attempt.call, attempt.work_us);
-            self.start_central(now);
-            return;
-        }
-        let ran = self.upstreams[t].running.iter().position(|r| *r == a);
-        let Some(ran) = ran else { return };
-        self.upstreams[t].running.swap_remove(ran);
-        self.serve(now, t);
+    fn done(&mut self, now: Time, a: u64) {
+        // Without an entry, the attempt was cancelled and its abort is on the way.
         let Some(attempt) = self.attempts.remove(&a) else {
             return;
         };
-        let (i, call) = (attempt.instance, attempt.call);
+        let (i, t, call) = (attempt.instance, attempt.target, attempt.call);
+        self.running[t].retain(|r| *r != a);
+        self.serve(now, t);
         let at = now.plus_us(path(i, t));
         self.record(at, call, attempt.work_us);
-        self.push(
-            at,
-            Ev::Deliver(i, finish(call, t, End::Good, at.since_us(attempt.sent))),
-        );
-        let twin = self
-            .attempts
-            .iter()
-            .find(|(_, o)| o.call == call)
-            .map(|(key, _)| *key);
-        let Some((key, twin)) = twin.and_then(|key| Some((key, self.attempts.remove(&key)?)))
-        else {
+        self.report(at, &attempt, End::Good);
+        let twin = self.attempts.iter().find(|(_, o)| o.call == call);
+        let Some(key) = twin.map(|(key, _)| *key) else {
             return;
         };
-        let cancelled = finish(call, twin.target, End::Cancelled, at.since_us(twin.sent));
-        self.push(at, Ev::Deliver(i, cancelled));
+        let twin = self.attempts.remove(&key).expect("was found");
+        self.report(at, &twin, End::Cancelled);
         self.push(
             at.plus_us(path(i, twin.target)),
             Ev::Abort(twin.target, key),
         );
     }
 
+    fn report(&mut self, at: Time, attempt: &Attempt, end: End) {
+        let report = Report {
+            end,
+            service_us: at.since_us(attempt.sent),
+            retryable: false,
+            draining: false,
+            cold: false,
+        };
+        let target = TargetId::new(&format!("t-{:02}", attempt.target));
+        let call = attempt.call;
+        let event = Event::Finish {
+            call,
+            target,
+            report,
+        };
+        self.push(at, Ev::Deliver(attempt.instance, event));
+    }
+
+    /// The ideal: one queue by latest start without any delay, fast targets first.
     fn start_central(&mut self, now: Time) {
-        self.central.retain(|(latest, _)| *latest >= now);
-        let slow = u32::from(self.case.slow) * SLOTS;
-        let fast = ALL_SLOTS - slow;
-        while self.busy[0] < fast || self.busy[1] < slow {
-            let Some(best) = (0..self.central.len()).min_by_key(|i| self.central[*i]) else {
+        while let Some(first) = self.central.first_entry().filter(|e| e.key().0 < now) {
+            self.open.remove(&first.remove_entry().0.1);
+        }
+        let slow = if self.case.slow { SLOTS } else { 0 };
+        let slots = [SLOTS * TARGETS - slow, slow];
+        while let Some(lane) = (0..2).find(|l| self.busy[*l] < slots[*l]) {
+            let Some(((_, call), _)) = self.central.pop_first() else {
                 return;
             };
-            let (_, call) = self.central.swap_remove(best);
-            let lane = usize::from(self.busy[0] >= fast);
             self.busy[lane] += 1;
-            let work_us = self.sample(self.open[&call].class, lane == 1);
-            self.next += 1;
-            self.attempts.insert(
-                self.next,
-                Attempt {
-                    instance: 0,
-                    call,
-                    target: lane,
-                    sent: now,
-                    work_us,
-                },
-            );
-            self.push(now.plus_us(work_us), Ev::Done(lane, self.next));
+            let (key, work_us) = self.attempt(now, 0, call, lane, lane == 1);
+            self.push(now.plus_us(work_us), Ev::Done(key));
         }
     }
 
+    fn done_central(&mut self, now: Time, a: u64) {
+        let attempt = self.attempts.remove(&a).expect("runs");
+        self.busy[attempt.target] -= 1;
+        self.record(now, attempt.call, attempt.work_us);
+        self.start_central(now);
+    }
+
     fn record(&mut self, at: Time, call: CallId, work_us: u64) {
-        if at.0 > WARM_UP_US {
-            self.result.work_us += work_us;
-        }
-        let Some(open) = self.open.remove(&call) else {
+        self.work_us += if at.0 > WARM_UP_US { work_us } else { 0 };
+        let Some((class, caller, arrived)) = self.open.remove(&call) else {
             return;
         };
-        if open.arrived.0 <= WARM_UP_US || open.caller == NOISY {
+        if arrived.0 <= WARM_UP_US || caller == NOISY {
             return;
         }
-        let us = at.since_us(open.arrived);
-        self.result.latency[open.class].saturating_record(us);
-        let target_us = classes()[open.class].target_ms * 1_000;
-        self.result.within[open.class] += u64::from(us <= target_us);
-    }
-}
-
-fn path(i: usize, j: usize) -> u64 {
-    if i % ZONES == j % ZONES {
-        NEAR_US
-    } else {
-        FAR_US
+        let us = at.since_us(arrived);
+        self.latency[class].saturating_record(us);
+        self.within[class] += u64::from(us <= classes()[class].target_ms * 1_000);
     }
 }
 
-fn finish(call: CallId, t: usize, end: End, service_us: u64) -> Event {
-    let report = Report {
-        end,
-        service_us,
-        retryable: false,
-        draining: false,
-        cold: false,
-    };
-    Event::Finish {
-        call,
-        target: TargetId::new(&format!("t-{t:02}")),
-        report,
-    }
-}
-
-fn flag(name: &str) -> Option<String> {
+fn option<T: std::str::FromStr>(name: &str, default: T) -> T {
     let mut args = std::env::args().skip_while(|a| a != name);
-    args.next().map(|_| args.next().unwrap_or_default())
-}
-
-fn number<T: std::str::FromStr>(name: &str, default: T) -> T {
-    flag(name).and_then(|v| v.parse().ok()).unwrap_or(default)
-}
-
-fn cases() -> Vec<(&'static str, Case)> {
-    let base = Case {
-        chooser: Chooser::Ours,
-        load: 0.85,
-        slow: false,
-        noisy: false,
-        spread: flag("--spread").is_some(),
-        sigma: number("--sigma", 0.5),
-        seconds: number("--seconds", 30),
-        seed: number("--seed", 1),
-    };
-    let only = flag("--only").unwrap_or_default().to_lowercase();
-    let all = [
-        Chooser::Ours,
-        Chooser::Random,
-        Chooser::Least,
-        Chooser::Two,
-        Chooser::Ideal,
-    ];
-    let wanted = |c: &Chooser| only.is_empty() || only.contains(&format!("{c:?}").to_lowercase());
-    let mut cases = Vec::new();
-    for chooser in all.into_iter().filter(wanted) {
-        let case = Case { chooser, ..base };
-        let loads = [(0.7, "70%"), (0.85, "85%"), (0.95, "95%"), (1.3, "130%")];
-        cases.extend(loads.map(|(load, name)| (name, Case { load, ..case })));
-        cases.push(("85% slow", Case { slow: true, ..case }));
-        cases.push((
-            "85% noisy",
-            Case {
-                noisy: true,
-                ..case
-            },
-        ));
-    }
-    cases
+    args.nth(1).and_then(|v| v.parse().ok()).unwrap_or(default)
 }
 
-#[allow(clippy::cast_precision_loss)]
-fn row(name: &str, case: Case) -> String {
-    let (result, stats) = World::new(case).run();
-    let sum = |f: fn(&policy::Stats) -> u64| stats.iter().map(f).sum::<u64>();
-    let calls = sum(|s| s.arrived).max(1) as f64;
-    let capacity = f64::from(ALL_SLOTS) * case.seconds as f64 * 1e6;
-    let mut line = format!(
-        "{name:<9} {:<6}",
-        format!("{:?}", case.chooser).to_lowercase()
-    );
-    for class in 0..NAMES.len() {
-        let ms = |q| result.latency[class].value_at_quantile(q) as f64 / 1e3;
-        let offered = result.offered[class].max(1) as f64;
-        let served = result.latency[class].len() as f64;
-        let within = result.within[class] as f64;
-        line += &format!(
-            " | {:>6.1} {:>6.1} {:>6.1} {:>6.2} {:>6.2}",
-            ms(0.5),
-            ms(0.99),
-            ms(0.999),
-            100.0 * within / served.max(1.0),
-            100.0 * within / offered,
+fn row(case: Case) -> String {
+    let mut line = format!("{:<9} {:<6}", case.name, case.chooser);
+    let seconds = case.seconds as f64;
+    let mut world = World::new(case);
+    world.run();
+    for (class, latency) in world.latency.iter().enumerate() {
+        let ms = |q| latency.value_at_quantile(q) as f64 / 1e3;
+        let part = |of: u64| 100.0 * world.within[class] as f64 / of.max(1) as f64;
+        let (p50, p99, p999) = (ms(0.5), ms(0.99), ms(0.999));
+        let (served, all) = (part(latency.len()), part(world.offered[class]));
+        let _ = write!(
+            line,
+            " | {p50:>6.1} {p99:>6.1} {p999:>6.1} {served:>6.2} {all:>6.2}"
         );
     }
-    let seconds = (case.seconds as f64 + WARM_UP_US as f64 / 1e6) * INSTANCES as f64;
-    line += &format!(
-        " | {:>5.1} {:>5.2} {:>6.1} {:>5.2} {:>4.1} {:>5}",
-        100.0 * result.work_us as f64 / capacity,
-        sum(|s| s.messages) as f64 / calls,
-        sum(|s| s.bytes) as f64 / seconds / 1e3,
-        100.0 * sum(|s| s.loan_starts) as f64 / calls,
-        100.0 * sum(|s| s.hedges) as f64 / calls,
-        result.over,
+    let stats: Vec<Stats> = world.dispatchers.iter().map(Dispatcher::stats).collect();
+    assert!(stats.iter().all(|s| s.violations.is_empty()), "{stats:?}");
+    let sum = |f: fn(&Stats) -> u64| stats.iter().map(f).sum::<u64>() as f64;
+    let calls = sum(|s| s.arrived).max(1.0);
+    let work = 100.0 * world.work_us as f64 / ((SLOTS * TARGETS) as f64 * seconds * 1e6);
+    let messages = sum(|s| s.messages) / calls;
+    let rate = sum(|s| s.bytes) / (seconds + WARM_UP_US as f64 / 1e6) / INSTANCES as f64 / 1e3;
+    let loans = 100.0 * sum(|s| s.loan_starts) / calls;
+    let hedges = 100.0 * sum(|s| s.hedges) / calls;
+    let _ = write!(
+        line,
+        " | {work:>5.1} {messages:>5.2} {rate:>6.1} {loans:>5.1}"
     );
-    if flag("--codes").is_some() {
-        let mut codes = std::collections::BTreeMap::new();
-        for (code, count) in stats.iter().flat_map(|s| &s.refused) {
-            *codes.entry(code.number()).or_insert(0) += count;
-        }
-        let held_back = sum(|s| s.held_back);
-        line += &format!(" {codes:?} held back {held_back}");
-    }
-    line
+    line + &format!(" {hedges:>4.1} {:>6}", world.over)
 }
 
 fn main() {
-    let class = "    p50    p99  p99.9   in-t  of-all";
-    println!(
-        "{:<16}{}",
-        "",
-        NAMES.map(|n| format!(" | {n:<34}")).concat()
-    );
-    println!(
-        "{:<16}{} |  work msg/c  KB/s/i loan% hdg%  over",
-        "",
-        format!(" |{class}").repeat(3)
-    );
-    let cases = cases();
+    let only: String = option("--only", String::new());
+    let mut cases = Vec::new();
+    for chooser in ["ours", "random", "least", "two", "ideal"] {
+        let loads = [
+            ("70%", 0.7, false, false),
+            ("85%", 0.85, false, false),
+            ("95%", 0.95, false, false),
+            ("130%", 1.3, false, false),
+            ("85% slow", 0.85, true, false),
+            ("85% noisy", 0.85, false, true),
+        ];
+        let wanted = only.is_empty() || only.contains(chooser);
+        cases.extend(loads.into_iter().filter(|_| wanted).map(|l| Case {
+            name: l.0,
+            chooser,
+            load: l.1,
+            slow: l.2,
+            noisy: l.3,
+            spread: option("--spread", 0) != 0,
+            sigma: option("--sigma", 0.5),
+            seconds: option("--seconds", 30),
+            seed: option("--seed", 1),
+        }));
+    }
+    println!("{:16}{}", "", NAMES.map(|n| format!(" | {n:<34}")).concat());
+    let columns = " |    p50    p99  p99.9 served offered".repeat(3);
+    println!("{:16}{columns} |  work msg/c KB/s/i loan%  hdg   over", "");
     // Few threads, because the machine is shared.
     for group in cases.chunks(3) {
         std::thread::scope(|scope| {
-            let runs = group
-                .iter()
-                .map(|(name, case)| scope.spawn(|| row(name, *case)));
-            let runs: Vec<_> = runs.collect();
+            let start = |case: &Case| {
+                scope.spawn({
+                    let case = case.clone();
+                    move || row(case)
+                })
+            };
+            let runs: Vec<_> = group.iter().map(start).collect();
             for run in runs {
                 println!("{}", run.join().expect("the run ends"));
             }
