--- a/crates/policy/examples/choosers.rs
+++ b/crates/policy/examples/choosers.rs
@@ -7,7 +7,7 @@
 #![allow(clippy::cast_sign_loss, reason = "figures of a measurement")]
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     fmt::Write,
     sync::Arc,
 };
@@ -83,7 +83,7 @@
     /// Class, caller and arrival of each call in the system.
     open: HashMap<CallId, (usize, u64, Time)>,
     /// Queue of the ideal chooser by latest start, and its slots in use on fast and slow targets.
-    central: BTreeMap<(Time, CallId), ()>,
+    central: BTreeSet<(Time, CallId)>,
     busy: [usize; 2],
     latency: [Histogram<u64>; 3],
     offered: [u64; 3],
@@ -175,7 +175,7 @@
             queues: vec![VecDeque::new(); TARGETS],
             attempts: HashMap::new(),
             open: HashMap::new(),
-            central: BTreeMap::new(),
+            central: BTreeSet::new(),
             busy: [0; 2],
             latency: std::array::from_fn(histogram),
             offered: [0; 3],
@@ -250,7 +250,7 @@
         self.open.insert(id, (class, caller, now));
         self.offered[class] += u64::from(now.0 > WARM_UP_US && !noisy);
         if self.case.chooser == "ideal" {
-            self.central.insert((now.plus_ms(spec.delay_ms), id), ());
+            self.central.insert((now.plus_ms(spec.delay_ms), id));
             self.start_central(now);
             return;
         }
@@ -377,13 +377,14 @@
 
     /// The ideal: one queue by latest start without any delay, fast targets first.
     fn start_central(&mut self, now: Time) {
-        while let Some(first) = self.central.first_entry().filter(|e| e.key().0 < now) {
-            self.open.remove(&first.remove_entry().0.1);
+        while let Some(late) = self.central.first().copied().filter(|c| c.0 < now) {
+            self.central.remove(&late);
+            self.open.remove(&late.1);
         }
         let slow = if self.case.slow { SLOTS } else { 0 };
         let slots = [SLOTS * TARGETS - slow, slow];
         while let Some(lane) = (0..2).find(|l| self.busy[*l] < slots[*l]) {
-            let Some(((_, call), _)) = self.central.pop_first() else {
+            let Some((_, call)) = self.central.pop_first() else {
                 return;
             };
             self.busy[lane] += 1;
