--- a/crates/policy/src/dispatcher/borrow.rs
+++ b/crates/policy/src/dispatcher/borrow.rs
@@ -95,8 +95,9 @@
         }
     }
 
-    /// The stream to a peer broke. Its loans are used up but not again; what it lent and what it was
-    /// lent is settled by questions and holds.
+    /// The stream to a peer broke. Its loans are used up but not again. What it was lent stays with it
+    /// until it returns it or the hold ends: a new process of the same name would deny loans whose
+    /// calls still run.
     pub(super) fn peer_down(&mut self, peer: &InstanceId) {
         self.wishes.remove(peer);
         self.lenders.remove(peer);
@@ -105,6 +106,11 @@
             .iter_mut()
             .filter(|((lender, _), _)| lender == peer);
         lent.for_each(|(_, b)| b.closed = true);
+        let out = self.targets.values_mut().flat_map(|t| t.lent.values_mut());
+        for lent in out.filter(|l| l.to == *peer) {
+            lent.recalled = true;
+            lent.ask = Time::MAX;
+        }
     }
 
     /// Asks owners for slots while calls wait, one owner after the other, and withdraws wishes that
@@ -119,13 +125,16 @@
         if tight == 0 {
             self.withdraw(now, |told| told.1 > 0);
         }
-        let told = self.told(now);
+        let told = self.told(now, None);
         if tight <= told.1 && waiting <= told.0 {
             return;
         }
         let Some(owner) = self.owner_to_ask(now) else {
             return;
         };
+        let others = self.told(now, Some(&owner));
+        let tight = tight.saturating_sub(others.1);
+        let waiting = waiting.saturating_sub(others.0).max(tight).max(1);
         if !self.may_send(now, Urgency::Normal) {
             return;
         }
@@ -136,10 +145,12 @@
         self.send(&owner, LoanMsg::Want { waiting, tight });
     }
 
-    /// Calls covered by wishes that may still be answered: all, tight ones.
-    fn told(&self, now: Time) -> (u32, u32) {
-        let recent = |l: &&Lender| l.at.is_some_and(|at| now.since_us(at) < ANSWER_US);
-        let recent = self.lenders.values().filter(recent);
+    /// Calls covered by wishes that may still be answered, but for those to `except`: all, tight ones.
+    fn told(&self, now: Time, except: Option<&InstanceId>) -> (u32, u32) {
+        let recent = |l: &Lender| l.at.is_some_and(|at| now.since_us(at) < ANSWER_US);
+        let lenders = self.lenders.iter();
+        let recent = lenders.filter(|(id, l)| Some(*id) != except && recent(l));
+        let recent = recent.map(|(_, l)| l);
         recent.fold((0, 0), |(all, tight), l| (all + l.told.0, tight + l.told.1))
     }
 
--- a/crates/policy/src/target/tests.rs
+++ b/crates/policy/src/target/tests.rs
@@ -52,6 +52,15 @@
     assert!(target.limit.now() <= 2);
 }
 
+#[test]
+fn outrun_shows_slow_target() {
+    let mut target = warm();
+    (0..9).for_each(|_| target.outrun(0.2));
+    assert!(!target.is_slow(), "a quick cancellation says nothing");
+    (0..9).for_each(|_| target.outrun(4.0));
+    assert!(target.is_slow(), "hedges hide a slow target");
+}
+
 #[test]
 fn bad_shedding_halves_and_errors_do_not() {
     let mut target = warm();
@@ -89,3 +98,19 @@
     assert_eq!(target.used(), 2, "a later handover did not count");
     assert_eq!(target.used_without(&peer), 0);
 }
+
+#[test]
+fn inherit_answer_to_a_new_claim() {
+    let mut target = warm();
+    let until = Time::from_ms(100);
+    let peer = InstanceId::new("old");
+    let report = |busy| Inherited {
+        busy,
+        until,
+        view: 5,
+    };
+    target.inherit(&peer, report(1));
+    target.asked.push(peer.clone());
+    target.inherit(&peer, report(3));
+    assert_eq!(target.used(), 3, "an earlier handover hid a later one");
+}
