Shared ticks instead of timers for each call; short closing after whole requests

Each timer cost a system call and woke the reactor; a call made five. The sending half no longer ends with an error, for which the library took a backtrace. Waiting for bytes after the answer is limited to callers that still send: it held up a planned stop by 2 s and made it report a cut call.

--- a/crates/node/src/call/answer.rs
+++ b/crates/node/src/call/answer.rs
@@ -14,12 +14,12 @@
 use wire::KeyState;
 
 use crate::call::{
-    attempt::Sending,
     exchange::Exchange,
     head::{Length, has_header},
     headers::{answer_hop_headers, says_close},
     keys::KeyGuard,
     response::mark,
+    send_half::Sending,
 };
 
 /// Headers that the library adds to an answer that does not have them.
--- a/crates/node/src/call/attempt.rs
+++ b/crates/node/src/call/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at a call: an exchange with one target up to the answer's head.
 
-use std::{pin::Pin, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use async_std::{future::timeout, io};
 use futures::{
@@ -18,7 +18,7 @@
         head::{Length, body_length},
         headers::{hop_headers, says_close},
         job::Job,
-        send_half::SendHalf,
+        send_half::{Sending, send},
     },
     tap::{Seen, Tap},
 };
@@ -28,9 +28,6 @@
 /// Time for the body of a refusal. It usually comes with its head.
 const REFUSAL_LIMIT: Duration = Duration::from_millis(10);
 
-/// A request on its way out. Ends when the whole request left or the connection broke.
-pub type Sending = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
-
 /// Result of an attempt.
 #[derive(Debug)]
 pub enum Tried {
@@ -70,13 +67,11 @@
         exchange.end(End::Cancelled, false);
         return Err(Code::BodyFailed);
     };
-    let half = SendHalf::new(conn.stream().clone(), Arc::clone(&exchange.trace));
+    let trace = Arc::clone(&exchange.trace);
+    let mut sending = send(conn.stream().clone(), trace, message);
     let (tap, seen) = Tap::new(conn.stream().clone());
     exchange.conn = Some(conn);
     exchange.seen = Some(Arc::clone(&seen));
-    let mut sending: Sending = Box::pin(async move {
-        let _ = async_h1::connect(half, message).await;
-    });
     let mut decoding = Box::pin(async_h1::client::decode(tap));
     let (head, sending) = match select(&mut sending, &mut decoding).await {
         Either::Left(((), _)) => {
--- a/crates/node/src/call/handle.rs
+++ b/crates/node/src/call/handle.rs
@@ -116,6 +116,7 @@
     let state = Arc::clone(body.state());
     let limits = Limits {
         clock: ctx.clock,
+        ticks: &ctx.ticks,
         deadline,
         caller: caller.stream,
         body: Some(Arc::clone(&state)),
--- a/crates/node/src/call/send_half.rs
+++ b/crates/node/src/call/send_half.rs
@@ -10,33 +10,51 @@
 };
 
 use async_std::net::TcpStream;
-use futures::io::{AsyncRead, AsyncWrite};
+use futures::{
+    future::poll_fn,
+    io::{AsyncRead, AsyncWrite},
+};
+use http_types::Request;
 
 use crate::call::exchange::Trace;
 
+/// A request on its way out.
+pub type Sending = Pin<Box<dyn Future<Output = ()> + Send + Sync>>;
+
 /// Writes a request and reports what left.
 #[derive(Debug)]
-pub struct SendHalf {
+struct SendHalf {
     stream: TcpStream,
     trace: Arc<Trace>,
 }
 
-impl SendHalf {
-    /// The writing side of `stream`.
-    pub const fn new(stream: TcpStream, trace: Arc<Trace>) -> Self {
-        Self { stream, trace }
-    }
+/// Sends `message` on `stream`. Ends when the whole request left or the connection broke.
+pub fn send(stream: TcpStream, trace: Arc<Trace>, message: Request) -> Sending {
+    let half = SendHalf {
+        stream,
+        trace: Arc::clone(&trace),
+    };
+    let mut client = Box::pin(async_h1::connect(half, message));
+    Box::pin(poll_fn(move |cx| {
+        let ended = client.as_mut().poll(cx).is_ready();
+        if ended || trace.is_whole() {
+            Poll::Ready(())
+        } else {
+            Poll::Pending
+        }
+    }))
 }
 
 impl AsyncRead for SendHalf {
-    /// The client reads when the request left; the error ends it.
+    /// The client reads when the request left. It is dropped then: an error that would end it costs
+    /// the library a backtrace for each call.
     fn poll_read(
         self: Pin<&mut Self>,
         _cx: &mut Context<'_>,
         _buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         self.trace.note_whole();
-        Poll::Ready(Err(io::ErrorKind::Unsupported.into()))
+        Poll::Pending
     }
 }
 
--- a/crates/node/src/call/supervise.rs
+++ b/crates/node/src/call/supervise.rs
@@ -1,15 +1,16 @@
 //! Limits on work done for one caller: time, the caller's presence, its pace, and the instance's end.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
 
-use async_std::{net::TcpStream, task};
-use futures::{FutureExt, future, pin_mut, select_biased};
+use async_std::net::TcpStream;
+use futures::{future, pin_mut};
 use model::Time;
 
-use crate::{Token, call::body::BodyState, clock::Clock};
-
-/// Interval at which limits without an event of their own are checked.
-const TICK: Duration = Duration::from_millis(20);
+use crate::{Token, call::body::BodyState, clock::Clock, ticks::Ticks};
 
 /// Why work was given up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +30,8 @@
 pub struct Limits<'a> {
     /// Clock of the instance.
     pub clock: Clock,
+    /// Ticks of the instance.
+    pub ticks: &'a Ticks,
     /// End of the time.
     pub deadline: Time,
     /// Connection to the caller.
@@ -39,44 +42,49 @@
     pub cancel: &'a Token,
 }
 
-/// Runs `work` within `limits`. `work` is also polled at each tick: the library's reader of chunked
-/// trailers does not ask to be woken for the rest of a trailer that arrives in parts.
+/// Runs `work` within `limits`.
 pub async fn supervise<T>(limits: &Limits<'_>, work: impl Future<Output = T>) -> Result<T, Stop> {
-    let gone = watch_caller(limits).fuse();
-    let work = work.fuse();
+    let gone = watch_caller(limits);
     pin_mut!(gone, work);
-    loop {
-        let left = limits.deadline.since_us(limits.clock.now());
-        let tick = task::sleep(TICK.min(Duration::from_micros(left))).fuse();
-        pin_mut!(tick);
-        select_biased! {
-            value = work => return Ok(value),
-            () = gone => return Err(Stop::CallerGone),
-            () = tick => check(limits)?,
-        }
+    let either = future::poll_fn(|cx| poll_either(work.as_mut(), gone.as_mut(), cx));
+    limits.ticks.run(either, || check(limits)).await?
+}
+
+fn poll_either<T>(
+    work: Pin<&mut impl Future<Output = T>>,
+    gone: Pin<&mut impl Future<Output = ()>>,
+    cx: &mut Context<'_>,
+) -> Poll<Result<T, Stop>> {
+    if let Poll::Ready(value) = work.poll(cx) {
+        return Poll::Ready(Ok(value));
     }
+    gone.poll(cx).map(|()| Err(Stop::CallerGone))
 }
 
-fn check(limits: &Limits<'_>) -> Result<(), Stop> {
+fn check(limits: &Limits<'_>) -> Option<Stop> {
     if limits.cancel.is_cancelled() {
-        return Err(Stop::Ended);
+        return Some(Stop::Ended);
     }
     if limits.clock.now() >= limits.deadline {
-        return Err(Stop::Deadline);
-    }
-    match &limits.body {
-        Some(body) if !body.is_whole() && body.is_slow() => Err(Stop::SlowSender),
-        _ => Ok(()),
+        return Some(Stop::Deadline);
     }
+    let body = limits.body.as_ref()?;
+    (!body.is_whole() && body.is_slow()).then_some(Stop::SlowSender)
 }
 
 /// Ends when the caller closes its connection. While its body arrives, the reader of the body sees
 /// that. A caller that sends more before it has its answer cannot be watched.
 async fn watch_caller(limits: &Limits<'_>) {
     if let Some(body) = &limits.body {
-        while !body.is_whole() {
-            task::sleep(TICK).await;
-        }
+        // Polled at each tick.
+        future::poll_fn(|_| {
+            if body.is_whole() {
+                Poll::Ready(())
+            } else {
+                Poll::Pending
+            }
+        })
+        .await;
     }
     let mut byte = [0];
     match limits.caller.peek(&mut byte).await {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -3,6 +3,7 @@
 use std::{
     net::{Shutdown, SocketAddr},
     sync::Arc,
+    task::Poll,
     time::{Duration, Instant},
 };
 
@@ -11,8 +12,13 @@
     future::timeout,
     io::{self, WriteExt},
     net::TcpStream,
+    task,
+};
+use futures::{
+    FutureExt,
+    future::{BoxFuture, poll_fn},
+    pin_mut,
 };
-use futures::{FutureExt, pin_mut, select_biased};
 use http_types::{Method, Request, Response};
 use model::Code;
 use tracing::debug;
@@ -45,8 +51,10 @@
 enum Next {
     /// Another request.
     Request,
-    /// The end, after all that was answered has arrived.
+    /// The end; the caller sent nothing that was not read.
     Close,
+    /// The end, after what the caller still sends was taken.
+    Linger,
     /// The end at once; the caller must not take what it got as whole.
     Cut,
 }
@@ -59,11 +67,13 @@
     peer: SocketAddr,
 ) {
     let _ = stream.set_nodelay(true);
-    while wait_request(&ctx, &cancel, &stream).await {
+    let mut idle = Idle::new(&ctx, &cancel);
+    while idle.wait_request(&stream).await {
         let _busy = ctx.progress.start();
         match serve_request(&ctx, &cancel, &stream, peer).await {
             Next::Request => (),
-            Next::Close => {
+            Next::Close => return,
+            Next::Linger => {
                 let _ = timeout(LINGER, linger(&stream)).await;
                 return;
             }
@@ -75,17 +85,46 @@
     }
 }
 
-/// Waits for the first byte of a request. `false` if the connection has ended.
-async fn wait_request(ctx: &Context, cancel: &Token, stream: &TcpStream) -> bool {
-    let mut byte = [0];
-    let arrived = timeout(IDLE_LIMIT, stream.peek(&mut byte)).fuse();
-    let drained = ctx.progress.drain.cancelled().fuse();
-    let ended = cancel.cancelled().fuse();
-    pin_mut!(arrived, drained, ended);
-    select_biased! {
-        arrived = arrived => matches!(arrived, Ok(Ok(count)) if count > 0),
-        () = drained => false,
-        () = ended => false,
+/// What a connection waits for between requests. Made once for each connection: timers and waits on
+/// tokens take shared locks when they begin.
+struct Idle<'a> {
+    drained: BoxFuture<'a, ()>,
+    ended: BoxFuture<'a, ()>,
+    timer: BoxFuture<'a, ()>,
+}
+
+impl<'a> Idle<'a> {
+    fn new(ctx: &'a Context, cancel: &'a Token) -> Self {
+        Self {
+            drained: ctx.progress.drain.cancelled(),
+            ended: cancel.cancelled(),
+            timer: task::sleep(IDLE_LIMIT).boxed(),
+        }
+    }
+
+    /// Waits for the first byte of a request. `false` if the connection has ended.
+    async fn wait_request(&mut self, stream: &TcpStream) -> bool {
+        let since = Instant::now();
+        let mut byte = [0];
+        let arrived = stream.peek(&mut byte);
+        pin_mut!(arrived);
+        poll_fn(|cx| {
+            if let Poll::Ready(arrived) = arrived.as_mut().poll(cx) {
+                return Poll::Ready(arrived.is_ok_and(|count| count > 0));
+            }
+            if self.drained.poll_unpin(cx).is_ready() || self.ended.poll_unpin(cx).is_ready() {
+                return Poll::Ready(false);
+            }
+            while self.timer.poll_unpin(cx).is_ready() {
+                let left = IDLE_LIMIT.saturating_sub(since.elapsed());
+                if left.is_zero() {
+                    return Poll::Ready(false);
+                }
+                self.timer = task::sleep(left).boxed();
+            }
+            Poll::Pending
+        })
+        .await
     }
 }
 
@@ -96,18 +135,20 @@
     peer: SocketAddr,
 ) -> Next {
     let (tap, seen) = Tap::new(stream.clone());
-    let head = timeout(HEAD_LIMIT, Box::pin(decode(tap)));
-    let Some(head) = cancel.run(head).await else {
-        return Next::Cut;
+    let start = Instant::now();
+    let check = || {
+        let late = start.elapsed() >= HEAD_LIMIT;
+        (late || cancel.is_cancelled()).then_some(late)
     };
-    let (mut req, _reader) = match head {
+    let (mut req, _reader) = match ctx.ticks.run(Box::pin(decode(tap)), check).await {
         Ok(Ok(Some(head))) => head,
         Ok(Ok(None)) => return Next::Close,
+        Err(false) => return Next::Cut,
         Ok(Err(_)) if seen.head_too_large() => {
             return reject(ctx, stream, Code::HeadTooLarge).await;
         }
         Ok(Err(_)) => return reject(ctx, stream, Code::BadRequest).await,
-        Err(_) => return reject(ctx, stream, Code::SlowSender).await,
+        Err(true) => return reject(ctx, stream, Code::SlowSender).await,
     };
     let raw = seen.head().unwrap_or_default();
     if let Err(code) = check_request(raw, &req) {
@@ -128,8 +169,8 @@
     };
     let arrived = Instant::now();
     let mut answered = answer(ctx, &caller, req, body).await;
-    let keep = !closes && state.is_whole() && is_in_step(&seen, &state, length);
-    let keep = keep && !ctx.progress.is_leaving();
+    let whole = state.is_whole() && is_in_step(&seen, &state, length);
+    let keep = whole && !closes && !ctx.progress.is_leaving();
     if !keep {
         answered.response.insert_header("connection", "close");
     }
@@ -138,7 +179,8 @@
     match written {
         Err(()) => Next::Cut,
         Ok(()) if keep => Next::Request,
-        Ok(()) => Next::Close,
+        Ok(()) if whole => Next::Close,
+        Ok(()) => Next::Linger,
     }
 }
 
@@ -173,6 +215,7 @@
     let latest = ctx.clock.now().plus_ms(WRITE_LIMIT_MS);
     let limits = Limits {
         clock: ctx.clock,
+        ticks: &ctx.ticks,
         deadline: answered.deadline.unwrap_or(latest),
         caller: caller.stream,
         body: answered.body.clone(),
@@ -203,14 +246,14 @@
     let mut out = stream;
     let copy = io::copy(Encoder::new(response, Method::Get), &mut out);
     match timeout(Duration::from_millis(WRITE_LIMIT_MS), copy).await {
-        Ok(Ok(_)) => Next::Close,
+        Ok(Ok(_)) => Next::Linger,
         _ => Next::Cut,
     }
 }
 
 /// Refuses a connection, without waiting for a request.
 pub async fn refuse_connection(ctx: Arc<Context>, stream: TcpStream, code: Code) {
-    if reject(&ctx, &stream, code).await == Next::Close {
+    if reject(&ctx, &stream, code).await == Next::Linger {
         let _ = timeout(LINGER, linger(&stream)).await;
     }
 }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     call::Keys, clock::Clock, control::ControlEvent, dispatch::DispatchMsg, metrics::Metrics,
-    pool::Pools, snapshot::Snapshot, stop::Progress,
+    pool::Pools, snapshot::Snapshot, stop::Progress, ticks::Ticks,
 };
 
 /// Senders to the dispatcher tasks by service.
@@ -42,6 +42,8 @@
     pub pools: Pools,
     /// Idempotency keys that were claimed here.
     pub keys: Keys,
+    /// Shared ticks for limits.
+    pub ticks: Ticks,
     /// Metrics of the instance.
     pub metrics: Metrics,
     /// Work in progress, and whether the instance is leaving.
@@ -63,6 +65,7 @@
             control,
             pools: Pools::default(),
             keys: Keys::start(clock),
+            ticks: Ticks::start(),
             progress: Progress::default(),
             next_call: AtomicU64::new(1),
         })
--- a/crates/node/src/dispatch/task.rs
+++ b/crates/node/src/dispatch/task.rs
@@ -3,14 +3,17 @@
 use std::{
     collections::{HashMap, VecDeque},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_std::{
     channel::{Receiver, Sender, unbounded},
-    future::timeout,
     task,
 };
+use futures::{
+    FutureExt,
+    future::{BoxFuture, Either, select},
+};
 use model::{TargetId, Time};
 use policy::{Action, CallId, Dispatcher, End, Event, Report, ServiceView, TargetView};
 use tracing::debug;
@@ -61,20 +64,37 @@
 }
 
 async fn run(mut task: Task, receiver: Receiver<DispatchMsg>) {
+    let mut due = Instant::now() + IDLE_TICK;
+    let mut timer = sleep_until(due);
     loop {
-        let tick = if task.replies.is_empty() {
+        let message = match select(receiver.recv().boxed(), &mut timer).await {
+            Either::Left((Ok(message), _)) => Some(message),
+            Either::Left((Err(_), _)) => return,
+            Either::Right(_) => None,
+        };
+        let expired = message.is_none();
+        step(
+            &mut task,
+            message.unwrap_or(DispatchMsg::Event(Event::Tick)),
+        );
+        let interval = if task.replies.is_empty() {
             IDLE_TICK
         } else {
             BUSY_TICK
         };
-        match timeout(tick, receiver.recv()).await {
-            Ok(Ok(msg)) => step(&mut task, msg),
-            Ok(Err(_)) => return,
-            Err(_) => step(&mut task, DispatchMsg::Event(Event::Tick)),
+        // A timer that is early enough is kept: making one for each message is costly.
+        let next = Instant::now() + interval;
+        if expired || next < due {
+            due = next;
+            timer = sleep_until(due);
         }
     }
 }
 
+fn sleep_until(due: Instant) -> BoxFuture<'static, ()> {
+    task::sleep(due.saturating_duration_since(Instant::now())).boxed()
+}
+
 fn step(task: &mut Task, msg: DispatchMsg) {
     let now = task.ctx.clock.now();
     let event = match msg {
--- a/crates/node/src/dispatch/task/tests.rs
+++ b/crates/node/src/dispatch/task/tests.rs
@@ -1,6 +1,6 @@
 //! Guards against slots that stay taken by starts that no call took over.
 
-use async_std::channel::bounded;
+use async_std::{channel::bounded, future::timeout};
 use model::{Class, Settings};
 use policy::{Call, TargetState};
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod snapshot;
 mod stop;
 mod tap;
+mod ticks;
 
 pub use crate::{
     cancel::Token,
--- a/crates/node/tests/caller_faults.rs
+++ b/crates/node/tests/caller_faults.rs
@@ -8,7 +8,10 @@
     time::{Duration, Instant},
 };
 
-use async_std::{io::WriteExt, task};
+use async_std::{io::WriteExt, net::TcpStream, task};
+use model::Settings;
+use node::{Node, Token};
+use testkit::{ListServer, LogServer};
 
 use common::{Act, Asked, RawUpstream, Reply, Rig, call_head, read_all};
 
@@ -107,6 +110,43 @@
     });
 }
 
+#[test]
+fn request_before_configuration() {
+    task::block_on(async {
+        let (log, list) = (LogServer::start().await, ListServer::start().await);
+        let text = common::settings_text(log.addr(), list.addr());
+        let settings = Settings::parse("test", &text).unwrap();
+        let entry = settings.listen;
+        let node = Node::start(settings, &Token::new()).await.unwrap();
+        let addresses = "GET /v1/addresses?service=orders HTTP/1.1\r\nhost: h\r\n\
+                         connection: close\r\n\r\n";
+        let call = with_lines("content-length: 0\r\nconnection: close\r\n");
+        for request in [addresses, &call] {
+            let mut caller = TcpStream::connect(entry).await.unwrap();
+            caller.write_all(request.as_bytes()).await.unwrap();
+            let reply = Reply::parse(&read_all(&mut caller).await);
+            assert_eq!(reply.result(), (503, 3007, "not-run"));
+        }
+        node.kill();
+    });
+}
+
+#[test]
+fn addresses_answer() {
+    task::block_on(async {
+        let (_upstream, rig) = echo_rig().await;
+        let text = "GET /v1/addresses?service=orders&zone=a HTTP/1.1\r\nhost: h\r\n\
+                    connection: close\r\n\r\n";
+        let reply = Reply::parse(&rig.raw(text.as_bytes()).await);
+        assert_eq!(reply.status, 200);
+        assert!(reply.header("hw-offset").is_some());
+        let body: serde_json::Value = serde_json::from_str(&reply.body).unwrap();
+        assert_eq!(body["addresses"][0], rig.entry.to_string());
+        let age = body["max_age_ms"].as_u64().unwrap();
+        assert!((1_600..=2_400).contains(&age), "{age}");
+    });
+}
+
 #[test]
 fn request_without_service() {
     task::block_on(async {
--- a/crates/node/tests/planned_stop.rs
+++ b/crates/node/tests/planned_stop.rs
@@ -168,7 +168,9 @@
         let reply = Reply::parse(&read_all(&mut long).await);
         assert_eq!(reply.result(), (200, 1000, "served"));
         assert_eq!(reply.header("connection"), Some("close"));
+        // The caller keeps its end open; that must not hold up the stop.
         assert_eq!(program.wait().await, Some(0));
+        drop((idle, long));
     });
 }
 
@@ -197,6 +199,13 @@
         platform.list.set_down(true);
         program.signal();
         task::sleep(Duration::from_millis(700)).await;
+        let mut caller = TcpStream::connect(program.entry).await.unwrap();
+        let text = "GET /v1/addresses?service=orders&zone=a HTTP/1.1\r\nhost: h\r\n\r\n";
+        caller.write_all(text.as_bytes()).await.unwrap();
+        let reply = Reply::parse(&read_all(&mut caller).await);
+        assert_eq!(reply.status, 200);
+        let own = program.entry.to_string();
+        assert!(!reply.body.contains(&own), "{reply:?}");
         platform.list.set_down(false);
         assert_eq!(program.wait().await, Some(0));
         let entries = platform.list.entries();
