--- /dev/null
+++ b/crates/node/src/dispatch/meter.rs
@@ -0,0 +1,53 @@
+//! Reports what a dispatcher counted as metrics.
+
+use model::Time;
+use policy::{Dispatcher, Stats};
+
+use crate::context::Context;
+
+/// Interval of reports, in milliseconds.
+const REPORT_MS: u64 = 1_000;
+
+/// Counters as reported last.
+#[derive(Debug, Default)]
+pub struct Meter {
+    last: Stats,
+    reported: Time,
+}
+
+impl Meter {
+    /// Reports what was counted since the last report, if one is due.
+    pub fn report(&mut self, ctx: &Context, now: Time, service: &str, dispatcher: &Dispatcher) {
+        if now.since_us(self.reported) < REPORT_MS * 1_000 {
+            return;
+        }
+        self.reported = now;
+        let stats = dispatcher.stats();
+        for (name, count) in counts(&self.last, &stats) {
+            ctx.metrics.dispatched(name, service, count);
+        }
+        ctx.metrics.waiting(service, stats.queue as u64);
+        for (code, count) in &stats.violations {
+            let known = self.last.violations.get(code).copied().unwrap_or(0);
+            for _ in known..*count {
+                ctx.violation(*code, service);
+            }
+        }
+        self.last = stats;
+    }
+}
+
+/// Names of the counters and by how much each rose.
+fn counts(old: &Stats, new: &Stats) -> [(&'static str, u64); 9] {
+    [
+        ("starts", new.starts - old.starts),
+        ("retries", new.retries - old.retries),
+        ("hedges", new.hedges - old.hedges),
+        ("loans_out", new.loans_out - old.loans_out),
+        ("loans_in", new.loans_in - old.loans_in),
+        ("loan_messages", new.messages - old.messages),
+        ("loan_bytes", new.bytes - old.bytes),
+        ("held_back", new.held_back - old.held_back),
+        ("ejections", new.ejections - old.ejections),
+    ]
+}
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! One task for each service owns that service's dispatcher; calls reach it over a channel.
 
+mod meter;
 mod msg;
 mod tally;
 mod task;
--- a/crates/node/src/dispatch/task.rs
+++ b/crates/node/src/dispatch/task.rs
@@ -3,14 +3,17 @@
 use std::{
     collections::{HashMap, VecDeque},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_std::{
     channel::{Receiver, Sender, unbounded},
-    future::timeout,
     task,
 };
+use futures::{
+    FutureExt,
+    future::{BoxFuture, Either, select},
+};
 use model::{TargetId, Time};
 use policy::{Action, CallId, Dispatcher, End, Event, Report, ServiceView};
 use tracing::debug;
@@ -21,6 +24,7 @@
     control::ControlEvent,
     dispatch::{
         DispatchMsg, Reply,
+        meter::Meter,
         tally::{Tally, TargetIndex},
     },
 };
@@ -39,6 +43,7 @@
     /// Targets of the view.
     targets: TargetIndex,
     tally: Tally,
+    meter: Meter,
     /// Ends of attempts that no call took over.
     unstarted: VecDeque<Event>,
 }
@@ -58,6 +63,7 @@
         dispatcher: Dispatcher::new(Arc::clone(&view), seed),
         targets: index(&view),
         tally: Tally::default(),
+        meter: Meter::default(),
         view,
         replies: HashMap::new(),
         out: Vec::new(),
@@ -71,20 +77,37 @@
 }
 
 async fn run(mut task: Task, receiver: Receiver<DispatchMsg>) {
+    let mut due = Instant::now() + IDLE_TICK;
+    let mut timer = sleep_until(due);
     loop {
-        let tick = if task.replies.is_empty() {
+        let message = match select(receiver.recv().boxed(), &mut timer).await {
+            Either::Left((Ok(message), _)) => Some(message),
+            Either::Left((Err(_), _)) => return,
+            Either::Right(_) => None,
+        };
+        let expired = message.is_none();
+        step(
+            &mut task,
+            message.unwrap_or(DispatchMsg::Event(Event::Tick)),
+        );
+        let interval = if task.replies.is_empty() {
             IDLE_TICK
         } else {
             BUSY_TICK
         };
-        match timeout(tick, receiver.recv()).await {
-            Ok(Ok(msg)) => step(&mut task, msg),
-            Ok(Err(_)) => return,
-            Err(_) => step(&mut task, DispatchMsg::Event(Event::Tick)),
+        // A timer that is early enough is kept: making one for each message is costly.
+        let next = Instant::now() + interval;
+        if expired || next < due {
+            due = next;
+            timer = sleep_until(due);
         }
     }
 }
 
+fn sleep_until(due: Instant) -> BoxFuture<'static, ()> {
+    task::sleep(due.saturating_duration_since(Instant::now())).boxed()
+}
+
 fn step(task: &mut Task, msg: DispatchMsg) {
     let now = task.ctx.clock.now();
     let event = match msg {
@@ -114,6 +137,8 @@
     while let Some(event) = task.unstarted.pop_front() {
         handle(task, now, event);
     }
+    let service = task.view.name.as_str();
+    task.meter.report(&task.ctx, now, service, &task.dispatcher);
     for event in task.tally.take(now, &task.view.name) {
         let _ = task.ctx.control.try_send(event);
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 mod snapshot;
 mod stop;
 mod tap;
+mod ticks;
 
 pub use crate::{
     cancel::Token,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,6 +11,8 @@
 use model::{Code, Settings};
 use tracing::warn;
 
+use crate::peer::PeerStats;
+
 /// Metrics that wait for sending. About one second of calls of one instance.
 const QUEUE: usize = 16 * 1024;
 /// Prefix of all names.
@@ -83,6 +85,49 @@
         }
     }
 
+    /// Counts what a dispatcher did since its last report.
+    pub fn dispatched(&self, name: &str, service: &str, count: u64) {
+        let Some(client) = &self.client else {
+            return;
+        };
+        if count > 0 {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            client
+                .count_with_tags(name, count)
+                .with_tag("service", service)
+                .send();
+        }
+    }
+
+    /// Records the number of calls that wait for a slot.
+    pub fn waiting(&self, service: &str, count: u64) {
+        if let Some(client) = &self.client {
+            client
+                .gauge_with_tags("waiting", count)
+                .with_tag("service", service)
+                .send();
+        }
+    }
+
+    /// Records what the streams to other instances carried in all.
+    pub fn peers(&self, stats: &PeerStats) {
+        let Some(client) = &self.client else {
+            return;
+        };
+        let pairs = [
+            ("peer_sent", &stats.sent),
+            ("peer_sent_bytes", &stats.sent_bytes),
+            ("peer_received", &stats.received),
+            ("peer_received_bytes", &stats.received_bytes),
+            ("peer_dropped", &stats.dropped),
+        ];
+        for (name, value) in pairs {
+            client
+                .gauge_with_tags(name, value.load(Ordering::Relaxed))
+                .send();
+        }
+    }
+
     /// Counts a violated invariant.
     pub fn violation(&self, code: Code) {
         self.violations.fetch_add(1, Ordering::Relaxed);
