Silent-upstream test warms its target before it needs two connections

Cause: the test needs two calls at a time, while a cold target now runs one; both calls then used one connection and no sibling was left to be closed. Change: twenty calls warm the target first; the checks are unchanged.

--- a/crates/node/tests/upstream_faults.rs
+++ b/crates/node/tests/upstream_faults.rs
@@ -166,15 +166,25 @@
     });
 }
 
+/// Good answers after which a cold target may run two calls at a time, with some to spare.
+const WARM_CALLS: u32 = 20;
+const WARM_AND_TWO: u32 = WARM_CALLS + 2;
+
 #[test]
 fn silent_upstream_ends_at_deadline() {
     task::block_on(async {
+        // The first calls warm the target up, so that the next two may run at a time.
         let upstream = RawUpstream::start(true, |asked| match asked.number {
-            0 | 1 => vec![Act::Pause(50), Act::Send(asked.answer("ok"))],
+            0..WARM_CALLS => vec![Act::Send(asked.answer("ok"))],
+            WARM_CALLS..WARM_AND_TWO => vec![Act::Pause(50), Act::Send(asked.answer("ok"))],
             _ => vec![Act::Silence],
         })
         .await;
         let rig = Rig::start(upstream.addr, 3).await;
+        for _ in 0..WARM_CALLS {
+            let reply = rig.call("lookup", "", b"").await;
+            assert_eq!(reply.status, 200);
+        }
         let (first, second) = (rig.call("lookup", "", b""), rig.call("lookup", "", b""));
         let (first, second) = futures::join!(first, second);
         assert_eq!((first.status, second.status), (200, 200));
