Tell lenders how many wanted slots are for tight classes

A lender keeps its reserved slots for tight classes. Want named only the number of waiting calls, so that bulk calls of a peer would have taken them. Return now carries scaled service times, because the lender does not know the classes of the calls.

--- a/crates/wire/src/loan.rs
+++ b/crates/wire/src/loan.rs
@@ -10,6 +10,8 @@
     Want {
         /// Calls that could start at once.
         waiting: u32,
+        /// Those among them whose class may use reserved slots.
+        tight: u32,
     },
     /// The sender lends one slot of a target that it owns.
     Grant {
@@ -28,7 +30,8 @@
         good: u32,
         /// Calls that failed or were refused by the upstream.
         bad: u32,
-        /// Sum of the service times of the good calls, in microseconds.
+        /// Sum over the good calls of service time over the class's median, a call at the median
+        /// counted as 10,000 us. Scaled, because the lender does not know the calls' classes.
         busy_us: u64,
         /// The target said that it is draining.
         draining: bool,
