--- a/crates/policy/examples/choosers.rs
+++ b/crates/policy/examples/choosers.rs
@@ -437,7 +437,10 @@
     let stats: Vec<Stats> = world.dispatchers.iter().map(Dispatcher::stats).collect();
     assert!(stats.iter().all(|s| s.violations.is_empty()), "{stats:?}");
     let sum = |f: fn(&Stats) -> u64| stats.iter().map(f).sum::<u64>() as f64;
-    let calls = sum(|s| s.arrived).max(1.0);
+    // The ideal uses no dispatcher.
+    let calls = Some(sum(|s| s.arrived))
+        .filter(|c| *c > 0.0)
+        .unwrap_or(f64::INFINITY);
     let work = 100.0 * world.work_us as f64 / ((SLOTS * TARGETS) as f64 * seconds * 1e6);
     let messages = sum(|s| s.messages) / calls;
     let rate = sum(|s| s.bytes) / (seconds + WARM_UP_US as f64 / 1e6) / INSTANCES as f64 / 1e3;
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -9,8 +9,9 @@
     limit::Limit,
 };
 
-/// Weight of a new sample in the relative service time.
-const SPEED_WEIGHT: f64 = 0.25;
+/// Weight of a new sample in the relative service time. With log-normal service of sigma 0.8, a weight
+/// of 0.25 took sound targets for slow and cut work at 130% load to three quarters.
+const SPEED_WEIGHT: f64 = 0.05;
 /// Relative service time from which a target is slow.
 pub(crate) const SLOW: f64 = 3.0;
 /// Consecutive slow calls of a target that was not slow before, after which it counts as cold again.
--- a/crates/policy/src/target/tests.rs
+++ b/crates/policy/src/target/tests.rs
@@ -48,7 +48,7 @@
 #[test]
 fn good_slow_on_average_halves() {
     let mut target = warm();
-    (0..9).for_each(|i| target.good(if i % 3 == 2 { 1.0 } else { 6.0 }));
+    (0..45).for_each(|i| target.good(if i % 3 == 2 { 1.0 } else { 6.0 }));
     assert!(target.limit.now() <= 2);
 }
 
@@ -57,7 +57,7 @@
     let mut target = warm();
     (0..9).for_each(|_| target.outrun(0.2));
     assert!(!target.is_slow(), "a quick cancellation says nothing");
-    (0..9).for_each(|_| target.outrun(4.0));
+    (0..45).for_each(|_| target.outrun(4.0));
     assert!(target.is_slow(), "hedges hide a slow target");
 }
 
--- a/crates/policy/tests/sessions.rs
+++ b/crates/policy/tests/sessions.rs
@@ -39,7 +39,7 @@
     let mut session = Session::new(&["i-0"], &["i-0", "i-0", "i-0"]);
     session.warm_up();
     session.slow = Some("t-0");
-    for n in 0..30 {
+    for n in 0..45 {
         session.arrive("i-0", [CONFIRM, URGENT, CONFIRM][n % 3]);
         session.run(2.0);
     }
