policy: moves in disturbances of both versions

A measurement with both versions slow and failing for 3 s in every 10 s took all of 1,000 good moves back. The old version's rates now come from the last observation as well, a route uses the service's rates in a disturbance, rates remembered at full share include a disturbance that was in progress, and no step is taken in one.

Also tests for rules that mutations of the code left unnoticed.

--- a/crates/policy/src/moves/line.rs
+++ b/crates/policy/src/moves/line.rs
@@ -12,9 +12,9 @@
 /// Observations of the old version that its rates are taken from. Only observations with calls
 /// count, so the rates stay available when the old version no longer receives calls.
 const WINDOW: usize = 64;
-/// Last observations that are also looked at alone, so that a disturbance of both versions is seen
-/// as one at once.
-const RECENT: usize = 4;
+/// Numbers of last observations that are also looked at alone. A disturbance of both versions shows
+/// in the last one; where that has few calls, a few together say more.
+const RECENT: [usize; 2] = [1, 4];
 /// Calls of the old version without which there is nothing to compare with.
 const MIN_OLD_CALLS: u64 = 30;
 /// Calls below which the last observations say nothing.
@@ -29,6 +29,11 @@
 /// Rates below which a version is never called bad.
 const BAD_ERROR_RATE: f64 = 0.05;
 const BAD_SLOW_RATE: f64 = 0.25;
+/// Rate below which a rise of the old version's rate is taken for chance.
+const MIN_DISTURBED_RATE: f64 = 0.05;
+/// Rise of the old version's rates that counts as a disturbance. A version that is bad all the time
+/// is none, so that an operator can move away from it.
+const DISTURBED_FACTOR: f64 = 2.0;
 /// Rates of gross faults.
 const GROSS_ERROR_RATE: f64 = 0.5;
 const GROSS_SLOW_RATE: f64 = 0.7;
@@ -38,10 +43,15 @@
 /// Rate above which the old version cannot be told from a worse one.
 const MAX_RATE: f64 = 0.98;
 
+/// Picks errors or slow calls.
+type Hits = fn(&RouteCounts) -> u64;
+
 /// State of the two tests, for errors and for slowness.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Line {
     window: VecDeque<RouteCounts>,
+    /// Whether the old version received no call in the last observation.
+    idle: bool,
     errors: Check,
     slow: Check,
     calls: u64,
@@ -55,12 +65,14 @@
         self.calls = 0;
     }
 
-    /// Adds the calls since the last observation. `Some` names the test that found a fault.
+    /// Adds the calls since the last observation. `floors` are rates of errors and slow calls that
+    /// the old version is known to have at least. `Some` names the test that found a fault.
     pub(crate) fn observe(
         &mut self,
         old: RouteCounts,
         new: &RouteCounts,
         alpha: f64,
+        floors: [f64; 2],
     ) -> Option<&'static str> {
         self.remember(old);
         let old_calls: u64 = self.window.iter().map(|c| c.calls).sum();
@@ -68,16 +80,15 @@
             return None;
         }
         self.calls += new.calls;
-        let fresh = self.window.back().is_some_and(|c| c.calls > 0);
-        let good = self.old_rate(|c| c.errors, MIN_ERROR_RATE, fresh);
+        let good = self.old_rate(errors, floors[0].max(MIN_ERROR_RATE));
         let rates = bad_rates(good, BAD_ERROR_RATE, GROSS_ERROR_RATE);
         if self.errors.add((new.errors, new.calls), rates, alpha) {
             return Some("errors");
         }
-        let good = self.old_rate(|c| c.slow, MIN_SLOW_RATE, fresh);
+        let good = self.old_rate(slow, floors[1].max(MIN_SLOW_RATE));
         let rates = bad_rates(good, BAD_SLOW_RATE, GROSS_SLOW_RATE);
-        let slow = self.slow.add((new.slow, new.calls), rates, alpha);
-        slow.then_some("slow")
+        let found = self.slow.add((new.slow, new.calls), rates, alpha);
+        found.then_some("slow")
     }
 
     /// Whether both checks accepted the version at this share, on at least `calls` calls.
@@ -90,10 +101,11 @@
         self.errors.is_suspicious() || self.slow.is_suspicious()
     }
 
-    /// An observation without calls is kept once, as the mark that the rates are remembered ones.
+    /// Only observations with calls are kept, so that the rates outlast the old version's calls.
     fn remember(&mut self, old: RouteCounts) {
-        if self.window.back().is_some_and(|c| c.calls == 0) {
-            self.window.pop_back();
+        self.idle = old.calls == 0;
+        if self.idle {
+            return;
         }
         self.window.push_back(old);
         if self.window.len() > WINDOW {
@@ -101,21 +113,57 @@
         }
     }
 
-    /// The old version's rate of `hits`, with a margin.
-    fn old_rate(&self, hits: impl Fn(&RouteCounts) -> u64, floor: f64, fresh: bool) -> f64 {
-        let rate = |count: usize, least: u64| {
-            let last = self.window.iter().rev().take(count);
-            let sum = last.fold((0, 0), |(h, n), c| (h + hits(c), n + c.calls));
-            if sum.1 < least { 0.0 } else { upper_rate(sum) }
-        };
-        let whole = rate(WINDOW, MIN_OLD_CALLS);
+    /// Whether something disturbs the old version now, as far as it still receives calls.
+    pub(crate) fn is_disturbed(&self) -> bool {
+        !self.idle && self.disturbance().iter().any(|rate| *rate > 0.0)
+    }
+
+    /// The old version's rates of errors and slow calls in a disturbance, else 0.
+    pub(crate) fn disturbance(&self) -> [f64; 2] {
+        [
+            self.disturbed_rate(errors, BAD_ERROR_RATE),
+            self.disturbed_rate(slow, BAD_SLOW_RATE),
+        ]
+    }
+
+    /// The old version's rate. The last observations get a margin only in a disturbance: at other
+    /// times a margin on so few calls would hide faults.
+    fn old_rate(&self, hits: Hits, floor: f64) -> f64 {
+        let recent = RECENT.map(|count| match self.last(count, hits) {
+            (_, calls) if calls < MIN_RECENT_CALLS => 0.0,
+            sum => rate(sum),
+        });
+        let whole = upper_rate(self.last(WINDOW, hits));
+        let disturbed = self.disturbed_rate(hits, floor.max(MIN_DISTURBED_RATE));
+        let measured = recent.into_iter().fold(whole.max(disturbed), f64::max);
+        let fresh = self.window.back().is_some_and(|c| c.calls > 0);
         let measured = if fresh {
-            whole.max(rate(RECENT, MIN_RECENT_CALLS))
+            measured
         } else {
-            whole * REMEMBERED
+            measured * REMEMBERED
         };
         measured.clamp(floor, MAX_RATE)
     }
+
+    /// The rate, with a margin, if it just rose to at least `least` and much above what it was over
+    /// the whole window, else 0.
+    fn disturbed_rate(&self, hits: Hits, least: f64) -> f64 {
+        let usual = rate(self.last(WINDOW, hits));
+        let rate_of = |count| {
+            let sum = self.last(count, hits);
+            let recent = rate(sum);
+            let risen = recent >= least && recent >= DISTURBED_FACTOR * usual;
+            let counts = sum.1 >= MIN_RECENT_CALLS && risen;
+            if counts { upper_rate(sum) } else { 0.0 }
+        };
+        RECENT.map(rate_of).into_iter().fold(0.0, f64::max)
+    }
+
+    /// Hits and calls of the old version over the last observations.
+    fn last(&self, count: usize, hits: Hits) -> (u64, u64) {
+        let last = self.window.iter().rev().take(count);
+        last.fold((0, 0), |(h, n), c| (h + hits(c), n + c.calls))
+    }
 }
 
 /// The rates of a bad version where the old one has the rate `good`.
@@ -130,6 +178,18 @@
     Rates { good, mild, gross }
 }
 
+fn errors(counts: &RouteCounts) -> u64 {
+    counts.errors
+}
+
+fn slow(counts: &RouteCounts) -> u64 {
+    counts.slow
+}
+
+fn rate((hits, calls): (u64, u64)) -> f64 {
+    as_f64(hits) / as_f64(calls.max(1))
+}
+
 fn upper_rate((hits, calls): (u64, u64)) -> f64 {
     let calls = as_f64(calls);
     let rate = (as_f64(hits) + 0.5) / (calls + 1.0);
--- a/crates/policy/src/moves/trial.rs
+++ b/crates/policy/src/moves/trial.rs
@@ -1,7 +1,7 @@
 //! Judges a move from the merged counters: one line of comparison for the whole service and one for
 //! each route, each against the old version at the same time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use model::Time;
 use wire::RouteCounts;
@@ -38,10 +38,13 @@
         &self.opinion
     }
 
-    /// Whether some test leans towards a fault without being sure.
+    /// Whether this is no time for a step: some test leans towards a fault without being sure, or
+    /// something disturbs both versions. A step to full share in a disturbance would leave only
+    /// the old version's earlier and better rates to compare with.
     #[must_use]
-    pub fn is_suspicious(&self) -> bool {
-        self.whole.is_suspicious() || self.routes.values().any(Line::is_suspicious)
+    pub fn is_doubtful(&self) -> bool {
+        let suspicious = self.routes.values().any(Line::is_suspicious);
+        suspicious || self.whole.is_suspicious() || self.whole.is_disturbed()
     }
 }
 
@@ -66,33 +69,29 @@
 }
 
 fn observe(trial: &mut Trial, evidence: &Evidence) -> Opinion {
+    let rises = trial.rises(evidence);
     let mut sums = [RouteCounts::default(), RouteCounts::default()];
-    let mut found = None;
-    let routes = evidence.totals(Side::New).len().max(1);
-    let routes = f64::from(u32::try_from(routes).unwrap_or(u32::MAX));
-    let route_alpha = ALPHA.min(ALL_ROUTES_ALPHA / routes);
-    for route in evidence.totals(Side::Old).keys() {
-        let old = trial.rise(evidence, Side::Old, route);
-        let new = trial.rise(evidence, Side::New, route);
-        add(&mut sums[0], &old);
-        add(&mut sums[1], &new);
+    for (_, [old, new]) in &rises {
+        add(&mut sums[0], old);
+        add(&mut sums[1], new);
+    }
+    let [old, new] = sums;
+    let whole = trial.whole.observe(old, &new, ALPHA, [0.0; 2]);
+    let mut found = whole.map(str::to_owned);
+    // A route may have too few calls to show a disturbance of the whole service.
+    let floors = trial.whole.disturbance();
+    let routes = u32::try_from(rises.len().max(1)).unwrap_or(u32::MAX);
+    let alpha = ALPHA.min(ALL_ROUTES_ALPHA / f64::from(routes));
+    for (route, [old, new]) in rises {
         let line = trial.routes.entry(route.clone()).or_default();
-        if let Some(test) = line.observe(old, &new, route_alpha) {
+        if let Some(test) = line.observe(old, &new, alpha, floors) {
             found.get_or_insert(format!("{test}:{route}"));
         }
     }
-    for route in evidence.totals(Side::New).keys() {
-        let new = trial.rise(evidence, Side::New, route);
-        add(&mut sums[1], &new);
-    }
-    let [old, new] = sums;
-    if let Some(test) = trial.whole.observe(old, &new, ALPHA) {
-        found = Some(test.to_owned());
-    }
     if let Some(reason) = found {
         return Opinion::Bad { reason };
     }
-    if !trial.is_suspicious() && trial.whole.is_accepted(MIN_GOOD_CALLS) {
+    if !trial.is_doubtful() && trial.whole.is_accepted(MIN_GOOD_CALLS) {
         Opinion::Good
     } else {
         Opinion::Continue
@@ -100,6 +99,18 @@
 }
 
 impl Trial {
+    /// Calls of both versions by route since the last observation.
+    fn rises(&mut self, evidence: &Evidence) -> Vec<(String, [RouteCounts; 2])> {
+        let sides = [Side::Old, Side::New];
+        let names = sides.map(|side| evidence.totals(side).keys());
+        let names: BTreeSet<&String> = names.into_iter().flatten().collect();
+        let rise = |route: &String| {
+            let rises = sides.map(|side| self.rise(evidence, side, route));
+            (route.clone(), rises)
+        };
+        names.into_iter().map(rise).collect()
+    }
+
     /// Counts beyond those seen before, which are then counted as seen.
     fn rise(&mut self, evidence: &Evidence, side: Side, route: &str) -> RouteCounts {
         let Some(total) = evidence.totals(side).get(route) else {
--- a/crates/policy/src/moves/trial/tests.rs
+++ b/crates/policy/src/moves/trial/tests.rs
@@ -96,6 +96,61 @@
     }
 }
 
+/// A step to full share in a disturbance would leave the old version's earlier rates to compare with.
+#[test]
+fn doubtful_in_disturbance_only() {
+    let mut bench = Bench::new();
+    for _ in 0..40 {
+        bench.tick(&[OLD, ("v2", "a", [20, 0, 1])]);
+    }
+    assert!(!bench.trial.is_doubtful());
+    let opinion = bench.tick(&[("v1", "a", [500, 100, 25]), ("v2", "a", [20, 4, 1])]);
+    assert!(bench.trial.is_doubtful());
+    assert_eq!(opinion, Opinion::Continue);
+    // Where the old version is bad all the time, a move is the way out.
+    for _ in 0..100 {
+        bench.tick(&[("v1", "a", [500, 100, 25]), ("v2", "a", [20, 0, 1])]);
+    }
+    assert!(!bench.trial.is_doubtful());
+    assert_eq!(bench.trial.opinion(), &Opinion::Good);
+}
+
+#[test]
+fn judge_disturbance_that_outlasts_the_old_version() {
+    let mut bench = Bench::new();
+    for _ in 0..40 {
+        bench.tick(&[OLD, ("v2", "a", [20, 0, 1])]);
+    }
+    bench.tick(&[("v1", "a", [250, 50, 100]), ("v2", "a", [250, 50, 100])]);
+    for _ in 0..20 {
+        let opinion = bench.tick(&[("v2", "a", [500, 100, 200])]);
+        assert!(!matches!(opinion, Opinion::Bad { .. }));
+    }
+    assert!(
+        !bench.trial.is_doubtful(),
+        "nothing is known of the old version any more"
+    );
+}
+
+/// Few calls of a route do not show what the whole service shows.
+#[test]
+fn judge_disturbance_on_quiet_routes() {
+    let mut bench = Bench::new();
+    let quiet = ("v1", "b", [4, 0, 0]);
+    for _ in 0..40 {
+        bench.tick(&[OLD, quiet, ("v2", "a", [20, 0, 1]), ("v2", "b", [1, 0, 0])]);
+    }
+    for _ in 0..8 {
+        let rows = [
+            ("v1", "a", [500, 250, 25]),
+            ("v1", "b", [4, 2, 0]),
+            ("v2", "a", [20, 10, 1]),
+            ("v2", "b", [4, 2, 0]),
+        ];
+        assert!(!matches!(bench.tick(&rows), Opinion::Bad { .. }));
+    }
+}
+
 #[test]
 fn judge_stays_bad() {
     let mut bench = Bench::new();
@@ -108,3 +163,14 @@
         }
     );
 }
+
+/// A crash of one target fails the few calls that it runs at that moment.
+#[test]
+fn judge_two_errors_are_no_fault() {
+    let mut bench = Bench::new();
+    bench.tick(&[OLD]);
+    bench.tick(&[OLD, ("v2", "a", [2, 2, 0])]);
+    assert!(!matches!(bench.trial.opinion(), Opinion::Bad { .. }));
+    let opinion = bench.tick(&[OLD, ("v2", "a", [1, 1, 0])]);
+    assert!(matches!(opinion, Opinion::Bad { .. }));
+}
--- a/crates/state/examples/move_trials.rs
+++ b/crates/state/examples/move_trials.rs
@@ -1,8 +1,8 @@
 //! Measures version moves in virtual time: 16 instances that merge evidence every 250 ms, 8 routes,
 //! a minute from the first call to the deadline.
 //!
-//! `cargo run --release -p state --example move_trials -- 1000 100 4000` runs 1,000 good moves and
-//! 100 of each fault at 4,000 calls/s, about what 130,000 calls/s make for each of 33 services.
+//! `cargo run --release -p state --example move_trials -- 1000 200 4000` runs 1,000 good moves and
+//! 200 of each fault at 4,000 calls/s, about what 130,000 calls/s make for each of 33 services.
 //! Seeds are 0, 1, 2, ...
 
 #[path = "../tests/support/mod.rs"]
@@ -31,8 +31,10 @@
 fn main() {
     let mut args = env::args().skip(1);
     let mut number = |default| args.next().and_then(|a| a.parse().ok()).unwrap_or(default);
-    let (good, bad, rate) = (number(1_000), number(100), number(4_000));
-    report_good(&run_all(Fault::None, good, rate));
+    let (good, bad, rate) = (number(1_000), number(200), number(4_000));
+    report_good("good moves", &run_all(Fault::None, good, rate));
+    let name = "good moves while both versions fail and slow down at times";
+    report_good(name, &run_all(Fault::Both, good, rate));
     let faults = [
         ("errors at once", Fault::Errors),
         ("slow at once", Fault::Slow),
@@ -81,18 +83,21 @@
     }
 }
 
-fn report_good(runs: &[Run]) {
+fn report_good(name: &str, runs: &[Run]) {
     let wrong = runs.iter().filter(|r| !r.done).count();
     let late = runs.iter().filter(|r| r.decided_ms > DEADLINE_MS).count();
     let slowest = runs.iter().map(|r| r.decided_ms).max().unwrap_or(0);
     println!(
-        "good moves: {}, not done: {wrong}, decided after the deadline: {late}, \
+        "{name}: {}, not done: {wrong}, decided after the deadline: {late}, \
          slowest decided at {slowest} ms of {DEADLINE_MS} ms",
         runs.len()
     );
 }
 
 fn report_bad(name: &str, runs: &[Run]) {
+    if runs.is_empty() {
+        return;
+    }
     let missed = runs.iter().filter(|r| r.done).count();
     let late = runs.iter().filter(|r| r.late > 0).count();
     let median = |value: fn(&Run) -> f64| {
--- a/crates/state/src/driver/input.rs
+++ b/crates/state/src/driver/input.rs
@@ -13,8 +13,8 @@
 pub struct MoveEvidence {
     /// Result of [`policy::moves::judge`].
     pub opinion: Opinion,
-    /// Whether a test leans towards a fault, see [`policy::moves::Trial::is_suspicious`].
-    pub suspicious: bool,
+    /// Whether this is no time for a step, see [`policy::moves::Trial::is_doubtful`].
+    pub doubtful: bool,
     /// Calls on the new version, over all instances.
     pub calls: u64,
 }
--- a/crates/state/src/driver/tests.rs
+++ b/crates/state/src/driver/tests.rs
@@ -95,10 +95,10 @@
     }
 
     fn see(&mut self, opinion: Opinion, calls: u64) {
-        let suspicious = false;
+        let doubtful = false;
         let evidence = MoveEvidence {
             opinion,
-            suspicious,
+            doubtful,
             calls,
         };
         self.evidence.insert(PLAN.to_owned(), evidence);
@@ -148,7 +148,7 @@
 fn tick_doubt_does_not_go_by_time() {
     let mut bench = Bench::new(3, moving());
     bench.see(Opinion::Continue, 3);
-    bench.evidence.get_mut(PLAN).unwrap().suspicious = true;
+    bench.evidence.get_mut(PLAN).unwrap().doubtful = true;
     bench.run_until(59_000);
     assert_eq!(bench.share(), 100);
     bench.run_until(62_000);
@@ -249,6 +249,65 @@
     assert_eq!(bench.outcome().unwrap().0, Verdict::Undone);
 }
 
+#[test]
+fn tick_paused_before_its_turn() {
+    let mut bench = Bench::new(16, moving());
+    let last = (0..16).max_by_key(|n| {
+        let me = InstanceId::new(&format!("i-{n:02}"));
+        rank(&format!("{PLAN}/step/100"), &me, &bench.members.live_ids())
+    });
+    let last = last.unwrap();
+    bench.tick(last);
+    bench.ms = 10_000;
+    bench.tick(last);
+    assert_eq!(bench.made, [], "others may have proposed meanwhile");
+}
+
+#[test]
+fn tick_good_too_late() {
+    let mut state = moving();
+    step_to_full(&mut state);
+    let mut bench = Bench::new(1, state);
+    bench.run_until(58_000);
+    bench.see(Opinion::Good, 1_000);
+    bench.run_until(60_500);
+    assert_eq!(bench.made, []);
+    bench.run_until(61_000);
+    assert_eq!(bench.outcome().unwrap().1, "deadline");
+}
+
+#[test]
+fn tick_appends_bounded() {
+    let names: Vec<String> = (0..30).map(|n| format!("s-{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let moves: Vec<_> = names
+        .iter()
+        .map(|n| (*n, "v2", "00:01:00", false))
+        .collect();
+    let text = crate::samples::text(&names, &moves);
+    let mut state = State::default();
+    code(&mut state, "p-1", crate::samples::config("a", 0, &text));
+    let mut bench = Bench::new(1, state);
+    let mut members = (*bench.members).clone();
+    let target = members.targets[0].clone();
+    members.targets = names
+        .iter()
+        .map(|n| crate::TargetEntry {
+            service: (*n).into(),
+            ..target.clone()
+        })
+        .collect();
+    bench.members = Arc::new(members);
+    bench.log_up = false;
+    for ms in 0..1_000 {
+        bench.ms = ms;
+        bench.tick(0);
+    }
+    let mut times: Vec<u64> = bench.made.iter().map(|(at, _)| *at).collect();
+    times.dedup();
+    assert_eq!(times.len(), 10, "{times:?}");
+}
+
 #[test]
 fn tick_clocks_differ() {
     for (skew_ms, latest) in [(-500, 58_500), (500, 57_500)] {
--- a/crates/state/src/driver/watch.rs
+++ b/crates/state/src/driver/watch.rs
@@ -80,7 +80,7 @@
         if good {
             return now.since_us(self.since) >= self.part_us(GOOD_PART);
         }
-        let doubt = evidence.is_some_and(|e| e.suspicious);
+        let doubt = evidence.is_some_and(|e| e.doubtful);
         !doubt && self.left_ms > 0 && now.since_us(self.since) >= self.part_us(IDLE_PART)
     }
 
--- a/crates/state/src/fold/tests.rs
+++ b/crates/state/src/fold/tests.rs
@@ -261,6 +261,16 @@
     );
 }
 
+#[test]
+fn verdict_undone_bars_the_version() {
+    let mut state = moving();
+    step_to_full(&mut state);
+    code(&mut state, "a", verdict(Verdict::Undone, "deadline"));
+    let service = &state.fold().services[&"orders".into()];
+    assert_eq!(service.barred, ["v2".into()]);
+    assert_eq!((service.version.as_str(), shift(&state).share), ("v1", 0));
+}
+
 #[test]
 fn verdict_done_after_stop_or_deadline() {
     let mut state = moving();
--- a/crates/state/src/members/tests.rs
+++ b/crates/state/src/members/tests.rs
@@ -226,6 +226,22 @@
     );
 }
 
+#[test]
+fn instance_says_that_it_leaves() {
+    let mut bench = Bench::new(&[instance("i")]);
+    let leaves = |incarnation| Sighting::Heard {
+        instance: "i".into(),
+        incarnation,
+        leaving: true,
+    };
+    bench.heard(1_000, "i", 2);
+    bench.members.see(T0.plus_ms(1_000), &leaves(1));
+    assert_eq!(bench.presence(1_000, "i"), Some(Usable), "an older process");
+    bench.members.see(T0.plus_ms(1_100), &leaves(2));
+    bench.heard(1_200, "i", 2);
+    assert_eq!(bench.presence(1_200, "i"), Some(Leaving));
+}
+
 #[test]
 fn self_missing_from_the_list() {
     let mut bench = Bench::new(&[instance("i"), target("t")]);
--- a/crates/state/src/state/tests.rs
+++ b/crates/state/src/state/tests.rs
@@ -199,3 +199,33 @@
     assert_eq!(state.adopt(&records).code, Code::Repeated);
     assert_eq!(state.offset(), 41);
 }
+
+/// A snapshot that covers less than what was missed would give a state with a hole behind it.
+#[test]
+fn apply_gap_not_closed_by_older_snapshot() {
+    let mut state = moving();
+    let old = lines(&state.snapshot(&author(), NOW));
+    push(&mut state, "a", step(0, 100));
+    push(&mut state, "b", step(100, 500));
+    let new = lines(&state.snapshot(&author(), NOW));
+    let mut other = State::default();
+    // Offsets 1 and 2 are gone, then 4 and 5 too.
+    assert_eq!(other.apply(3, &old[0]).code, Code::Expired);
+    assert_eq!(other.apply(6, &new[0]).code, Code::Expired);
+    assert_eq!((other.offset(), other.next()), (0, 7));
+    let mut other = State::default();
+    assert_eq!(other.apply(4, &new[0]).code, Code::Accepted);
+    assert_eq!((other.offset(), other.next()), (3, 4));
+}
+
+#[test]
+fn snapshot_incomplete_dropped_when_covered() {
+    let (mut state, _) = large();
+    let first = state.snapshot(&author(), NOW);
+    push_record(&mut state, &first[0]);
+    assert!(state.assembly_bytes() > 0);
+    for record in state.snapshot(&author(), NOW) {
+        push_record(&mut state, &record);
+    }
+    assert_eq!(state.assembly_bytes(), 0);
+}
--- a/crates/state/tests/move_goals.rs
+++ b/crates/state/tests/move_goals.rs
@@ -39,15 +39,25 @@
     }
 }
 
-#[test]
-fn goals_good_move() {
+fn check_good(fault: Fault) {
     for seed in 0..SEEDS {
-        let outcome = run(Fault::None, seed).outcome().expect("decided");
+        let outcome = run(fault, seed).outcome().expect("the move is decided");
         assert_eq!(outcome.verdict, Verdict::Done, "seed {seed}");
         assert!(outcome.at.0 <= EPOCH_MS + DEADLINE_MS, "seed {seed}");
     }
 }
 
+#[test]
+fn goals_good_move() {
+    check_good(Fault::None);
+}
+
+/// Guards against a good version that is taken back because the old one suffers as well.
+#[test]
+fn goals_good_move_in_disturbances() {
+    check_good(Fault::Both);
+}
+
 #[test]
 fn goals_errors_at_once() {
     check_fault(Fault::Errors);
--- a/crates/state/tests/support/mod.rs
+++ b/crates/state/tests/support/mod.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
     None,
+    /// Both versions are slow and fail one in five calls for 3 s in every 10 s.
+    Both,
     Errors,
     Slow,
     /// Errors from this time after the start of the move on, in milliseconds.
@@ -331,6 +333,12 @@
             let mut us = latency_us(&mut self.rng, route);
             let mut error = self.rng.random_range(0..1_000) == 0;
             let (slower, failing) = match self.fault {
+                Fault::Both => {
+                    let storm = self.now.since_us(started) % 10_000_000 < 3_000_000;
+                    error |= storm && self.rng.random_ratio(1, 5);
+                    us *= if storm { 4 } else { 1 };
+                    (false, false)
+                }
                 _ if !new => (false, false),
                 Fault::None => (false, false),
                 Fault::Errors => (false, true),
@@ -543,7 +551,7 @@
     fn evidence(&self) -> BTreeMap<String, MoveEvidence> {
         let of = |t: &Trialled| MoveEvidence {
             opinion: t.trial.opinion().clone(),
-            suspicious: t.trial.is_suspicious(),
+            doubtful: t.trial.is_doubtful(),
             calls: t.evidence.calls(Side::New),
         };
         let all = self.trials.iter();
