--- a/crates/node/src/control/move_watch.rs
+++ b/crates/node/src/control/move_watch.rs
@@ -47,7 +47,7 @@
         let opinion = judge(&mut self.trial, &self.evidence, share, now).clone();
         MoveEvidence {
             opinion,
-            suspicious: self.trial.is_suspicious(),
+            doubtful: self.trial.is_doubtful(),
             calls: self.evidence.calls(Side::New),
         }
     }
