Tight calls use a slow target when no quicker one exists

Cause: a tight call avoided slow targets until shortly before its latest start, also when every target was slow; its expected wait then exceeded its delay and it was refused (3001) although slots were free. Change: slow targets are avoided only while a quicker one may become free.

--- a/crates/policy/src/dispatcher/choose.rs
+++ b/crates/policy/src/dispatcher/choose.rs
@@ -62,7 +62,17 @@
         }
         let hurried = waiting.latest.since_us(now) <= SLOW_LAST_US;
         let unseen = now.since_us(target.started) > SLOW_RETRY_US;
-        waiting.loose || !target.is_slow() || hurried || unseen
+        waiting.loose || !target.is_slow() || hurried || unseen || !self.has_quick(now, waiting)
+    }
+
+    /// Whether another target may become free that is not slow. Without one, waiting for it would only
+    /// refuse calls that a slow target can run.
+    fn has_quick(&self, now: Time, waiting: &Waiting) -> bool {
+        let quick = |(id, t): (&TargetId, &Target)| {
+            let able = t.is_open() && t.health.cap(now) > 0 && self.version_fits(t);
+            able && !t.is_slow() && !waiting.tried.contains(id)
+        };
+        self.targets.iter().any(quick)
     }
 
     /// Whether the split permits a start on the target's version now.
--- a/crates/policy/src/dispatcher/tests/choice.rs
+++ b/crates/policy/src/dispatcher/tests/choice.rs
@@ -45,6 +45,18 @@
     );
 }
 
+/// Guards against refusing tight calls because every target is slow: they waited for a quicker target
+/// that did not exist, and their expected wait then exceeded their delay.
+#[test]
+fn choose_slow_target_without_quicker() {
+    let mut bed = Bed::warm(2);
+    for target in bed.dispatcher.targets.values_mut() {
+        target.speed = 5.0;
+    }
+    assert_eq!(starts(&bed.arrive(URGENT)).len(), 1);
+    assert_eq!(starts(&bed.arrive(URGENT)).len(), 1);
+}
+
 /// Guards against more calls on a cold target than its limit.
 #[test]
 fn limit_cold_start_and_cold_again() {
