--- a/crates/policy/src/action.rs
+++ b/crates/policy/src/action.rs
@@ -8,7 +8,8 @@
 /// An output of [`crate::Dispatcher::handle`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Send the call to the target. A second start of a running call is a hedge.
+    /// Send the call to the target. A second start of a running call is a hedge: the first attempt
+    /// with a whole answer wins, and the other is cancelled and reported as [`crate::End::Cancelled`].
     Start {
         /// The call.
         call: CallId,
@@ -24,7 +25,8 @@
         /// When another try makes sense, in milliseconds.
         retry_ms: u32,
     },
-    /// No further attempt follows the one whose end was just reported.
+    /// No further attempt follows. Sent once for each call that was started: with its first good end,
+    /// with the end of its last attempt, or later, if a retry waited for a slot in vain.
     GiveUp {
         /// The call.
         call: CallId,
--- a/crates/policy/src/dispatcher.rs
+++ b/crates/policy/src/dispatcher.rs
@@ -1,114 +1,173 @@
-//! Dispatcher of one service in one instance: queues calls and starts them on free slots.
+//! Dispatcher of one service in one instance: queues calls and starts them on slots of the targets
+//! that this instance owns, or that their owners lent to it.
+
+mod admit;
+mod baseline;
+mod borrow;
+mod choose;
+mod claim;
+mod finish;
+mod hedge;
+mod lend;
+mod messages;
+mod start;
+mod tick;
+mod view;
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
-use model::{Code, TargetId, Time};
+use model::{InstanceId, TargetId, Time};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use wire::LoanMsg;
 
-use crate::{Action, Call, CallId, Event, ServiceView, TargetState};
+use crate::{
+    Action, CallId, Event, Pick, ServiceView, Stats, borrowed::Borrowed, budget::Budget,
+    callers::Callers, class_state::ClassState, credit::Credit, lender::Lender, queue::Queue,
+    running::Running, split::Split, target::Target, wish::Wish,
+};
 
-/// Calls that may wait.
-const MAX_WAITING: usize = 256;
-/// Advice to callers that were refused, in milliseconds.
-const RETRY_MS: u32 = 50;
+/// Share of calls that may be retried.
+const RETRY_SHARE: f64 = 0.1;
+/// Retries that may be saved.
+const RETRY_BURST: f64 = 10.0;
+/// Share of calls that may be hedged. The bound is 2% of extra work.
+const HEDGE_SHARE: f64 = 0.02;
+/// Hedges that may be saved.
+const HEDGE_BURST: f64 = 5.0;
 
 /// Decides where and when the calls of one service start.
 #[derive(Debug)]
 pub struct Dispatcher {
     view: Arc<ServiceView>,
-    waiting: VecDeque<Call>,
-    running: BTreeMap<CallId, Call>,
-    in_flight: BTreeMap<TargetId, u32>,
+    pick: Pick,
+    rng: StdRng,
+    stats: Stats,
+    targets: BTreeMap<TargetId, Target>,
+    serve_all: bool,
+    classes: Vec<ClassState>,
+    class_of: Vec<usize>,
+    queue: Queue,
+    running: BTreeMap<CallId, Running>,
+    borrowed: BTreeMap<(InstanceId, u64), Borrowed>,
+    lenders: BTreeMap<InstanceId, Lender>,
+    wishes: BTreeMap<InstanceId, Wish>,
+    next_loan: u64,
+    outbox: VecDeque<(InstanceId, LoanMsg)>,
+    budget: Budget,
+    retry: Credit,
+    hedge: Credit,
+    hedges: BTreeSet<(Time, CallId)>,
+    split: Split,
+    callers: Callers,
+    last: Option<Time>,
+    grants_from: Time,
 }
 
 impl Dispatcher {
     /// A dispatcher with nothing in progress. `seed` feeds its random choices.
     #[must_use]
-    pub fn new(view: Arc<ServiceView>, _seed: u64) -> Self {
+    pub fn new(view: Arc<ServiceView>, seed: u64) -> Self {
+        Self::with_pick(view, seed, Pick::Owned)
+    }
+
+    /// A dispatcher that chooses targets in another way than by owned and lent slots. For measurements
+    /// only; all but [`Pick::Owned`] give none of the guarantees.
+    #[must_use]
+    pub fn with_pick(view: Arc<ServiceView>, seed: u64, pick: Pick) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let phase = rng.random();
+        // Loan numbers of a restarted process must not repeat those of its predecessor.
+        let next_loan = u64::from(rng.random::<u32>()) << 24;
         Self {
             view,
-            waiting: VecDeque::new(),
+            pick,
+            rng,
+            stats: Stats::default(),
+            targets: BTreeMap::new(),
+            serve_all: false,
+            classes: Vec::new(),
+            class_of: Vec::new(),
+            queue: Queue::default(),
             running: BTreeMap::new(),
-            in_flight: BTreeMap::new(),
+            borrowed: BTreeMap::new(),
+            lenders: BTreeMap::new(),
+            wishes: BTreeMap::new(),
+            next_loan,
+            outbox: VecDeque::new(),
+            budget: Budget::new(),
+            retry: Credit::new(RETRY_SHARE, RETRY_BURST),
+            hedge: Credit::new(HEDGE_SHARE, HEDGE_BURST),
+            hedges: BTreeSet::new(),
+            split: Split::new(phase),
+            callers: Callers::default(),
+            last: None,
+            grants_from: Time::default(),
         }
     }
 
     /// Takes one event at `now` and appends what is to be done to `out`.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        if self.pick != Pick::Owned {
+            self.handle_baseline(event, out);
+            return;
+        }
+        self.wake(now);
+        let mut arrived = None;
         match event {
-            Event::Arrive(call) => self.arrive(call, out),
-            Event::Finish { call, target, .. } => self.finish(call, &target, out),
-            Event::Cancel { call } => self.waiting.retain(|c| c.id != call),
-            Event::View(view) => self.view = view,
-            Event::Peer { .. } | Event::PeerDown { .. } | Event::Tick => {}
+            Event::Arrive(call) => arrived = self.arrive(now, call, out),
+            Event::Finish {
+                call,
+                target,
+                report,
+            } => self.finish(now, call, &target, &report, out),
+            Event::Cancel { call } => self.cancel(call),
+            Event::Peer { from, msg } => self.peer(now, &from, msg, out),
+            Event::PeerDown { peer } => self.peer_down(&peer),
+            Event::View(view) => self.set_view(now, view),
+            Event::Tick => self.tick(now),
         }
         self.expire(now, out);
-        self.start_waiting(out);
-    }
-
-    fn arrive(&mut self, call: Call, out: &mut Vec<Action>) {
-        if self.waiting.len() >= MAX_WAITING {
-            out.push(Action::Refuse {
-                call: call.id,
-                code: Code::QueueFull,
-                retry_ms: RETRY_MS,
-            });
-            return;
+        self.start_waiting(now, out);
+        if let Some(call) = arrived {
+            self.bound(now, call, out);
         }
-        self.waiting.push_back(call);
+        self.start_hedges(now, out);
+        self.settle(now);
+        self.flush(now, out);
     }
 
-    fn finish(&mut self, call: CallId, target: &TargetId, out: &mut Vec<Action>) {
-        if let Some(count) = self.in_flight.get_mut(target) {
-            *count -= 1;
-        }
-        self.running.remove(&call);
-        out.push(Action::GiveUp { call });
-    }
-
-    fn expire(&mut self, now: Time, out: &mut Vec<Action>) {
-        let view = &self.view;
-        self.waiting.retain(|call| {
-            let delay_ms = view.classes.get(call.class).map_or(0, |c| c.delay_ms);
-            let late = now > call.arrived.plus_ms(delay_ms) || now >= call.deadline;
-            if late {
-                let code = Code::CannotMeet;
-                out.push(Action::Refuse {
-                    call: call.id,
-                    code,
-                    retry_ms: RETRY_MS,
-                });
-            }
-            !late
-        });
+    /// Counters for metrics.
+    #[must_use]
+    pub fn stats(&self) -> Stats {
+        let mut stats = self.stats.clone();
+        stats.queue = self.queue.len();
+        stats.queue_bytes = self.queue.bytes();
+        let held = |(id, t): (&TargetId, &Target)| {
+            (t.hold == crate::hold::Hold::Held).then(|| (id.clone(), t.limit.now()))
+        };
+        stats.limits = self.targets.iter().filter_map(held).collect();
+        stats
     }
 
-    fn start_waiting(&mut self, out: &mut Vec<Action>) {
-        while !self.waiting.is_empty() {
-            let Some(target) = self.least_loaded() else {
-                return;
-            };
-            let Some(call) = self.waiting.pop_front() else {
-                return;
-            };
-            *self.in_flight.entry(target.clone()).or_default() += 1;
-            out.push(Action::Start {
-                call: call.id,
-                target,
-            });
-            self.running.insert(call.id, call);
-        }
+    /// Slots in use by target: own calls, loans and calls of previous owners, as far as this instance
+    /// accounts for them.
+    #[must_use]
+    pub fn in_use(&self) -> BTreeMap<TargetId, u32> {
+        let used = self.targets.iter().map(|(id, t)| (id.clone(), t.used()));
+        used.filter(|(_, used)| *used > 0).collect()
     }
 
-    fn least_loaded(&self) -> Option<TargetId> {
-        let load = |id: &TargetId| self.in_flight.get(id).copied().unwrap_or(0);
-        self.view
-            .targets
-            .iter()
-            .filter(|t| t.state == TargetState::Usable && load(&t.id) < t.slots)
-            .min_by_key(|t| load(&t.id))
-            .map(|t| t.id.clone())
+    /// Ends idle loans, lends idle slots, asks for slots and tells new owners about calls in progress.
+    fn settle(&mut self, now: Time) {
+        self.return_idle();
+        self.lend(now);
+        self.recall(now);
+        self.ask(now);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/policy/src/dispatcher/choose.rs
@@ -0,0 +1,117 @@
+//! Choice among free slots.
+
+use model::{TargetId, Time};
+
+use super::Dispatcher;
+use crate::{borrowed::Borrowed, running::Slot, target::Target, waiting::Waiting};
+
+/// Cost of another availability zone: 0.5 ms each way, in microseconds.
+const ZONE_COST_US: f64 = 1_000.0;
+/// Cost of a target whose limit is used up, in microseconds. Below the cost of another zone, because a
+/// free slot is as fast on a busy target as on an idle one.
+const LOAD_COST_US: f64 = 800.0;
+/// Relative service times in this range count as equal, so that noise does not crowd some targets.
+const SAME_SPEED: std::ops::Range<f64> = 0.6..1.6;
+/// A tight call waits for another slot rather than start on a slow target, until this long before its
+/// latest start, in microseconds.
+const SLOW_LAST_US: u64 = 2_000;
+/// A slow target gets a call after this idle time whatever the class, so that its recovery is seen.
+const SLOW_RETRY_US: u64 = 1_000_000;
+
+/// A free slot with its cost; ties go to the target that was started least recently.
+type Candidate = (f64, Time, TargetId, Slot);
+
+impl Dispatcher {
+    /// The best free slot for a call, among lent ones and, if `own`, own ones.
+    pub(super) fn choose(
+        &self,
+        now: Time,
+        waiting: &Waiting,
+        own: bool,
+    ) -> Option<(TargetId, Slot)> {
+        let held = self.targets.iter().filter(|_| own);
+        let own = held.filter_map(|(id, target)| {
+            let free = target.free(now, self.serve_all) > 0;
+            (free && self.fits(now, id, target, waiting))
+                .then(|| self.candidate(id, target, waiting, Slot::Own))
+        });
+        let loans = self.borrowed.iter().filter_map(|((lender, loan), b)| {
+            let target = self.targets.get(&b.target)?;
+            (is_idle(b) && waiting.call.deadline <= b.until && target.is_open())
+                .then_some(())
+                .filter(|()| self.fits(now, &b.target, target, waiting))?;
+            let slot = Slot::Loan(lender.clone(), *loan);
+            Some(self.candidate(&b.target, target, waiting, slot))
+        });
+        let best = own.chain(loans).min_by(|a, b| {
+            let tie = || a.1.cmp(&b.1).then_with(|| a.2.cmp(&b.2));
+            a.0.total_cmp(&b.0).then_with(tie)
+        });
+        best.map(|(_, _, id, slot)| (id, slot))
+    }
+
+    /// Whether any slot is free, as a cheap check before the choice.
+    pub(super) fn any_free(&self, now: Time) -> bool {
+        let own = |t: &Target| t.free(now, self.serve_all) > 0;
+        self.targets.values().any(own) || self.borrowed.values().any(is_idle)
+    }
+
+    fn fits(&self, now: Time, id: &TargetId, target: &Target, waiting: &Waiting) -> bool {
+        if waiting.tried.contains(id) || !self.version_fits(target) {
+            return false;
+        }
+        let hurried = waiting.latest.since_us(now) <= SLOW_LAST_US;
+        let unseen = now.since_us(target.started) > SLOW_RETRY_US;
+        waiting.loose || !target.is_slow() || hurried || unseen
+    }
+
+    /// Whether the split permits a start on the target's version now.
+    pub(super) fn version_fits(&self, target: &Target) -> bool {
+        let Some(shift) = &self.view.shift else {
+            return true;
+        };
+        let new = target.view.version == shift.to;
+        new == self.split.allows_new() || (!new && shift.share < 10_000 && !self.has_new())
+    }
+
+    /// Whether any target of the new version is open.
+    fn has_new(&self) -> bool {
+        let Some(shift) = &self.view.shift else {
+            return false;
+        };
+        let mut open = self.targets.values().filter(|t| t.is_open());
+        open.any(|t| t.view.version == shift.to)
+    }
+
+    fn candidate(
+        &self,
+        id: &TargetId,
+        target: &Target,
+        waiting: &Waiting,
+        slot: Slot,
+    ) -> Candidate {
+        let mean = self.classes[waiting.class].mean_us();
+        let speed = if SAME_SPEED.contains(&target.speed) {
+            1.0
+        } else {
+            target.speed
+        };
+        let load = f64::from(target.own) / f64::from(target.limit.now());
+        let zone = if target.view.zone == self.view.zone {
+            0.0
+        } else {
+            ZONE_COST_US
+        };
+        (
+            mean * speed + load * LOAD_COST_US + zone,
+            target.started,
+            id.clone(),
+            slot,
+        )
+    }
+}
+
+/// Whether a call may start on a loan.
+pub(super) fn is_idle(borrowed: &Borrowed) -> bool {
+    borrowed.call.is_none() && !borrowed.closed
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/finish.rs
@@ -0,0 +1,176 @@
+//! Ends of attempts, and retries.
+
+use model::{TargetId, Time};
+use rand::Rng;
+
+use super::{Dispatcher, admit::latest_start};
+use crate::{
+    Action, CallId, End, Report,
+    running::{Running, Slot},
+    target::Target,
+};
+
+/// Service time that stands for a call at its class's median in [`wire::LoanMsg::Return`].
+pub(super) const MEDIAN_US: f64 = 10_000.0;
+/// Mean wait before a retry in microseconds, before jitter; doubles with each attempt.
+const BACKOFF_US: u64 = 2_000;
+
+impl Dispatcher {
+    pub(super) fn finish(
+        &mut self,
+        now: Time,
+        id: CallId,
+        target: &TargetId,
+        report: &Report,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(running) = self.running.get_mut(&id) else {
+            return;
+        };
+        let found = running.attempts.iter().position(|a| a.target == *target);
+        let Some(found) = found else {
+            return;
+        };
+        let slot = running.attempts.remove(found).slot;
+        if report.end.is_not_run() {
+            running.waiting.sent -= 1;
+        }
+        let class = running.waiting.class;
+        let ratio = self.classes[class].ratio(report.service_us);
+        if report.end == End::Good {
+            self.classes[class].sample(report.service_us);
+        }
+        match slot {
+            Slot::Own => self.finish_own(now, target, report, ratio, out),
+            Slot::Loan(lender, loan) => self.finish_loan(&lender, loan, report, ratio),
+        }
+        self.conclude(now, id, report, out);
+    }
+
+    fn finish_own(
+        &mut self,
+        now: Time,
+        id: &TargetId,
+        report: &Report,
+        ratio: f64,
+        out: &mut Vec<Action>,
+    ) {
+        let jitter = self.rng.random();
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        target.own -= 1;
+        let sheds = matches!(report.end, End::Refused | End::Timeout);
+        if report.end == End::Good {
+            target.good(ratio);
+        } else if report.end == End::Cancelled {
+            target.outrun(ratio);
+        } else if report.end.is_bad() && target.bad(now, sheds, jitter) {
+            self.stats.ejections += 1;
+        }
+        if report.cold {
+            target.cold();
+        }
+        if report.draining {
+            drain(target, out);
+        }
+        self.judge_all();
+    }
+
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn finish_loan(&mut self, lender: &model::InstanceId, loan: u64, report: &Report, ratio: f64) {
+        let Some(b) = self.borrowed.get_mut(&(lender.clone(), loan)) else {
+            return;
+        };
+        b.call = None;
+        if report.end == End::Good {
+            b.good += 1;
+            b.busy_us += (ratio * MEDIAN_US) as u64;
+        }
+        b.bad += u32::from(report.end.is_bad());
+        b.draining |= report.draining;
+        b.cold |= report.cold;
+        // Bad news goes back at once, because the lender decides on the target.
+        b.closed |= report.end.is_bad() || report.draining || report.cold;
+    }
+
+    /// Ends, retries or goes on with a call after one attempt ended.
+    fn conclude(&mut self, now: Time, id: CallId, report: &Report, out: &mut Vec<Action>) {
+        let Some(running) = self.running.get_mut(&id) else {
+            return;
+        };
+        let decided = report.end == End::Good || running.cancelled;
+        if decided && !running.ended {
+            running.ended = true;
+            out.push(Action::GiveUp { call: id });
+        }
+        if !running.attempts.is_empty() {
+            return;
+        }
+        let Some(running) = self.running.remove(&id) else {
+            return;
+        };
+        self.classes[running.waiting.class].running -= 1;
+        if let Some(at) = running.hedge {
+            self.hedges.remove(&(at, id));
+        }
+        if running.ended {
+            return;
+        }
+        if self.may_retry(now, &running, report) {
+            self.requeue(now, running);
+        } else {
+            out.push(Action::GiveUp { call: id });
+        }
+    }
+
+    fn may_retry(&mut self, now: Time, running: &Running, report: &Report) -> bool {
+        let waiting = &running.waiting;
+        let harmless = waiting.sent == 0 || self.classes[waiting.class].class.idempotent;
+        let body = waiting.call.replayable || report.end == End::ConnectFailed;
+        let wanted = report.retryable && report.end.is_bad() && body;
+        let other = self.targets.iter();
+        let other = other.filter(|(id, t)| t.is_open() && !waiting.tried.contains(id));
+        harmless
+            && wanted
+            && waiting.call.retries > 0
+            && now < waiting.call.deadline
+            && other.count() > 0
+            && self.retry.spend()
+    }
+
+    fn requeue(&mut self, now: Time, running: Running) {
+        let mut waiting = running.waiting;
+        waiting.call.retries -= 1;
+        let attempt = waiting.tried.len().min(6);
+        let most = BACKOFF_US << attempt;
+        waiting.earliest = now.plus_us(self.rng.random_range(0..most));
+        let class = &self.classes[waiting.class];
+        waiting.latest = latest_start(&waiting.call, now, class.class.delay_ms, class.mean_us());
+        self.queue.push(waiting);
+    }
+
+    /// Decides whether ejections count. If more than half of the own targets look bad, the fault is
+    /// likely to be elsewhere and all are served.
+    pub(super) fn judge_all(&mut self) {
+        let own = self.targets.values();
+        let own = own.filter(|t| t.view.owner == self.view.me && t.is_open());
+        let (all, out) = own.fold((0, 0), |(all, out), t| {
+            (all + 1, out + usize::from(t.health.is_out()))
+        });
+        self.serve_all = out * 2 > all;
+    }
+}
+
+/// Stops work for a target that says it is draining, and tells the others once.
+pub(super) fn drain(target: &mut Target, out: &mut Vec<Action>) {
+    let incarnation = target.view.incarnation;
+    if target.draining == Some(incarnation) {
+        return;
+    }
+    target.draining = Some(incarnation);
+    out.push(Action::Draining {
+        target: target.view.id.clone(),
+        incarnation,
+    });
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/hedge.rs
@@ -0,0 +1,79 @@
+//! Second attempts of slow calls.
+
+use model::Time;
+
+use super::{Dispatcher, start::reserved};
+use crate::{Action, CallId, target::Target, waiting::Waiting};
+
+/// Time after which a hedge that found no slot is tried again, in microseconds.
+const AGAIN_US: u64 = 2_000;
+
+impl Dispatcher {
+    /// When a call that starts now may be hedged.
+    pub(super) fn hedge_time(&self, now: Time, waiting: &Waiting) -> Option<Time> {
+        let class = &self.classes[waiting.class];
+        if !class.hedged || !waiting.call.replayable || !waiting.tried.is_empty() {
+            return None;
+        }
+        class.p95_us().map(|us| now.plus_us(us))
+    }
+
+    /// Starts second attempts of calls that take longer than the 95th percentile.
+    pub(super) fn start_hedges(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some(&(at, id)) = self.hedges.first() {
+            if at > now {
+                return;
+            }
+            self.hedges.pop_first();
+            if !self.hedge_call(now, id, out) {
+                self.postpone(now, at, id);
+            }
+        }
+    }
+
+    /// Returns whether the matter is settled.
+    fn hedge_call(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) -> bool {
+        let Some(running) = self.running.get(&id) else {
+            return true;
+        };
+        if running.hedge.is_none() || running.attempts.len() != 1 || running.cancelled {
+            return true;
+        }
+        if self.queue.tight() > 0 || !self.hedge.has() || !self.has_spare(now) {
+            return false;
+        }
+        let Some((target, slot)) = self.choose(now, &running.waiting, true) else {
+            return false;
+        };
+        if self.targets.get(&target).is_some_and(Target::is_slow) {
+            return false;
+        }
+        self.hedge.spend();
+        self.stats.hedges += 1;
+        if let Some(running) = self.running.get_mut(&id) {
+            running.hedge = None;
+        }
+        self.attempt(now, id, target, slot, out);
+        true
+    }
+
+    fn postpone(&mut self, now: Time, at: Time, id: CallId) {
+        let Some(running) = self.running.get_mut(&id) else {
+            return;
+        };
+        // The end of the call's time bounds the tries.
+        if at < running.waiting.call.deadline {
+            self.hedges.insert((now.plus_us(AGAIN_US), id));
+        }
+    }
+
+    /// Whether more slots are free than are reserved for first attempts.
+    fn has_spare(&self, now: Time) -> bool {
+        let held = self.targets.values();
+        let (cap, free) = held.fold((0, 0), |(cap, free), t| {
+            let more = t.free(now, self.serve_all);
+            (cap + t.cap(now, self.serve_all), free + more)
+        });
+        free > reserved(cap) / 2
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/lend.rs
@@ -0,0 +1,239 @@
+//! The lender's side of slot lending.
+
+use model::{Code, InstanceId, TargetId, Time};
+use rand::Rng;
+use wire::LoanMsg;
+
+use super::{Dispatcher, finish::MEDIAN_US, finish::drain, start::reserved};
+use crate::{
+    Action, hold::Hold, invariant::invariant, lent::Lent, target::Target, urgency::Urgency,
+    wish::Wish,
+};
+
+/// Time for which a wish is remembered.
+pub(super) const WISH_MS: u64 = 50;
+/// Time beyond the longest call during which a loan may be used again.
+const REUSE_MS: u64 = 1_000;
+/// Time beyond the hold before a slot is taken back, for messages on the way.
+pub(super) const SLACK_MS: u64 = 250;
+/// Time between questions whether a borrower still has a loan. A lost `Grant` or `Return` shows so
+/// before the hold ends.
+const ASK_MS: u64 = 1_250;
+
+impl Dispatcher {
+    pub(super) fn on_want(&mut self, now: Time, from: &InstanceId, waiting: u32, tight: u32) {
+        if waiting == 0 {
+            self.wishes.remove(from);
+            return;
+        }
+        let wish = Wish {
+            waiting,
+            tight: tight.min(waiting),
+            until: now.plus_ms(WISH_MS),
+        };
+        self.wishes.insert(from.clone(), wish);
+    }
+
+    /// Lends idle slots to peers with waiting calls, tight calls first. The slots reserved for tight
+    /// classes are lent to tight calls only.
+    pub(super) fn lend(&mut self, now: Time) {
+        self.wishes.retain(|_, w| w.until > now && w.waiting > 0);
+        while let Some((peer, tight)) = self.next_wish() {
+            let (cap, free) = self.spare(now);
+            let keep = if tight { 0 } else { reserved(cap) };
+            if free <= keep || self.queue.tight() > 0 || !self.may_send(now, Urgency::Normal) {
+                return;
+            }
+            let Some(target) = self.target_to_lend(now, tight) else {
+                return;
+            };
+            self.grant(now, &peer, target, tight);
+        }
+    }
+
+    fn next_wish(&self) -> Option<(InstanceId, bool)> {
+        let best = self.wishes.iter().filter(|(_, w)| w.waiting > 0);
+        let (peer, wish) = best.max_by_key(|(_, w)| (w.tight, w.waiting))?;
+        Some((peer.clone(), wish.tight > 0))
+    }
+
+    /// Slots that this instance hands out, and those among them that are free.
+    pub(super) fn spare(&self, now: Time) -> (u32, u32) {
+        self.targets.values().fold((0, 0), |(cap, free), t| {
+            (
+                cap + t.cap(now, self.serve_all),
+                free + t.free(now, self.serve_all),
+            )
+        })
+    }
+
+    fn target_to_lend(&mut self, now: Time, tight: bool) -> Option<TargetId> {
+        let shift = self.view.shift.as_ref();
+        let share = shift.map_or(0, |s| u32::from(s.share));
+        // The borrower decides by its own split whether it uses a slot of the new version.
+        let new = share > 0 && self.rng.random_range(0..10_000) < share;
+        let is_new = |t: &Target| shift.is_some_and(|s| s.to == t.view.version);
+        let lendable = |t: &Target| {
+            t.free(now, self.serve_all) > 0 && (!tight || !t.is_slow()) && !t.health.is_out()
+        };
+        let all = self.targets.iter().filter(|(_, t)| lendable(t));
+        let fits = all.filter(|(_, t)| shift.is_none() || is_new(t) == new);
+        let best = fits.min_by_key(|(_, t)| (t.is_slow(), t.used(), t.started));
+        best.map(|(id, _)| id.clone())
+    }
+
+    fn grant(&mut self, now: Time, peer: &InstanceId, id: TargetId, tight: bool) {
+        let hold_ms = self.hold_ms(tight);
+        let loan = self.next_loan;
+        let Some(target) = self.targets.get_mut(&id) else {
+            return;
+        };
+        let within = target.used() < target.limit.now();
+        let detail = format_args!("loan of {id}");
+        if !invariant(&mut self.stats, Code::ColdOverrun, within, detail) {
+            return;
+        }
+        self.next_loan += 1;
+        self.stats.loans_out += 1;
+        target.started = now;
+        let lent = Lent {
+            to: peer.clone(),
+            until: now.plus_ms(hold_ms + SLACK_MS),
+            ask: now.plus_ms(ASK_MS),
+            recalled: false,
+        };
+        target.lent.insert(loan, lent);
+        if let Some(wish) = self.wishes.get_mut(peer) {
+            wish.waiting -= 1;
+            wish.tight = wish.tight.saturating_sub(1);
+        }
+        let hold_ms = u32::try_from(hold_ms).unwrap_or(u32::MAX);
+        self.send(
+            peer,
+            LoanMsg::Grant {
+                target: id,
+                loan,
+                hold_ms,
+            },
+        );
+    }
+
+    /// Longest time that a loan is held: the longest call of the classes in question and the time in
+    /// which the slot may be used again.
+    pub(super) fn hold_ms(&self, tight: bool) -> u64 {
+        let classes = self.classes.iter().filter(|c| !tight || !c.loose);
+        classes.map(|c| c.class.timeout_ms).max().unwrap_or(0) + REUSE_MS
+    }
+
+    /// Asks for lent slots while own tight calls wait.
+    pub(super) fn recall(&mut self, now: Time) {
+        let waiting = self.queue.tight();
+        if waiting == 0 || !self.has_open_loans() || !self.may_send(now, Urgency::Optional) {
+            return;
+        }
+        let held = self.targets.values_mut();
+        let lent = held.flat_map(|t| t.lent.iter_mut());
+        let recalled = lent.filter(|(_, l)| l.recalled).count();
+        let wanted = waiting.saturating_sub(recalled);
+        let open = self.targets.values_mut().flat_map(|t| t.lent.iter_mut());
+        let open: Vec<_> = open.filter(|(_, l)| !l.recalled).take(wanted).collect();
+        let mut msgs = Vec::new();
+        for (loan, lent) in open {
+            lent.recalled = true;
+            msgs.push((lent.to.clone(), *loan));
+        }
+        self.send_recalls(msgs);
+    }
+
+    fn has_open_loans(&self) -> bool {
+        let mut lent = self.targets.values().flat_map(|t| t.lent.values());
+        lent.any(|l| !l.recalled)
+    }
+
+    /// Asks for all lent slots of a target.
+    pub(super) fn recall_all(&mut self, id: &TargetId) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        let open = target.lent.iter_mut().filter(|(_, l)| !l.recalled);
+        let msgs = open.map(|(loan, lent)| {
+            lent.recalled = true;
+            (lent.to.clone(), *loan)
+        });
+        let msgs = msgs.collect();
+        self.send_recalls(msgs);
+    }
+
+    fn send_recalls(&mut self, msgs: Vec<(InstanceId, u64)>) {
+        for (to, loan) in msgs {
+            self.send(&to, LoanMsg::Recall { loan });
+        }
+    }
+
+    /// Takes back slots whose hold has passed, and asks for those that are held long.
+    pub(super) fn reclaim(&mut self, now: Time) {
+        let mut msgs = Vec::new();
+        for target in self.targets.values_mut() {
+            let before = target.lent.len();
+            target.lent.retain(|_, lent| lent.until > now);
+            self.stats.reclaimed += (before - target.lent.len()) as u64;
+            target.inherited.retain(|_, i| i.until > now);
+            for (loan, lent) in &mut target.lent {
+                if lent.ask <= now {
+                    lent.ask = now.plus_ms(ASK_MS);
+                    lent.recalled = true;
+                    msgs.push((lent.to.clone(), *loan));
+                }
+            }
+        }
+        self.send_recalls(msgs);
+    }
+
+    pub(super) fn on_return(
+        &mut self,
+        now: Time,
+        from: &InstanceId,
+        msg: &LoanMsg,
+        out: &mut Vec<Action>,
+    ) {
+        let LoanMsg::Return {
+            loan,
+            good,
+            bad,
+            busy_us,
+            draining,
+            cold,
+        } = *msg
+        else {
+            return;
+        };
+        let lent = |t: &&mut Target| t.lent.get(&loan).is_some_and(|l| l.to == *from);
+        let Some(target) = self.targets.values_mut().find(lent) else {
+            return;
+        };
+        target.lent.remove(&loan);
+        if good > 0 {
+            let ratio = mean_ratio(busy_us, good);
+            (0..good).for_each(|_| target.good(ratio));
+        }
+        for _ in 0..bad {
+            // The kind of failure is not reported; a cut is the safe reading.
+            let jitter = self.rng.random();
+            self.stats.ejections += u64::from(target.bad(now, true, jitter));
+        }
+        if cold {
+            target.cold();
+        }
+        if draining {
+            drain(target, out);
+        }
+        if target.hold == Hold::Held {
+            self.judge_all();
+        }
+    }
+}
+
+#[allow(clippy::cast_precision_loss, reason = "exact below 2^53 us, 285 years")]
+fn mean_ratio(busy_us: u64, good: u32) -> f64 {
+    busy_us as f64 / f64::from(good) / MEDIAN_US
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/tests/bed.rs
@@ -0,0 +1,234 @@
+//! One dispatcher with a clock and short ways to say what happens to it.
+
+use model::{Class, Code};
+
+use crate::{
+    Action, Call, CallId, Dispatcher, End, Event, MoveShare, Report, ServiceView, TargetState,
+    TargetView,
+};
+use model::{InstanceId, TargetId, Time};
+use std::sync::Arc;
+use wire::LoanMsg;
+
+pub const URGENT: usize = 0;
+pub const CONFIRM: usize = 1;
+pub const BULK: usize = 2;
+
+pub struct Bed {
+    pub now: Time,
+    pub view: ServiceView,
+    pub dispatcher: Dispatcher,
+    next: u64,
+}
+
+pub fn classes() -> Vec<Class> {
+    let class = |name: &str, target_ms, delay_ms, idempotent| Class {
+        name: name.into(),
+        target_ms,
+        delay_ms,
+        idempotent,
+        timeout_ms: 1_000,
+    };
+    vec![
+        class("urgent", 40, 15, true),
+        class("confirm", 60, 20, false),
+        class("bulk", 2_000, 1_500, true),
+    ]
+}
+
+/// Target `t-{n}` of 3 slots in zone `a`, owned by `owner`.
+pub fn target(n: usize, owner: &str) -> TargetView {
+    TargetView {
+        id: TargetId::new(&format!("t-{n}")),
+        incarnation: 1,
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        region: "r".into(),
+        version: "v1".into(),
+        slots: 3,
+        state: TargetState::Usable,
+        owner: owner.into(),
+    }
+}
+
+/// View of instance `me`, whose only owner is itself.
+pub fn view(targets: Vec<TargetView>) -> ServiceView {
+    ServiceView {
+        view: 1,
+        name: "orders".into(),
+        me: "me".into(),
+        zone: "a".into(),
+        classes: classes(),
+        targets: targets.into_iter().map(Arc::new).collect(),
+        owners: vec!["me".into()],
+        version: "v1".into(),
+        shift: None,
+    }
+}
+
+impl Bed {
+    pub fn new(view: ServiceView) -> Self {
+        Self {
+            now: Time::from_ms(1_000),
+            dispatcher: Dispatcher::new(Arc::new(view.clone()), 1),
+            view,
+            next: 0,
+        }
+    }
+
+    /// `count` own targets without warm-up.
+    pub fn warm(count: usize) -> Self {
+        Self::warm_with(view((0..count).map(|n| target(n, "me")).collect()))
+    }
+
+    pub fn warm_with(view: ServiceView) -> Self {
+        let mut bed = Self::new(view);
+        bed.tick();
+        for target in bed.dispatcher.targets.values_mut() {
+            target.limit.adopt(target.view.slots);
+        }
+        bed
+    }
+
+    pub fn handle(&mut self, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        self.dispatcher.handle(self.now, event, &mut out);
+        out
+    }
+
+    pub fn tick(&mut self) -> Vec<Action> {
+        self.handle(Event::Tick)
+    }
+
+    /// Lets time pass with a tick every 100 ms.
+    pub fn pass(&mut self, ms: u64) -> Vec<Action> {
+        let mut out = Vec::new();
+        let end = self.now.plus_ms(ms);
+        while self.now < end {
+            self.now = self.now.plus_ms(100).min(end);
+            out.extend(self.tick());
+        }
+        out
+    }
+
+    pub fn set_view(&mut self, change: impl FnOnce(&mut ServiceView)) -> Vec<Action> {
+        change(&mut self.view);
+        self.view.view += 1;
+        self.handle(Event::View(Arc::new(self.view.clone())))
+    }
+
+    pub fn set_target(&mut self, n: usize, change: impl FnOnce(&mut TargetView)) -> Vec<Action> {
+        self.set_view(|v| change(Arc::make_mut(&mut v.targets[n])))
+    }
+
+    pub fn call(&mut self, class: usize) -> Call {
+        self.next += 1;
+        Call {
+            id: CallId(self.next),
+            class,
+            caller: self.next,
+            bytes: 100,
+            arrived: self.now,
+            deadline: self.now.plus_ms(1_000),
+            replayable: true,
+            retries: 2,
+        }
+    }
+
+    pub fn arrive(&mut self, class: usize) -> Vec<Action> {
+        let call = self.call(class);
+        self.handle(Event::Arrive(call))
+    }
+
+    /// Arrival of a call that must start; its number and target.
+    pub fn start(&mut self, class: usize) -> (CallId, TargetId) {
+        let out = self.arrive(class);
+        starts(&out)
+            .pop()
+            .unwrap_or_else(|| panic!("no start in {out:?}"))
+    }
+
+    pub fn finish(&mut self, started: &(CallId, TargetId), end: End) -> Vec<Action> {
+        self.finish_with(started, end, |_| {})
+    }
+
+    pub fn finish_with(
+        &mut self,
+        started: &(CallId, TargetId),
+        end: End,
+        change: impl FnOnce(&mut Report),
+    ) -> Vec<Action> {
+        let mut report = Report {
+            end,
+            service_us: 10_000,
+            retryable: true,
+            draining: false,
+            cold: false,
+        };
+        change(&mut report);
+        self.handle(Event::Finish {
+            call: started.0,
+            target: started.1.clone(),
+            report,
+        })
+    }
+
+    pub fn peer(&mut self, from: &str, msg: LoanMsg) -> Vec<Action> {
+        self.handle(Event::Peer {
+            from: from.into(),
+            msg,
+        })
+    }
+
+    pub fn limit(&self, n: usize) -> Option<u32> {
+        let id = TargetId::new(&format!("t-{n}"));
+        self.dispatcher.stats().limits.get(&id).copied()
+    }
+
+    pub fn refused(&self, code: Code) -> u64 {
+        let refused = self.dispatcher.stats().refused;
+        refused.get(&code).copied().unwrap_or(0)
+    }
+}
+
+pub fn starts(out: &[Action]) -> Vec<(CallId, TargetId)> {
+    let start = |a: &Action| match a {
+        Action::Start { call, target } => Some((*call, target.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(start).collect()
+}
+
+pub fn sent(out: &[Action]) -> Vec<(InstanceId, LoanMsg)> {
+    let send = |a: &Action| match a {
+        Action::Send { to, msg } => Some((to.clone(), msg.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(send).collect()
+}
+
+pub fn refusals(out: &[Action]) -> Vec<(CallId, Code, u32)> {
+    let refuse = |a: &Action| match a {
+        Action::Refuse {
+            call,
+            code,
+            retry_ms,
+        } => Some((*call, *code, *retry_ms)),
+        _ => None,
+    };
+    out.iter().filter_map(refuse).collect()
+}
+
+pub fn gave_up(out: &[Action]) -> usize {
+    let give_up = |a: &&Action| matches!(a, Action::GiveUp { .. });
+    out.iter().filter(give_up).count()
+}
+
+pub fn share(share: u16) -> MoveShare {
+    MoveShare {
+        from: "v1".into(),
+        to: "v2".into(),
+        plan: "p".into(),
+        share,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/tests/choice.rs
@@ -0,0 +1,161 @@
+//! Choice of slots, limits and ejection.
+
+use std::collections::BTreeSet;
+
+use super::bed::*;
+use crate::{Action, Dispatcher, End, Event, Pick, TargetState};
+
+/// Guards against consecutive calls on one target while others are idle.
+#[test]
+fn choose_spreads_calls() {
+    let mut bed = Bed::warm(4);
+    let used: BTreeSet<_> = (0..4).map(|_| bed.start(URGENT).1).collect();
+    assert_eq!(used.len(), 4);
+}
+
+/// Guards against calls that cross zones while the own zone has free slots.
+#[test]
+fn choose_own_zone_first() {
+    let mut targets: Vec<_> = (0..2).map(|n| target(n, "me")).collect();
+    targets[0].zone = "b".into();
+    let mut bed = Bed::warm_with(view(targets));
+    assert!((0..3).all(|_| bed.start(URGENT).1.as_str() == "t-1"));
+    assert_eq!(bed.start(URGENT).1.as_str(), "t-0");
+}
+
+/// Guards against urgent calls on a slow target while another slot becomes free soon, and against a
+/// slow target that is never tried again.
+#[test]
+fn choose_avoids_slow_target() {
+    let mut bed = Bed::warm(2);
+    bed.dispatcher.targets.get_mut(&"t-0".into()).unwrap().speed = 5.0;
+    let first: Vec<_> = (0..3).map(|_| bed.start(URGENT)).collect();
+    assert!(first.iter().all(|s| s.1.as_str() == "t-1"));
+    assert!(starts(&bed.arrive(URGENT)).is_empty());
+    assert_eq!(
+        starts(&bed.finish(&first[0], End::Good))[0].1.as_str(),
+        "t-1"
+    );
+    bed.arrive(URGENT);
+    bed.now = bed.now.plus_ms(14);
+    assert_eq!(
+        starts(&bed.tick())[0].1.as_str(),
+        "t-0",
+        "did not start in time"
+    );
+}
+
+/// Guards against more calls on a cold target than its limit.
+#[test]
+fn limit_cold_start_and_cold_again() {
+    let mut bed = Bed::new(view(vec![target(0, "me")]));
+    let first = bed.start(URGENT);
+    assert!(
+        starts(&bed.arrive(URGENT)).is_empty(),
+        "cold target got two calls"
+    );
+    let mut started = starts(&bed.finish(&first, End::Good));
+    for _ in 0..40 {
+        started.extend(starts(&bed.arrive(URGENT)));
+        let next = started.remove(0);
+        started.extend(starts(&bed.finish(&next, End::Good)));
+    }
+    assert_eq!(bed.limit(0), Some(3));
+    let last = started.remove(0);
+    bed.finish_with(&last, End::Good, |r| r.cold = true);
+    assert_eq!(bed.limit(0), Some(1));
+}
+
+/// Guards against targets that fail fast and thereby attract calls.
+#[test]
+fn health_fail_fast_target_ejected() {
+    let mut bed = Bed::warm(3);
+    for _ in 0..9 {
+        let started = bed.start(CONFIRM);
+        let end = if started.1.as_str() == "t-0" {
+            End::Error
+        } else {
+            End::Good
+        };
+        bed.finish_with(&started, end, |r| r.service_us = 100);
+    }
+    assert_eq!(bed.dispatcher.stats().ejections, 1);
+    let next: Vec<_> = (0..6).map(|_| bed.start(CONFIRM).1).collect();
+    assert!(next.iter().all(|t| t.as_str() != "t-0"));
+    bed.pass(1_000);
+    assert_eq!(bed.start(CONFIRM).1.as_str(), "t-0", "no trial call");
+    assert!(
+        starts(&bed.arrive(CONFIRM)).is_empty(),
+        "more than one trial call"
+    );
+}
+
+/// Guards against an outage made by ejecting every target.
+#[test]
+fn health_serves_all_rather_than_none() {
+    let mut bed = Bed::warm(3);
+    for _ in 0..9 {
+        let started = bed.start(CONFIRM);
+        bed.finish(&started, End::Error);
+    }
+    assert!(bed.dispatcher.serve_all);
+    assert_eq!(starts(&bed.arrive(CONFIRM)).len(), 1);
+}
+
+/// Guards against work for targets that may not receive any.
+#[test]
+fn start_only_on_usable_targets() {
+    let states = [
+        TargetState::ZoneOut,
+        TargetState::Leaving,
+        TargetState::Silent,
+        TargetState::Barred,
+    ];
+    for state in states {
+        let mut bed = Bed::warm(2);
+        bed.set_target(0, |t| t.state = state);
+        let used: Vec<_> = (0..3).map(|_| bed.start(URGENT).1).collect();
+        assert!(used.iter().all(|t| t.as_str() == "t-1"), "{state:?}");
+        assert!(starts(&bed.arrive(URGENT)).is_empty(), "{state:?}");
+    }
+}
+
+/// Guards against work for a target after it said that it is draining, and repeated facts.
+#[test]
+fn drain_tells_once_and_stops() {
+    let mut bed = Bed::warm(2);
+    let on_first = |bed: &mut Bed| loop {
+        let started = bed.start(URGENT);
+        if started.1.as_str() == "t-0" {
+            return started;
+        }
+    };
+    let (one, two) = (on_first(&mut bed), on_first(&mut bed));
+    let fact = |out: &[Action]| out.iter().any(|a| matches!(a, Action::Draining { .. }));
+    assert!(fact(
+        &bed.finish_with(&one, End::Good, |r| r.draining = true)
+    ));
+    assert!(!fact(
+        &bed.finish_with(&two, End::Good, |r| r.draining = true)
+    ));
+    let out = bed.arrive(URGENT);
+    assert!(starts(&out).iter().all(|s| s.1.as_str() != "t-0"));
+}
+
+/// Guards against baselines that are not what they are called.
+#[test]
+fn baseline_picks() {
+    let targets = (0..5).map(|n| target(n, "other")).collect();
+    for (pick, least) in [
+        (Pick::LeastInFlight, 5),
+        (Pick::TwoChoices, 3),
+        (Pick::Random, 2),
+    ] {
+        let mut bed = Bed::new(view(Vec::clone(&targets)));
+        bed.dispatcher = Dispatcher::with_pick(std::sync::Arc::new(bed.view.clone()), 3, pick);
+        let used: BTreeSet<_> = (0..5).map(|_| bed.start(URGENT).1).collect();
+        assert!(used.len() >= least, "{pick:?} used {} targets", used.len());
+        let call = bed.call(URGENT);
+        assert_eq!(starts(&bed.handle(Event::Arrive(call))).len(), 1);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/tests/claims.rs
@@ -0,0 +1,267 @@
+//! Handover of targets between owners.
+
+use wire::LoanMsg;
+
+use super::bed::*;
+use crate::End;
+
+/// Instance `me` with peer `old`, which owned `t-0` before.
+fn successor() -> Bed {
+    let mut view = view(vec![target(0, "old")]);
+    view.owners = vec!["me".into(), "old".into()];
+    let mut bed = Bed::new(view);
+    bed.tick();
+    let out = bed.set_target(0, |t| t.owner = "me".into());
+    let claim = LoanMsg::Claim {
+        view: 2,
+        targets: vec!["t-0".into()],
+    };
+    assert_eq!(sent(&out), [("old".into(), claim)]);
+    bed
+}
+
+fn release(view: u64, busy: u32, limit: u32) -> LoanMsg {
+    LoanMsg::Release {
+        view,
+        targets: vec![("t-0".into(), busy, limit)],
+        kept: Vec::new(),
+    }
+}
+
+fn start_count(bed: &mut Bed, calls: usize) -> usize {
+    (0..calls).flat_map(|_| starts(&bed.arrive(URGENT))).count()
+}
+
+/// Guards against a new owner that starts more than the old one left room for.
+#[test]
+fn claim_counts_calls_of_the_old_owner() {
+    let mut bed = successor();
+    assert_eq!(start_count(&mut bed, 1), 0, "started before the answer");
+    let out = bed.peer("old", release(2, 2, 3));
+    assert_eq!(starts(&out).len(), 1);
+    assert_eq!(start_count(&mut bed, 1), 0);
+    let out = bed.peer("old", release(2, 1, 3));
+    assert_eq!(starts(&out).len(), 1, "an ended call still counted");
+    bed.pass(2_300);
+    assert_eq!(
+        bed.dispatcher.in_use().values().sum::<u32>(),
+        2,
+        "the old owner's call stayed"
+    );
+}
+
+/// Guards against targets that nobody serves after their owner was lost, and against a warm start
+/// while its calls may still run.
+#[test]
+fn claim_unanswered_starts_cold() {
+    let mut bed = successor();
+    bed.pass(499);
+    assert_eq!(start_count(&mut bed, 1), 0);
+    let out = bed.pass(1);
+    assert_eq!(bed.limit(0), Some(1));
+    assert_eq!(starts(&out).len(), 1, "the waiting call did not start");
+    assert_eq!(start_count(&mut bed, 1), 0);
+}
+
+/// Guards against an old owner that goes on after it gave targets up, and against one that does not
+/// say when its calls end.
+#[test]
+fn hand_over_stops_and_tells() {
+    let mut view = view(vec![target(0, "me")]);
+    view.owners = vec!["me".into()];
+    let mut bed = Bed::warm_with(view);
+    let started = bed.start(URGENT);
+    let out = bed.set_view(|v| {
+        std::sync::Arc::make_mut(&mut v.targets[0]).owner = "new".into();
+        v.owners = vec!["new".into()];
+    });
+    assert_eq!(sent(&out), [("new".into(), release(2, 1, 3))]);
+    assert_eq!(start_count(&mut bed, 1), 0);
+    bed.finish(&started, End::Good);
+    let told = sent(&bed.tick());
+    assert!(told.contains(&("new".into(), release(2, 0, 3))), "{told:?}");
+}
+
+/// Guards against two owners: exactly one of two claimants keeps a target.
+#[test]
+fn claim_conflict_has_one_winner() {
+    for (theirs, expect) in [(1, true), (9, false)] {
+        let mut bed = Bed::warm(1);
+        bed.set_view(|_| {});
+        let claim = LoanMsg::Claim {
+            view: theirs,
+            targets: vec!["t-0".into()],
+        };
+        let out = bed.peer("rival", claim);
+        let Some((_, LoanMsg::Release { targets, kept, .. })) = sent(&out).pop() else {
+            panic!("no release in {out:?}");
+        };
+        assert_eq!(
+            (kept.len(), targets.len()),
+            if expect { (1, 0) } else { (0, 1) }
+        );
+        assert_eq!(start_count(&mut bed, 1) == 1, expect);
+    }
+}
+
+/// Guards against a claimant that goes on although the other one keeps the target, and against one
+/// that never asks again.
+#[test]
+fn claim_kept_by_the_other() {
+    let mut bed = successor();
+    let kept = LoanMsg::Release {
+        view: 9,
+        targets: Vec::new(),
+        kept: vec!["t-0".into()],
+    };
+    bed.peer("old", kept);
+    assert_eq!(start_count(&mut bed, 1), 0);
+    let claims = sent(&bed.pass(1_600))
+        .into_iter()
+        .filter(|(to, msg)| to.as_str() == "old" && matches!(msg, LoanMsg::Claim { .. }));
+    assert!(claims.count() >= 1);
+}
+
+/// Guards against slots that are used after a pause in which others may have taken over.
+#[test]
+fn pause_drops_and_claims_again() {
+    let mut view = view(vec![target(0, "me")]);
+    view.owners = vec!["me".into(), "peer".into()];
+    let mut bed = Bed::warm_with(view);
+    bed.pass(500);
+    assert_eq!(start_count(&mut bed, 1), 1);
+    bed.now = bed.now.plus_ms(1_001);
+    let out = bed.arrive(URGENT);
+    assert!(
+        starts(&out).is_empty(),
+        "started on slots that may belong to others"
+    );
+    assert!(
+        sent(&out)
+            .iter()
+            .any(|(_, m)| matches!(m, LoanMsg::Claim { .. }))
+    );
+    assert_eq!(bed.dispatcher.stats().pauses, 1);
+    let answer = LoanMsg::Release {
+        view: 1,
+        targets: vec![("t-0".into(), 0, 0)],
+        kept: Vec::new(),
+    };
+    assert_eq!(starts(&bed.peer("peer", answer)).len(), 0);
+    assert_eq!(
+        bed.dispatcher.in_use().values().sum::<u32>(),
+        1,
+        "calls in progress were forgotten"
+    );
+}
+
+/// Guards against a grant that waited in a buffer while the process was paused.
+#[test]
+fn pause_returns_buffered_grants() {
+    let mut view = view(vec![target(0, "other")]);
+    view.owners = vec!["other".into()];
+    let mut bed = Bed::warm_with(view);
+    bed.now = bed.now.plus_ms(5_000);
+    bed.arrive(URGENT);
+    let grant = LoanMsg::Grant {
+        target: "t-0".into(),
+        loan: 5,
+        hold_ms: 2_000,
+    };
+    assert!(starts(&bed.peer("other", grant)).is_empty());
+}
+
+/// Guards against owners that go back with a view that arrives late.
+#[test]
+fn view_older_is_ignored() {
+    let mut bed = successor();
+    bed.peer("old", release(2, 0, 3));
+    let mut old = bed.view.clone();
+    old.view = 1;
+    std::sync::Arc::make_mut(&mut old.targets[0]).owner = "old".into();
+    bed.handle(crate::Event::View(std::sync::Arc::new(old)));
+    assert_eq!(start_count(&mut bed, 1), 1);
+}
+
+/// Claim of `t-0` that was asked of `old` and `third`.
+fn claimant() -> Bed {
+    let mut view = view(vec![target(0, "old")]);
+    view.owners = vec!["me".into(), "old".into(), "third".into()];
+    let mut bed = Bed::new(view);
+    bed.tick();
+    bed.set_target(0, |t| t.owner = "me".into());
+    bed
+}
+
+/// Guards against a claim that ends with the answer of an earlier owner while the last one goes on.
+#[test]
+fn claim_needs_all_answers() {
+    let mut bed = claimant();
+    bed.peer("old", release(2, 0, 3));
+    assert_eq!(start_count(&mut bed, 1), 0, "the last owner was not heard");
+    assert_eq!(starts(&bed.peer("third", release(2, 0, 2))).len(), 1);
+    assert_eq!(bed.limit(0), Some(2), "not the smallest limit");
+}
+
+/// Guards against a late answer of a third instance that ends a yield.
+#[test]
+fn yield_outlasts_answers_of_others() {
+    let mut bed = claimant();
+    let kept = LoanMsg::Release {
+        view: 9,
+        targets: Vec::new(),
+        kept: vec!["t-0".into()],
+    };
+    bed.peer("old", kept);
+    bed.peer("third", release(2, 0, 3));
+    assert_eq!(start_count(&mut bed, 1), 0);
+    bed.tick();
+    assert_eq!(start_count(&mut bed, 1), 0);
+}
+
+/// Guards against a repeated claim that asks nobody because the view lists no other owner.
+#[test]
+fn yield_claims_from_the_one_that_goes_first() {
+    let mut bed = Bed::warm(1);
+    let claim = LoanMsg::Claim {
+        view: 9,
+        targets: vec!["t-0".into()],
+    };
+    bed.peer("rival", claim);
+    let out = bed.pass(1_600);
+    let claims = sent(&out)
+        .into_iter()
+        .filter(|(to, _)| to.as_str() == "rival");
+    assert!(claims.count() >= 1);
+    assert_eq!(start_count(&mut bed, 1), 0);
+}
+
+/// Guards against calls that are not counted because their owner was not asked: by this instance's
+/// view it never owned the target.
+#[test]
+fn claim_counts_reports_of_unasked_owners() {
+    let mut bed = successor();
+    bed.peer("unasked", release(2, 3, 3));
+    assert!(starts(&bed.peer("old", release(2, 0, 3))).is_empty());
+    assert_eq!(start_count(&mut bed, 1), 0);
+}
+
+/// Guards against a limit that goes to two heirs: with lists that disagree, the second one must start
+/// from the cold limit.
+#[test]
+fn hand_over_tells_limit_to_one_heir() {
+    let mut bed = Bed::warm(1);
+    let limit = |bed: &mut Bed, from: &str| {
+        let claim = LoanMsg::Claim {
+            view: 9,
+            targets: vec!["t-0".into()],
+        };
+        match sent(&bed.peer(from, claim)).pop() {
+            Some((_, LoanMsg::Release { targets, .. })) => targets[0].2,
+            other => panic!("no release but {other:?}"),
+        }
+    };
+    assert_eq!(limit(&mut bed, "one"), 3);
+    assert_eq!(limit(&mut bed, "two"), 0);
+    assert_eq!(limit(&mut bed, "one"), 3, "a repeated claim");
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/tests/invariants.rs
@@ -0,0 +1,75 @@
+//! The checks inside the program fire. Each test forces one violation past the code that prevents it.
+
+use model::TargetId;
+
+use super::bed::*;
+use crate::{TargetState, running::Slot, target::Target};
+
+/// Starts a second attempt of a running call on `t-1` after `change` of that target.
+fn force(class: usize, change: impl FnOnce(&mut Target)) {
+    let mut bed = Bed::warm(2);
+    let id = TargetId::new("t-1");
+    let target = bed.dispatcher.targets.get_mut(&id).unwrap();
+    target.limit.adopt(1);
+    target.own = 1;
+    let first = bed.start(class);
+    let target = bed.dispatcher.targets.get_mut(&id).unwrap();
+    target.own = 0;
+    change(target);
+    let now = bed.now;
+    let mut out = Vec::new();
+    bed.dispatcher
+        .attempt(now, first.0, id, Slot::Own, &mut out);
+    assert!(starts(&out).is_empty(), "a violation was carried out");
+}
+
+fn set_state(target: &mut Target, state: TargetState) {
+    std::sync::Arc::make_mut(&mut target.view).state = state;
+}
+
+#[test]
+#[should_panic(expected = "9007")]
+fn attempt_second_run_of_non_idempotent_call() {
+    force(CONFIRM, |_| {});
+}
+
+#[test]
+#[should_panic(expected = "9003")]
+fn attempt_in_zone_that_is_out() {
+    force(URGENT, |t| set_state(t, TargetState::ZoneOut));
+}
+
+#[test]
+#[should_panic(expected = "9004")]
+fn attempt_on_stopped_version() {
+    force(URGENT, |t| set_state(t, TargetState::Barred));
+}
+
+#[test]
+#[should_panic(expected = "9008")]
+fn attempt_on_leaving_target() {
+    force(URGENT, |t| set_state(t, TargetState::Leaving));
+}
+
+#[test]
+#[should_panic(expected = "9008")]
+fn attempt_on_draining_target() {
+    force(URGENT, |t| t.draining = Some(1));
+}
+
+#[test]
+#[should_panic(expected = "9002")]
+fn attempt_beyond_cold_limit() {
+    force(URGENT, |t| t.own = 1);
+}
+
+#[test]
+#[should_panic(expected = "9001")]
+fn flush_beyond_budget() {
+    let mut bed = Bed::warm(1);
+    (0..2_000).for_each(|_| bed.dispatcher.budget.spend(1));
+    bed.dispatcher.budget = bed.dispatcher.budget.refilled();
+    bed.dispatcher
+        .send(&"peer".into(), wire::LoanMsg::Recall { loan: 1 });
+    bed.tick();
+}
--- /dev/null
+++ b/crates/policy/src/dispatcher/tests/loans.rs
@@ -0,0 +1,332 @@
+//! Slot lending.
+
+use model::InstanceId;
+use wire::LoanMsg;
+
+use super::bed::*;
+use crate::{End, Event, urgency::Urgency};
+
+const WANT: LoanMsg = LoanMsg::Want {
+    waiting: 1,
+    tight: 1,
+};
+
+fn grant(loan: u64) -> LoanMsg {
+    LoanMsg::Grant {
+        target: "t-0".into(),
+        loan,
+        hold_ms: 2_000,
+    }
+}
+
+fn returned(loan: u64, good: u32) -> LoanMsg {
+    LoanMsg::Return {
+        loan,
+        good,
+        bad: 0,
+        busy_us: u64::from(good) * 10_000,
+        draining: false,
+        cold: false,
+    }
+}
+
+/// An instance that owns nothing; `other` owns `t-0`.
+fn borrower() -> Bed {
+    let mut view = view(vec![target(0, "other")]);
+    view.owners = vec!["other".into()];
+    Bed::warm_with(view)
+}
+
+fn loan_of(out: &[crate::Action]) -> u64 {
+    let grants = sent(out).into_iter().filter_map(|(_, msg)| match msg {
+        LoanMsg::Grant { loan, .. } => Some(loan),
+        _ => None,
+    });
+    grants
+        .last()
+        .unwrap_or_else(|| panic!("no grant in {out:?}"))
+}
+
+/// Guards against calls that wait at an instance without targets while owners have idle slots.
+#[test]
+fn borrow_use_again_and_return() {
+    let mut bed = borrower();
+    assert_eq!(sent(&bed.arrive(URGENT)), [("other".into(), WANT)]);
+    let out = bed.peer("other", grant(5));
+    let first = starts(&out).remove(0);
+    bed.arrive(URGENT);
+    let out = bed.finish(&first, End::Good);
+    let second = starts(&out).pop().expect("the loan is used again");
+    let out = bed.finish(&second, End::Good);
+    let back = sent(&out).into_iter().map(|(_, msg)| msg);
+    assert!(matches!(
+        back.last(),
+        Some(LoanMsg::Return {
+            loan: 5,
+            good: 2,
+            ..
+        })
+    ));
+    assert!(bed.dispatcher.borrowed.is_empty());
+}
+
+/// Guards against further use of a loan that was recalled.
+#[test]
+fn borrow_recalled_loan_ends() {
+    let mut bed = borrower();
+    bed.arrive(URGENT);
+    let first = starts(&bed.peer("other", grant(5))).remove(0);
+    bed.arrive(URGENT);
+    bed.peer("other", LoanMsg::Recall { loan: 5 });
+    let out = bed.finish(&first, End::Good);
+    assert!(starts(&out).is_empty());
+    assert!(
+        sent(&out)
+            .iter()
+            .any(|(_, m)| matches!(m, LoanMsg::Return { loan: 5, .. }))
+    );
+}
+
+/// Guards against two uses of one slot when a grant is repeated or overtaken by its recall.
+#[test]
+fn borrow_repeated_and_overtaken_grants() {
+    let mut bed = borrower();
+    (0..3).for_each(|_| drop(bed.arrive(URGENT)));
+    assert_eq!(starts(&bed.peer("other", grant(5))).len(), 1);
+    assert!(
+        starts(&bed.peer("other", grant(5))).is_empty(),
+        "one slot was used twice"
+    );
+    let out = bed.peer("other", LoanMsg::Recall { loan: 8 });
+    assert_eq!(
+        sent(&out)[0].1,
+        returned(8, 0),
+        "a lost grant leaks its slot"
+    );
+    let out = bed.peer("other", grant(8));
+    assert!(starts(&out).is_empty(), "a returned loan was used");
+}
+
+/// Guards against calls that run on a loan after the lender took the slot back.
+#[test]
+fn borrow_only_calls_that_end_in_time() {
+    let mut bed = borrower();
+    let mut call = bed.call(URGENT);
+    call.deadline = bed.now.plus_ms(2_001);
+    bed.handle(Event::Arrive(call));
+    let out = bed.peer("other", grant(5));
+    assert!(starts(&out).is_empty());
+    assert!(sent(&out).contains(&("other".into(), returned(5, 0))));
+}
+
+/// Guards against reuse of slots of an owner that is gone.
+#[test]
+fn borrow_lender_gone() {
+    for lost in [true, false] {
+        let mut bed = borrower();
+        bed.arrive(URGENT);
+        let first = starts(&bed.peer("other", grant(5))).remove(0);
+        if lost {
+            let peer = InstanceId::new("other");
+            bed.handle(Event::PeerDown { peer });
+        } else {
+            bed.set_target(0, |t| t.owner = "third".into());
+        }
+        bed.arrive(URGENT);
+        assert!(starts(&bed.finish(&first, End::Good)).is_empty());
+    }
+}
+
+/// Guards against slots lent twice, idle slots that are not lent, and wishes that are forgotten while
+/// nothing is idle.
+#[test]
+fn lend_idle_slots_when_they_come() {
+    let mut bed = Bed::warm(1);
+    let running: Vec<_> = (0..3).map(|_| bed.start(URGENT)).collect();
+    assert!(sent(&bed.peer("peer", WANT)).is_empty());
+    let out = bed.finish(&running[0], End::Good);
+    let loan = loan_of(&out);
+    assert!(
+        starts(&bed.arrive(URGENT)).is_empty(),
+        "a lent slot was used"
+    );
+    let out = bed.peer("peer", returned(loan, 1));
+    assert_eq!(starts(&out).len(), 1);
+    assert_eq!(bed.dispatcher.stats().loans_out, 1);
+}
+
+/// Guards against loans for wishes that were withdrawn or are old.
+#[test]
+fn lend_withdrawn_and_old_wishes() {
+    for withdrawn in [true, false] {
+        let mut bed = Bed::warm(1);
+        let running: Vec<_> = (0..3).map(|_| bed.start(URGENT)).collect();
+        bed.peer("peer", WANT);
+        if withdrawn {
+            bed.peer(
+                "peer",
+                LoanMsg::Want {
+                    waiting: 0,
+                    tight: 0,
+                },
+            );
+        } else {
+            bed.now = bed.now.plus_ms(50);
+        }
+        assert!(sent(&bed.finish(&running[0], End::Good)).is_empty());
+    }
+}
+
+/// Guards against bulk calls of peers that take the slots reserved for urgent calls.
+#[test]
+fn lend_reserved_slots_to_tight_calls_only() {
+    let mut bed = Bed::warm(2);
+    let loose = LoanMsg::Want {
+        waiting: 9,
+        tight: 0,
+    };
+    assert_eq!(sent(&bed.peer("peer", loose)).len(), 5);
+    let tight = LoanMsg::Want {
+        waiting: 9,
+        tight: 9,
+    };
+    assert_eq!(sent(&bed.peer("peer", tight)).len(), 1);
+}
+
+/// Guards against a borrower that keeps slots while the lender's urgent calls wait.
+#[test]
+fn recall_while_own_calls_wait() {
+    let mut bed = Bed::warm(1);
+    let loan = loan_of(&bed.peer("peer", WANT));
+    (0..2).for_each(|_| drop(bed.start(URGENT)));
+    let out = bed.arrive(URGENT);
+    assert!(sent(&out).contains(&("peer".into(), LoanMsg::Recall { loan })));
+    assert_eq!(sent(&bed.tick()).len(), 0, "recalled twice");
+}
+
+/// Guards against slots that are lost with a message, and against reuse before the hold has passed.
+#[test]
+fn reclaim_after_hold_and_slack() {
+    let mut bed = Bed::warm(1);
+    let loan = loan_of(&bed.peer("peer", WANT));
+    let hold_ms = bed.dispatcher.hold_ms(true);
+    let out = bed.pass(hold_ms + 249);
+    let asked = sent(&out)
+        .into_iter()
+        .filter(|(_, m)| *m == LoanMsg::Recall { loan });
+    assert!(asked.count() >= 1, "the borrower was not asked");
+    assert_eq!(bed.dispatcher.in_use().values().sum::<u32>(), 1);
+    bed.pass(1);
+    assert!(bed.dispatcher.in_use().is_empty());
+    assert_eq!(bed.dispatcher.stats().reclaimed, 1);
+    bed.peer("peer", returned(loan, 1));
+    assert!(
+        bed.dispatcher.in_use().is_empty(),
+        "a late return freed a slot twice"
+    );
+}
+
+/// Guards against a slot freed by a new process of the borrower while calls of the old one run.
+#[test]
+fn reclaim_not_asked_after_a_broken_stream() {
+    let mut bed = Bed::warm(1);
+    loan_of(&bed.peer("peer", WANT));
+    let peer = InstanceId::new("peer");
+    bed.handle(Event::PeerDown { peer });
+    let hold_ms = bed.dispatcher.hold_ms(true);
+    let out = bed.pass(hold_ms + 249);
+    assert!(sent(&out).is_empty(), "the new process was asked: {out:?}");
+    assert_eq!(bed.dispatcher.in_use().values().sum::<u32>(), 1);
+    bed.pass(1);
+    assert!(bed.dispatcher.in_use().is_empty());
+}
+
+/// Guards against a return by an instance that does not hold the loan.
+#[test]
+fn return_from_another_instance() {
+    let mut bed = Bed::warm(1);
+    let loan = loan_of(&bed.peer("peer", WANT));
+    bed.peer("stranger", returned(loan, 1));
+    assert_eq!(bed.dispatcher.in_use().values().sum::<u32>(), 1);
+}
+
+/// Guards against limits that ignore what borrowers saw.
+#[test]
+fn return_feeds_limit_and_health() {
+    let bad = |loan, draining, cold| LoanMsg::Return {
+        loan,
+        good: 0,
+        bad: 1,
+        busy_us: 0,
+        draining,
+        cold,
+    };
+    let mut bed = Bed::warm(1);
+    let loan = loan_of(&bed.peer("peer", WANT));
+    bed.peer("peer", bad(loan, false, false));
+    assert_eq!(bed.limit(0), Some(1));
+    let mut bed = Bed::warm(1);
+    let loan = loan_of(&bed.peer("peer", WANT));
+    bed.peer("peer", bad(loan, false, true));
+    assert_eq!(bed.limit(0), Some(1));
+    let loan = loan_of(&bed.peer("peer", WANT));
+    let out = bed.peer("peer", bad(loan, true, false));
+    assert!(
+        out.iter()
+            .any(|a| matches!(a, crate::Action::Draining { .. }))
+    );
+}
+
+fn spend(bed: &mut Bed, urgency: Urgency) {
+    while bed.dispatcher.budget.allows(bed.now, 200, urgency) {
+        bed.dispatcher.budget.spend(1);
+    }
+}
+
+/// Guards against wishes and grants that use up the tokens for returns.
+#[test]
+fn budget_low() {
+    let mut bed = Bed::warm(1);
+    spend(&mut bed, Urgency::Normal);
+    assert!(
+        sent(&bed.peer("peer", WANT)).is_empty(),
+        "lent on tokens kept for returns"
+    );
+    let out = bed.peer("peer", LoanMsg::Recall { loan: 77 });
+    assert_eq!(sent(&out), [("peer".into(), returned(77, 0))]);
+}
+
+/// Guards against messages beyond the budget, lost returns when it is spent, and an instance that
+/// stops serving on its own slots.
+#[test]
+fn budget_spent() {
+    let mut bed = Bed::warm(1);
+    spend(&mut bed, Urgency::Vital);
+    assert_eq!(starts(&bed.arrive(URGENT)).len(), 1);
+    while bed.dispatcher.budget.allows(bed.now, 1, Urgency::Vital) {
+        bed.dispatcher.budget.spend(1);
+    }
+    let out = bed.peer("peer", LoanMsg::Recall { loan: 77 });
+    assert!(sent(&out).is_empty(), "sent without budget");
+    bed.now = bed.now.plus_ms(5);
+    let back = ("peer".into(), returned(77, 0));
+    assert!(sent(&bed.tick()).contains(&back), "a return was lost");
+    assert!(bed.dispatcher.stats().held_back > 0);
+}
+
+/// Guards against a wish for every waiting call.
+#[test]
+fn want_is_coalesced() {
+    let mut view = view((10..34).map(|n| target(n, "other")).collect());
+    view.owners = vec!["other".into()];
+    let mut bed = Bed::warm_with(view);
+    let wants = (0..10).flat_map(|_| sent(&bed.arrive(URGENT))).count();
+    assert_eq!(wants, 1);
+    bed.now = bed.now.plus_ms(2);
+    let out = bed.tick();
+    let want = LoanMsg::Want {
+        waiting: 10,
+        tight: 10,
+    };
+    assert_eq!(sent(&out), [("other".into(), want)]);
+}
--- /dev/null
+++ b/crates/policy/src/invariant.rs
@@ -0,0 +1,24 @@
+//! Checks of the system's guarantees inside the program.
+
+use std::fmt;
+
+use model::Code;
+
+use crate::Stats;
+
+/// Counts a violation of the guarantee `code` if `holds` is false. Panics in debug and test builds.
+/// Returns `holds`, so that a release build can leave out the step in question.
+pub(crate) fn invariant(
+    stats: &mut Stats,
+    code: Code,
+    holds: bool,
+    detail: fmt::Arguments<'_>,
+) -> bool {
+    if !holds {
+        *stats.violations.entry(code).or_default() += 1;
+    }
+    if cfg!(debug_assertions) {
+        assert!(holds, "{code}: {detail}");
+    }
+    holds
+}
--- /dev/null
+++ b/crates/policy/src/lender.rs
@@ -0,0 +1,33 @@
+//! An owner of targets as a possible borrower sees it.
+
+use model::Time;
+
+/// Shortest time between two wishes to one owner, in microseconds.
+pub(crate) const MIN_GAP_US: u64 = 1_000;
+/// Longest time between two wishes to one owner, in microseconds. Below the time that the owner
+/// remembers a wish.
+pub(crate) const MAX_GAP_US: u64 = 32_000;
+
+/// What this instance told an owner, and what came back.
+#[derive(Clone, Debug)]
+pub(crate) struct Lender {
+    /// Highest loan number seen. Lower ones are repeats or were overtaken by a recall.
+    pub(crate) seen: Option<u64>,
+    /// Waiting calls that the owner knows of: all, tight ones.
+    pub(crate) told: (u32, u32),
+    /// Time of the last wish.
+    pub(crate) at: Option<Time>,
+    /// Time to leave before the next wish, in microseconds; doubles while wishes go unanswered.
+    pub(crate) gap_us: u64,
+}
+
+impl Default for Lender {
+    fn default() -> Self {
+        Self {
+            seen: None,
+            told: (0, 0),
+            at: None,
+            gap_us: MIN_GAP_US,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/split/tests.rs
@@ -0,0 +1,70 @@
+//! Guards against a new version that gets more than its share, above all in small counts.
+
+use super::*;
+
+fn shift(share: u16) -> MoveShare {
+    MoveShare {
+        from: "v1".into(),
+        to: "v2".into(),
+        plan: "p".into(),
+        share,
+    }
+}
+
+fn count(split: &mut Split, starts: u32) -> u32 {
+    let mut new = 0;
+    for _ in 0..starts {
+        let is_new = split.allows_new();
+        split.count(is_new);
+        new += u32::from(is_new);
+    }
+    new
+}
+
+#[test]
+fn allows_new_within_share_plus_one() {
+    for share in [1, 100, 500, 2_000, 5_000, 9_999, 10_000] {
+        for phase in [0, 1, 4_999, 9_999, 123_456] {
+            let mut split = Split::new(phase);
+            split.set(Some(&shift(share)));
+            let mut new = 0;
+            for starts in 1..=2_000_u32 {
+                new += count(&mut split, 1);
+                let exact = f64::from(share) * f64::from(starts) / 10_000.0;
+                let off = f64::from(new) - exact;
+                assert!((-1.0..=1.0).contains(&off), "{new} of {starts} at {share}");
+            }
+        }
+    }
+}
+
+#[test]
+fn allows_new_without_burst_after_drought() {
+    let mut split = Split::new(0);
+    split.set(Some(&shift(5_000)));
+    (0..100).for_each(|_| split.count(false));
+    assert!(
+        count(&mut split, 10) <= 6,
+        "missed starts were caught up at once"
+    );
+}
+
+#[test]
+fn set_smaller_share_and_stop() {
+    let mut split = Split::new(0);
+    split.set(Some(&shift(5_000)));
+    (0..10).for_each(|_| split.count(false));
+    split.set(Some(&shift(100)));
+    assert!(count(&mut split, 100) <= 2);
+    split.set(Some(&shift(0)));
+    assert_eq!(count(&mut split, 1_000), 0);
+    split.set(None);
+    assert!(!split.allows_new());
+}
+
+#[test]
+fn allows_new_always_at_full_share() {
+    let mut split = Split::new(3);
+    split.set(Some(&shift(10_000)));
+    assert_eq!(count(&mut split, 100), 100);
+}
--- /dev/null
+++ b/crates/policy/src/target/tests.rs
@@ -0,0 +1,116 @@
+//! Guards against targets that are overloaded after a cold start, or slowed down by single slow calls,
+//! and against calls of previous owners that are forgotten or counted for ever.
+
+use super::*;
+
+fn view(incarnation: u64, state: TargetState) -> Arc<TargetView> {
+    Arc::new(TargetView {
+        id: "t".into(),
+        incarnation,
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        region: "r".into(),
+        version: "v1".into(),
+        slots: 4,
+        state,
+        owner: "me".into(),
+    })
+}
+
+fn warm() -> Target {
+    let mut target = Target::new(view(1, TargetState::Usable));
+    target.take();
+    target.limit.adopt(4);
+    target
+}
+
+#[test]
+fn good_single_slow_call_changes_nothing() {
+    let mut target = warm();
+    for _ in 0..20 {
+        (0..9).for_each(|_| target.good(1.0));
+        target.good(3.5);
+    }
+    assert_eq!(target.limit.now(), 4);
+}
+
+#[test]
+fn good_suddenly_slow_is_cold() {
+    let mut target = warm();
+    (0..4).for_each(|_| target.good(5.0));
+    assert_eq!((target.limit.now(), target.limit.is_cold()), (1, true));
+    (0..40).for_each(|_| target.good(5.0));
+    assert_eq!(target.limit.now(), 1, "a slow target was given more");
+    (0..60).for_each(|_| target.good(1.0));
+    assert_eq!(target.limit.now(), 4, "a recovered target stayed slow");
+}
+
+#[test]
+fn good_slow_on_average_halves() {
+    let mut target = warm();
+    (0..45).for_each(|i| target.good(if i % 3 == 2 { 1.0 } else { 6.0 }));
+    assert!(target.limit.now() <= 2);
+}
+
+#[test]
+fn outrun_shows_slow_target() {
+    let mut target = warm();
+    (0..9).for_each(|_| target.outrun(0.2));
+    assert!(!target.is_slow(), "a quick cancellation says nothing");
+    (0..45).for_each(|_| target.outrun(4.0));
+    assert!(target.is_slow(), "hedges hide a slow target");
+}
+
+#[test]
+fn bad_shedding_halves_and_errors_do_not() {
+    let mut target = warm();
+    target.bad(Time(0), false, 0.5);
+    assert_eq!(target.limit.now(), 4);
+    target.bad(Time(0), true, 0.5);
+    assert_eq!(target.limit.now(), 2);
+}
+
+#[test]
+fn update_new_process_and_return_are_cold() {
+    let mut target = warm();
+    target.update(&view(2, TargetState::Usable));
+    assert_eq!(target.limit.now(), 1);
+    target.limit.adopt(4);
+    target.update(&view(2, TargetState::ZoneOut));
+    assert_eq!(target.cap(Time(0), true), 0);
+    target.update(&view(2, TargetState::Usable));
+    assert_eq!(target.limit.now(), 1);
+}
+
+#[test]
+fn inherit_overtaken_and_repeated_reports() {
+    let mut target = warm();
+    let until = Time::from_ms(100);
+    let report = |view, busy| Inherited { busy, until, view };
+    let peer = InstanceId::new("old");
+    target.inherit(&peer, report(5, 3));
+    target.inherit(&peer, report(5, 1));
+    target.inherit(&peer, report(5, 2));
+    assert_eq!(target.used(), 1, "an overtaken report raised the count");
+    target.inherit(&peer, report(4, 3));
+    assert_eq!(target.used(), 1, "a report with an older view counted");
+    target.inherit(&peer, report(6, 2));
+    assert_eq!(target.used(), 2, "a later handover did not count");
+    assert_eq!(target.used_without(&peer), 0);
+}
+
+#[test]
+fn inherit_answer_to_a_new_claim() {
+    let mut target = warm();
+    let until = Time::from_ms(100);
+    let peer = InstanceId::new("old");
+    let report = |busy| Inherited {
+        busy,
+        until,
+        view: 5,
+    };
+    target.inherit(&peer, report(1));
+    target.asked.push(peer.clone());
+    target.inherit(&peer, report(3));
+    assert_eq!(target.used(), 3, "an earlier handover hid a later one");
+}
--- /dev/null
+++ b/crates/policy/src/waiting.rs
@@ -0,0 +1,26 @@
+//! A call that waits for a slot.
+
+use model::{TargetId, Time};
+
+use crate::Call;
+
+/// A waiting call. Ordered by its key.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    /// The call.
+    pub(crate) call: Call,
+    /// Index in the dispatcher's class table.
+    pub(crate) class: usize,
+    /// Whether the class leaves the last slots to tighter ones.
+    pub(crate) loose: bool,
+    /// Whether the caller used more than its fair share when the call came.
+    pub(crate) over: bool,
+    /// Latest start.
+    pub(crate) latest: Time,
+    /// Earliest start, for retries.
+    pub(crate) earliest: Time,
+    /// Targets that earlier attempts used.
+    pub(crate) tried: Vec<TargetId>,
+    /// Attempts that may have run at an upstream.
+    pub(crate) sent: u32,
+}
