No address answers and no calls before the instance list was read

Change: such requests get 3007. HEAD answers keep their length; a request body that fails ends the call at the next tick.

--- a/crates/node/src/addresses.rs
+++ b/crates/node/src/addresses.rs
@@ -30,7 +30,7 @@
 pub fn answer_addresses(ctx: &Context, req: &Request) -> Response {
     let query: HashMap<String, String> = req.query().unwrap_or_default();
     let snapshot = ctx.snapshot.load();
-    if !snapshot.ready {
+    if !snapshot.can_serve() {
         return refusal(Code::NotReady, 1_000);
     }
     let Some(service) = query.get("service") else {
--- a/crates/node/src/call/answer.rs
+++ b/crates/node/src/call/answer.rs
@@ -4,11 +4,12 @@
 use std::{
     fmt, io,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll, ready},
 };
 
 use futures::io::{AsyncRead, BufReader};
-use http_types::{Body, Response};
+use http_types::{Body, Method, Response};
 use model::Code;
 use policy::End;
 use wire::KeyState;
@@ -17,6 +18,7 @@
     exchange::Exchange,
     head::{Length, has_header},
     headers::{answer_hop_headers, says_close},
+    job::Job,
     keys::KeyGuard,
     response::mark,
     send_half::Sending,
@@ -75,7 +77,7 @@
     pub fn into_response(self, key: Option<KeyGuard>) -> Response {
         let Self { head, mut passing } = self;
         passing.key = key;
-        let job = &passing.exchange.job;
+        let job = Arc::clone(&passing.exchange.job);
         if head
             .header("hw-call")
             .is_some_and(|echo| echo.as_str() != job.wire_id)
@@ -91,7 +93,7 @@
         let length = passing.length;
         if length == Length::Bytes(0) || length == Length::Absent {
             passing.complete();
-            response.set_body(Body::empty());
+            response.set_body(empty_body(&job, &head));
         } else {
             let announced = match length {
                 Length::Bytes(bytes) => usize::try_from(bytes).ok(),
@@ -111,6 +113,16 @@
     }
 }
 
+/// The body of an answer that has none. The answer to a HEAD request keeps the length that it states.
+fn empty_body(job: &Job, head: &Response) -> Body {
+    if job.head.method() != Method::Head {
+        return Body::empty();
+    }
+    let stated = head.header("content-length");
+    let stated = stated.and_then(|v| v.as_str().parse().ok());
+    Body::from_reader(futures::io::empty(), Some(stated.unwrap_or(0)))
+}
+
 /// The body of an answer.
 pub struct Passing {
     exchange: Exchange,
--- a/crates/node/src/call/handle.rs
+++ b/crates/node/src/call/handle.rs
@@ -159,7 +159,7 @@
     req: &Request,
 ) -> Result<(Named, policy::Call), (Code, u32)> {
     let snapshot = ctx.snapshot.load();
-    if !snapshot.ready {
+    if !snapshot.can_serve() {
         return Err((Code::NotReady, RETRY_MS));
     }
     let name = service_name(req).ok_or((Code::BadHeader, 0))?;
--- a/crates/node/src/call/handle/tests.rs
+++ b/crates/node/src/call/handle/tests.rs
@@ -50,6 +50,7 @@
             live: Vec::new(),
             offset: 1,
             ready: true,
+            listed: true,
             services,
         };
         ctx.snapshot.store(Arc::new(snapshot));
@@ -186,6 +187,19 @@
     target(id, addr)
 }
 
+/// A target that reads a request, sends `bytes` and closes.
+async fn closing(id: &str, bytes: &'static [u8]) -> Arc<TargetView> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = [0; 4_096];
+        let _ = stream.read(&mut buf).await;
+        let _ = stream.write_all(bytes).await;
+    });
+    target(id, addr)
+}
+
 fn unreachable(id: &str) -> Arc<TargetView> {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     target(id, listener.local_addr().unwrap())
@@ -363,6 +377,23 @@
     });
 }
 
+#[test]
+fn start_at_the_end_of_the_task_ends_once() {
+    task::block_on(async {
+        let target = answering("t-1", 500, OK).await;
+        for _ in 0..50 {
+            let desk = Desk::open().await;
+            let (running, open) = desk.call("lookup", 1_000).await;
+            // The task may or may not see the start before it is dropped.
+            open.start(&target);
+            running.cancel().await;
+            assert_eq!(desk.finish().await.1.end, End::Cancelled);
+            desk.cancelled(open.id).await;
+            assert!(desk.messages.is_empty());
+        }
+    });
+}
+
 #[test]
 fn task_dropped_ends_attempt() {
     task::block_on(async {
@@ -389,6 +420,18 @@
     });
 }
 
+#[test]
+fn answer_short_ends_as_cut() {
+    task::block_on(async {
+        let desk = Desk::open().await;
+        let (running, open) = desk.call("confirmation", 1_000).await;
+        open.start(&closing("t-1", b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort").await);
+        let mut response = running.await.response;
+        assert!(response.take_body().into_string().await.is_err());
+        assert_eq!(desk.finish().await.1.end, End::Cut);
+    });
+}
+
 #[test]
 fn deadline_while_waiting_is_not_run() {
     task::block_on(async {
--- a/crates/node/src/call/supervise.rs
+++ b/crates/node/src/call/supervise.rs
@@ -69,6 +69,9 @@
         return Some(Stop::Deadline);
     }
     let body = limits.body.as_ref()?;
+    if body.has_failed() {
+        return Some(Stop::CallerGone);
+    }
     (!body.is_whole() && body.is_slow()).then_some(Stop::SlowSender)
 }
 
--- a/crates/node/src/control/publish.rs
+++ b/crates/node/src/control/publish.rs
@@ -22,6 +22,7 @@
 pub struct Basis {
     offset: u64,
     members: u64,
+    listed: bool,
     facts: usize,
     /// Open moves whose deadline has passed.
     late: usize,
@@ -35,6 +36,7 @@
     let basis = Basis {
         offset: control.state.offset(),
         members: members.version,
+        listed: control.members.is_listed(),
         facts: control.facts.len(),
         late: late_moves(control, wall),
     };
@@ -117,6 +119,7 @@
         view,
         live,
         ready,
+        listed: control.members.is_listed(),
         services,
     }
 }
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -34,6 +34,15 @@
     pub live: Vec<InstanceId>,
     /// Whether a configuration was ever applied.
     pub ready: bool,
+    /// Whether the instance list was ever read. Until then no target is known.
+    pub listed: bool,
     /// Services by name.
     pub services: BTreeMap<ServiceName, ServiceSnapshot>,
 }
+
+impl Snapshot {
+    /// Whether calls can be taken. A call before the first read of the list would find no target.
+    pub const fn can_serve(&self) -> bool {
+        self.ready && self.listed
+    }
+}
--- a/crates/node/tests/caller_faults.rs
+++ b/crates/node/tests/caller_faults.rs
@@ -4,14 +4,18 @@
 mod common;
 
 use std::{
-    sync::atomic::Ordering,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
 use async_std::{io::WriteExt, net::TcpStream, task};
+use http_types::Method;
 use model::Settings;
 use node::{Node, Token};
-use testkit::{ListServer, LogServer};
+use testkit::{HttpServer, ListServer, LogServer, json_response};
 
 use common::{Act, Asked, RawUpstream, Reply, Rig, call_head, read_all};
 
@@ -131,6 +135,54 @@
     });
 }
 
+/// An instance with a configuration answered calls with 3003 until it had read the list.
+#[test]
+fn request_before_first_list() {
+    task::block_on(async {
+        let read = Arc::new(AtomicBool::new(false));
+        let released = Arc::clone(&read);
+        let entry = common::upstream_entry("t-1", common::free_addr(), 3);
+        let list = HttpServer::start(move |req, _| {
+            let (released, entry) = (Arc::clone(&released), entry.clone());
+            async move {
+                while req.method() == Method::Get && !released.load(Ordering::SeqCst) {
+                    task::sleep(Duration::from_millis(5)).await;
+                }
+                let answer = wire::ListAnswer {
+                    version: 1,
+                    entries: vec![entry],
+                };
+                json_response(&answer)
+            }
+        })
+        .await;
+        let platform = common::Platform::start(common::free_addr(), 3).await;
+        let text = common::settings_text(platform.log.addr(), list.addr());
+        let settings = Settings::parse("test", &text).unwrap();
+        let (entry, admin) = (settings.listen, settings.admin);
+        let node = Node::start(settings, &Token::new()).await.unwrap();
+        let ask = async |addr, path: &str| {
+            let mut caller = TcpStream::connect(addr).await.unwrap();
+            let text = format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+            caller.write_all(text.as_bytes()).await.unwrap();
+            Reply::parse(&read_all(&mut caller).await)
+        };
+        let wait = async |addr, path: &str| {
+            let start = Instant::now();
+            while ask(addr, path).await.status != 200 {
+                assert!(start.elapsed() < common::PATIENCE, "{path}");
+                task::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        wait(admin, "/v1/health").await;
+        let path = "/v1/addresses?service=orders";
+        assert_eq!(ask(entry, path).await.result(), (503, 3007, "not-run"));
+        read.store(true, Ordering::SeqCst);
+        wait(entry, path).await;
+        node.kill();
+    });
+}
+
 #[test]
 fn addresses_answer() {
     task::block_on(async {
--- a/crates/node/tests/upstream_faults.rs
+++ b/crates/node/tests/upstream_faults.rs
@@ -86,6 +86,21 @@
     });
 }
 
+#[test]
+fn answer_short_ends_kept_connection() {
+    task::block_on(async {
+        let upstream = RawUpstream::start(true, |_| {
+            let part = b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort".to_vec();
+            vec![Act::Send(part), Act::Close]
+        })
+        .await;
+        let rig = Rig::start(upstream.addr, 3).await;
+        // Bytes of a next answer on this connection would pass for the rest of this one.
+        let text = rig.raw(&call_head("confirmation", "", 0)).await;
+        assert!(text.ends_with("short"), "{text}");
+    });
+}
+
 #[test]
 fn answer_chunked_short_is_cut() {
     task::block_on(async {
@@ -347,6 +362,7 @@
                 (reply.result(), reply.body.as_str()),
                 ((200, 1000, "served"), "")
             );
+            assert_eq!(reply.header("content-length"), Some("10"));
         }
     });
 }
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -92,6 +92,12 @@
         complete
     }
 
+    /// Whether the list was read since this instance started.
+    #[must_use]
+    pub const fn is_listed(&self) -> bool {
+        self.listed_at.is_some()
+    }
+
     /// Takes what this instance saw itself or heard from a peer.
     pub fn see(&mut self, now: Time, sighting: &Sighting) {
         match sighting {
