--- a/crates/testkit/examples/overhead.rs
+++ b/crates/testkit/examples/overhead.rs
@@ -44,8 +44,13 @@
 idempotent = false
 timeout_ms = 20000
 "#;
-/// Slots of the upstream, so many that no call waits.
-const SLOTS: u32 = 100_000;
+/// Slots of each upstream: an instance opens at most 15 connections to one.
+const SLOTS: u32 = 15;
+/// Upstreams, so many that no call waits for a slot.
+const UPSTREAMS: usize = 64;
+/// Calls at a time, and their number, that make the instance take no upstream as cold any more.
+const WARM_WORKERS: usize = 64;
+const WARM_CALLS: usize = 300;
 /// Time for the instance to start.
 const START_LIMIT: Duration = Duration::from_secs(10);
 /// Calls on each path before measuring.
@@ -80,6 +85,10 @@
     #[argh(option, from_str_fn(parse_count), default = "400")]
     connections: usize,
 
+    /// service time of the upstreams in microseconds, 0 to 1000000
+    #[argh(option, from_str_fn(parse_service), default = "1000")]
+    service_us: u32,
+
     /// seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
@@ -97,6 +106,10 @@
     parse_within(text, 10.0..=20_000.0)
 }
 
+fn parse_service(text: &str) -> Result<u32, String> {
+    parse_within(text, 0..=1_000_000)
+}
+
 fn parse_count(text: &str) -> Result<usize, String> {
     parse_within(text, 1..=1_000)
 }
@@ -116,7 +129,7 @@
 struct Platform {
     log: LogServer,
     list: ListServer,
-    upstream: Upstream,
+    upstreams: Vec<Upstream>,
     binary: PathBuf,
 }
 
@@ -126,37 +139,23 @@
     )?;
     let platform = start_platform(binary).await?;
     let instance = platform.start("i-1").await?;
+    warm_up(&instance).await;
     measure_idle(args, &instance).await?;
     measure_latency(args, &platform, &instance).await?;
     measure_cpu(args, &instance).await?;
     drop(instance);
     let fresh = platform.start("i-2").await?;
+    warm_up(&fresh).await;
     measure_memory(args, &fresh).await
 }
 
 async fn start_platform(binary: PathBuf) -> Result<Platform, Box<dyn Error>> {
     let log = LogServer::start().await;
     let list = ListServer::start().await;
-    let spec = UpstreamSpec {
-        slots: SLOTS,
-        mean_us: 0.0,
-        sigma: 0.0,
-        seed: 1,
-    };
-    let upstream = Upstream::start(spec).await;
-    list.put(ListEntry {
-        id: "t-1".to_owned(),
-        kind: EntryKind::Upstream,
-        zone: "a".into(),
-        region: "region-1".into(),
-        addr: upstream.addr(),
-        peer: None,
-        service: Some("orders".into()),
-        version: Some("v1".into()),
-        slots: Some(SLOTS),
-        state: EntryState::Live,
-        incarnation: 1,
-    });
+    let mut upstreams = Vec::new();
+    for number in 0..UPSTREAMS {
+        upstreams.push(start_upstream(&list, number).await);
+    }
     let record = Record {
         id: "p-1".to_owned(),
         author: OperatorName::new("testkit"),
@@ -172,11 +171,35 @@
     Ok(Platform {
         log,
         list,
-        upstream,
+        upstreams,
         binary,
     })
 }
 
+async fn start_upstream(list: &ListServer, number: usize) -> Upstream {
+    let upstream = Upstream::start(UpstreamSpec {
+        slots: SLOTS,
+        mean_us: 0.0,
+        sigma: 0.0,
+        seed: 1,
+    })
+    .await;
+    list.put(ListEntry {
+        id: format!("t-{number}"),
+        kind: EntryKind::Upstream,
+        zone: "a".into(),
+        region: "region-1".into(),
+        addr: upstream.addr(),
+        peer: None,
+        service: Some("orders".into()),
+        version: Some("v1".into()),
+        slots: Some(SLOTS),
+        state: EntryState::Live,
+        incarnation: 1,
+    });
+    upstream
+}
+
 impl Platform {
     /// Starts an instance and waits until it serves.
     async fn start(&self, id: &str) -> Result<ChildInstance, Box<dyn Error>> {
@@ -194,6 +217,20 @@
     }
 }
 
+/// Calls until no upstream is cold for the instance.
+async fn warm_up(instance: &ChildInstance) {
+    let addr = instance.addr;
+    let workers = (0..WARM_WORKERS).map(|_| {
+        task::spawn(async move {
+            let mut stream = None;
+            for _ in 0..WARM_CALLS {
+                stream = call(addr, stream, "1000").await;
+            }
+        })
+    });
+    join_all(workers).await;
+}
+
 /// A call on a given or new connection. Returns the connection if the call was served.
 async fn call(addr: SocketAddr, stream: Option<TcpStream>, service_us: &str) -> Option<TcpStream> {
     let stream = match stream {
@@ -236,15 +273,17 @@
 /// One way to the upstream.
 struct Route {
     addr: SocketAddr,
+    service_us: String,
     idle: Mutex<Vec<TcpStream>>,
     times: Mutex<Histogram<u64>>,
     failed: Mutex<u64>,
 }
 
 impl Route {
-    fn new(addr: SocketAddr) -> Result<Arc<Self>, Box<dyn Error>> {
+    fn new(addr: SocketAddr, service_us: u32) -> Result<Arc<Self>, Box<dyn Error>> {
         Ok(Arc::new(Self {
             addr,
+            service_us: service_us.to_string(),
             idle: Mutex::default(),
             times: Mutex::new(Histogram::new_with_bounds(1, 60_000_000, 3)?),
             failed: Mutex::default(),
@@ -254,7 +293,7 @@
     /// Runs a call that was due `at`.
     async fn run(&self, at: Instant) {
         let stream = lock(&self.idle).pop();
-        let Some(stream) = call(self.addr, stream, "0").await else {
+        let Some(stream) = call(self.addr, stream, &self.service_us).await else {
             *lock(&self.failed) += 1;
             return;
         };
@@ -274,8 +313,8 @@
     instance: &ChildInstance,
 ) -> Result<(), Box<dyn Error>> {
     let routes = [
-        Route::new(platform.upstream.addr())?,
-        Route::new(instance.addr)?,
+        Route::new(platform.upstreams[0].addr(), args.service_us)?,
+        Route::new(instance.addr, args.service_us)?,
     ];
     for route in &routes {
         for _ in 0..WARM_UP {
@@ -324,7 +363,7 @@
         );
         if args.json {
             let line = json!({"bench": "overhead", "part": "latency", "quantile": name,
-                "direct_us": d, "through_us": t, "rate": args.rate, "seed": args.seed,
+                "direct_us": d, "through_us": t, "rate": args.rate, "service_us": args.service_us, "seed": args.seed,
                 "seconds": args.seconds, "failed_direct": failed[0], "failed_through": failed[1],
                 "calls_direct": direct.len(), "calls_through": through.len()});
             println!("{line}");
@@ -351,7 +390,8 @@
     let before = instance.cpu()?;
     let began = Instant::now();
     let addr = instance.addr;
-    let workers = (0..args.workers).map(|_| task::spawn(call_until(addr, until)));
+    let workers = (0..args.workers)
+        .map(|_| task::spawn(call_until(addr, args.service_us.to_string(), until)));
     let served: u64 = join_all(workers).await.into_iter().sum();
     let elapsed = began.elapsed().as_secs_f64();
     let cpu = instance.cpu()?.saturating_sub(before).as_secs_f64();
@@ -359,7 +399,7 @@
     if args.json {
         let line = json!({"bench": "overhead", "part": "cpu", "calls": served,
             "calls_per_s": served as f64 / elapsed, "cpu_s": cpu,
-            "calls_per_core_s": per_core, "workers": args.workers});
+            "calls_per_core_s": per_core, "workers": args.workers, "service_us": args.service_us});
         println!("{line}");
     } else {
         println!(
@@ -370,11 +410,11 @@
 }
 
 /// Calls without pause on one connection; returns how many were served.
-async fn call_until(addr: SocketAddr, until: Instant) -> u64 {
+async fn call_until(addr: SocketAddr, service_us: String, until: Instant) -> u64 {
     let mut served = 0;
     let mut stream = None;
     while Instant::now() < until {
-        stream = call(addr, stream, "0").await;
+        stream = call(addr, stream, &service_us).await;
         served += u64::from(stream.is_some());
     }
     served
