Control thread survives torn appends, expired tails and late facts

Found by several instances on loopback with a failing log service and a stand-in peer:

- A fact that the log had overtaken was sent on by every instance that had dropped it, without end: 978 KB/s from 5 instances one late `ZoneOut` later.
- Draining facts were never dropped. 2048 of them made an instance deaf to stops and zones.
Facts about forgotten targets and moves give way now, and stops and zones are always taken.
- A proposal whose record the log service stored torn, with success, stayed pending for ever.
Every append is now checked by reading the log.
- With the log up but the records before its oldest one expired, an instance did not ask its peers.
- A proposal that found the appender's queue full was never appended.

--- a/crates/node/src/control/admin.rs
+++ b/crates/node/src/control/admin.rs
@@ -71,8 +71,12 @@
         return;
     }
     tell_zone_out(control, now, &record.body);
-    let _ = control.appender.try_send(record.clone());
+    let queued = control.appender.try_send(record.clone()).is_ok();
+    let id = record.id.clone();
     control.proposals.add(now, scope, record, reply);
+    if !queued {
+        control.proposals.note_ended(&[id]);
+    }
 }
 
 /// Taking a zone out is urgent and safe, so peers hear of it before the log does. If the proposal
--- a/crates/node/src/control/appender.rs
+++ b/crates/node/src/control/appender.rs
@@ -14,8 +14,8 @@
 /// Records in one append at the most.
 const MAX_BATCH: usize = 64;
 
-/// Appends what arrives in `queue` until cancelled. An append without an answer is reported and not
-/// repeated here, because the log has to be read first.
+/// Appends what arrives in `queue` until cancelled. No append is repeated here, because the log has to
+/// be read first.
 pub async fn append_records(ctx: Arc<Context>, cancel: Token, queue: Receiver<Record>) {
     let client = LogClient::new(ctx.settings.log, &ctx.settings.stream);
     while let Some(Ok(first)) = cancel.run(queue.recv()).await {
@@ -42,7 +42,7 @@
     }
     if let Err(error) = Box::pin(client.append(lines)).await {
         warn!(%instance, %error, "event=append_unknown");
-        let ids = records.iter().map(|r| r.id.clone()).collect();
-        let _ = ctx.control.send(ControlEvent::AppendUnknown { ids }).await;
     }
+    let ids = records.iter().map(|r| r.id.clone()).collect();
+    let _ = ctx.control.send(ControlEvent::AppendEnded { ids }).await;
 }
--- a/crates/node/src/control/event.rs
+++ b/crates/node/src/control/event.rs
@@ -18,8 +18,9 @@
         /// Gets the offset to read next.
         next: Sender<u64>,
     },
-    /// The log service gave no answer to an append; the records may be in the log or not.
-    AppendUnknown {
+    /// An append ended. The records may be in the log or not, also after an answer: the log service
+    /// may store a record torn.
+    AppendEnded {
         /// The records' ids.
         ids: Vec<String>,
     },
--- a/crates/node/src/control/peer_events.rs
+++ b/crates/node/src/control/peer_events.rs
@@ -66,12 +66,14 @@
     control.members.see(now, &sighting);
 }
 
-/// Asks a peer for records while the log service does not answer.
+/// Asks a peer for records while the log service does not answer, or no longer holds those that this
+/// instance lacks.
 fn fetch_if_behind(control: &mut Control, now: Time, from: &InstanceId, offset: u64) {
     let waited = control
         .fetched
         .is_none_or(|at| now.since_us(at) >= FETCH_MS * 1_000);
-    if offset <= control.state.offset() || !waited || records::is_log_up(control, now) {
+    let log_helps = records::is_log_up(control, now) && !control.state.is_behind();
+    if offset <= control.state.offset() || !waited || log_helps {
         return;
     }
     control.fetched = Some(now);
@@ -101,18 +103,38 @@
 }
 
 /// Takes a fact from a peer or from this instance. A new one is passed on to all peers, so that it
-/// reaches instances whose link to its source is down.
+/// reaches instances whose link to its source is down. One that the log has overtaken is not:
+/// instances that have dropped it would send it to each other without end.
 pub fn take_fact(control: &mut Control, now: Time, fact: Fact) {
-    if control.facts.contains(&fact) || control.facts.len() >= MAX_FACTS {
+    if control.facts.contains(&fact) || publish::is_overtaken(control.state.fold(), &fact) {
+        return;
+    }
+    if control.facts.len() >= MAX_FACTS {
+        drop_useless(control, now);
+    }
+    // Stops and zones are few and always taken.
+    if control.facts.len() >= MAX_FACTS && matches!(fact, Fact::Draining { .. }) {
         return;
     }
     info!(instance = %control.ctx.settings.instance, ?fact, "event=fact");
     control.members.see(now, &Sighting::Fact(fact.clone()));
     control.ctx.peers.send_all(&PeerMsg::Fact(fact.clone()));
     control.facts.insert(fact);
+    control.published = None;
     publish::publish(control, now);
 }
 
+/// Drops facts about targets that are gone and about moves that are not remembered.
+fn drop_useless(control: &mut Control, now: Time) {
+    let members = control.members.view(now);
+    let fold = control.state.fold();
+    control.facts.retain(|fact| match fact {
+        Fact::Stop { plan, .. } => fold.find_move(plan).is_some(),
+        Fact::ZoneOut { .. } => true,
+        Fact::Draining { target, .. } => members.targets.iter().any(|t| t.id == *target),
+    });
+}
+
 /// Tells a peer whose link has just opened what it may have missed.
 pub fn greet(control: &Control, peer: &InstanceId) {
     let ctx = &control.ctx;
--- a/crates/node/src/control/proposals.rs
+++ b/crates/node/src/control/proposals.rs
@@ -1,7 +1,7 @@
 //! Proposals of operators that wait for the log.
 //!
-//! A proposal is decided only when its record is read back. After an append without an answer, the
-//! log is read to its end before the record is appended again; the fold makes a second record with
+//! A proposal is decided only when its record is read back. After an append, with or without an answer,
+//! the log is read to its end before the record is appended again; the fold makes a second record with
 //! the same id a no-op, so a late first one does no harm.
 
 use std::collections::BTreeMap;
@@ -21,9 +21,9 @@
 enum Progress {
     /// Passed to the appender.
     Sent,
-    /// The append got no answer. The log must be read from its present end on.
-    Unknown,
-    /// A read that began after the failure has reached the end of the log without the record.
+    /// The append ended. The log must be read from its present end on.
+    Ended,
+    /// A read that began after the append has reached the end of the log without the record.
     Missing,
 }
 
@@ -78,11 +78,11 @@
         waiting.asked = now;
     }
 
-    /// Notes that the append of these records got no answer.
-    pub fn note_unknown(&mut self, ids: &[String]) {
+    /// Notes that the append of these records ended.
+    pub fn note_ended(&mut self, ids: &[String]) {
         for ((_, id), waiting) in &mut self.waiting {
             if ids.contains(id) {
-                waiting.progress = Progress::Unknown;
+                waiting.progress = Progress::Ended;
                 // The read in progress may have begun before the append took effect.
                 waiting.reads = 2;
             }
@@ -92,7 +92,7 @@
     /// Notes a read that reached the end of the log.
     pub fn note_end(&mut self) {
         for waiting in self.waiting.values_mut() {
-            if waiting.progress == Progress::Unknown {
+            if waiting.progress == Progress::Ended {
                 waiting.reads = waiting.reads.saturating_sub(1);
                 if waiting.reads == 0 {
                     waiting.progress = Progress::Missing;
--- a/crates/node/src/control/proposals/tests.rs
+++ b/crates/node/src/control/proposals/tests.rs
@@ -30,7 +30,7 @@
     let mut proposals = Proposals::default();
     let (reply, _answers) = bounded(1);
     proposals.add(Time(0), scope(), record("p"), reply);
-    proposals.note_unknown(&["p".to_owned()]);
+    proposals.note_ended(&["p".to_owned()]);
     proposals.note_end();
     assert!(proposals.take_missing().is_empty());
     proposals.note_end();
@@ -43,7 +43,7 @@
     let mut proposals = Proposals::default();
     let (reply, answers) = bounded(1);
     proposals.add(Time(0), scope(), record("p"), reply);
-    proposals.note_unknown(&["p".to_owned()]);
+    proposals.note_ended(&["p".to_owned()]);
     let answer = ProposalAnswer {
         code: Code::Accepted,
         offset: Some(4),
--- a/crates/node/src/control/publish.rs
+++ b/crates/node/src/control/publish.rs
@@ -4,7 +4,7 @@
 
 use model::{ServiceName, Time, Wall};
 use policy::{Event, ServiceView};
-use state::{Home, ViewInput, Views, views};
+use state::{Fold, Home, ViewInput, Views, views};
 use wire::Fact;
 
 use crate::{
@@ -67,14 +67,16 @@
 /// Drops facts that the log has overtaken: stops of decided moves, and zones changed since.
 fn prune_facts(control: &mut Control) {
     let fold = control.state.fold();
-    control.facts.retain(|fact| match fact {
-        Fact::Stop { plan, .. } => {
-            let decided = fold.find_move(plan).is_some_and(|(_, m)| !m.is_open());
-            !decided
-        }
-        Fact::ZoneOut { zone, base } => fold.zones.get(zone).is_none_or(|z| z.changed <= *base),
-        Fact::Draining { .. } => true,
-    });
+    control.facts.retain(|fact| !is_overtaken(fold, fact));
+}
+
+/// Whether the log holds what makes a fact void.
+pub fn is_overtaken(fold: &Fold, fact: &Fact) -> bool {
+    match fact {
+        Fact::Stop { plan, .. } => fold.find_move(plan).is_some_and(|(_, m)| !m.is_open()),
+        Fact::ZoneOut { zone, base } => fold.zones.get(zone).is_some_and(|z| z.changed > *base),
+        Fact::Draining { .. } => false,
+    }
 }
 
 fn update_dispatchers(control: &Control, views: &Views) {
--- a/crates/node/src/control/records.rs
+++ b/crates/node/src/control/records.rs
@@ -24,11 +24,18 @@
     control.log_read = Some(now);
     for entry in &answer.records {
         apply(control, entry);
+        // A snapshot that closed a gap covers less than was read: what follows it is read again.
+        if control.state.next() <= entry.offset {
+            break;
+        }
     }
     if control.state.next() >= answer.next {
         control.proposals.note_end();
         for record in control.proposals.take_missing() {
-            let _ = control.appender.try_send(record);
+            let id = record.id.clone();
+            if control.appender.try_send(record).is_err() {
+                control.proposals.note_ended(&[id]);
+            }
         }
     }
 }
--- a/crates/node/src/control/thread.rs
+++ b/crates/node/src/control/thread.rs
@@ -146,7 +146,7 @@
             let _ = next.try_send(control.state.next());
             publish::publish(control, now);
         }
-        ControlEvent::AppendUnknown { ids } => control.proposals.note_unknown(&ids),
+        ControlEvent::AppendEnded { ids } => control.proposals.note_ended(&ids),
         ControlEvent::List(answer) => {
             control.members.poll(now, &answer);
             publish::publish(control, now);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,12 @@
 //! One running instance.
 
-use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::Duration,
+};
 
 use async_std::{
     channel::{bounded, unbounded},
@@ -110,6 +116,14 @@
         self.ctx.metrics.violations()
     }
 
+    /// Bytes of frames sent to and received from other instances so far, without h2 and TCP headers.
+    #[must_use]
+    pub fn peer_bytes(&self) -> (u64, u64) {
+        let stats = &self.ctx.peers.stats;
+        let sent = stats.sent_bytes.load(Ordering::Relaxed);
+        (sent, stats.received_bytes.load(Ordering::Relaxed))
+    }
+
     /// Ends the instance at once.
     pub fn kill(mut self) {
         self.cancel.cancel();
