--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -144,6 +144,7 @@
 async fn keep_house(ctx: Arc<Context>, cancel: Token) {
     while cancel.run(task::sleep(HOUSE_INTERVAL)).await.is_some() {
         ctx.pools.sweep();
+        ctx.metrics.peers(&ctx.peers.stats);
         ctx.metrics.connections(ctx.progress.connections());
     }
 }
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -9,7 +9,7 @@
 pub use self::{
     incoming::serve_peers,
     outgoing::spawn_link,
-    peers::{Link, Peers},
+    peers::{Link, PeerStats, Peers},
 };
 
 use std::time::Duration;
