--- a/crates/policy/src/dispatcher/claim.rs
+++ b/crates/policy/src/dispatcher/claim.rs
@@ -90,7 +90,7 @@
         let owner = target.view.owner.clone();
         let busy = target.used_without(&owner);
         target.told = (busy > 0).then_some(busy);
-        let limit = target.known_limit();
+        let limit = target.limit_for(&owner);
         let msg = LoanMsg::Release {
             view: self.view.view,
             targets: vec![(id.clone(), busy, limit)],
@@ -132,7 +132,7 @@
             };
             let busy = target.used_without(from);
             target.told = (busy > 0).then_some(busy);
-            given.push((id, busy, target.known_limit()));
+            given.push((id, busy, target.limit_for(from)));
         }
         let msg = LoanMsg::Release {
             view: self.view.view,
--- a/crates/policy/src/dispatcher/tests/claims.rs
+++ b/crates/policy/src/dispatcher/tests/claims.rs
@@ -245,3 +245,23 @@
     assert!(starts(&bed.peer("old", release(2, 0, 3))).is_empty());
     assert_eq!(start_count(&mut bed, 1), 0);
 }
+
+/// Guards against a limit that goes to two heirs: with lists that disagree, the second one must start
+/// from the cold limit.
+#[test]
+fn hand_over_tells_limit_to_one_heir() {
+    let mut bed = Bed::warm(1);
+    let limit = |bed: &mut Bed, from: &str| {
+        let claim = LoanMsg::Claim {
+            view: 9,
+            targets: vec!["t-0".into()],
+        };
+        match sent(&bed.peer(from, claim)).pop() {
+            Some((_, LoanMsg::Release { targets, .. })) => targets[0].2,
+            other => panic!("no release but {other:?}"),
+        }
+    };
+    assert_eq!(limit(&mut bed, "one"), 3);
+    assert_eq!(limit(&mut bed, "two"), 0);
+    assert_eq!(limit(&mut bed, "one"), 3, "a repeated claim");
+}
--- a/crates/policy/src/target.rs
+++ b/crates/policy/src/target.rs
@@ -52,6 +52,7 @@
     /// Process that said it is draining.
     pub(crate) draining: Option<u64>,
     held: bool,
+    heir: Option<InstanceId>,
     listed: bool,
     slow_calls: u32,
 }
@@ -77,6 +78,7 @@
             started: Time::default(),
             draining: None,
             held: false,
+            heir: None,
             listed: true,
             slow_calls: 0,
         }
@@ -124,11 +126,17 @@
     pub(crate) fn take(&mut self) {
         self.hold = Hold::Held;
         self.held = true;
+        self.heir = None;
     }
 
-    /// The limit if this instance handed out the slots last, else 0.
-    pub(crate) fn known_limit(&self) -> u32 {
-        if self.held { self.limit.now() } else { 0 }
+    /// The limit if this instance handed out the slots last, else 0. Only the first heir hears it: for
+    /// others it may be out of date, because the heir may hand out the slots by now.
+    pub(crate) fn limit_for(&mut self, heir: &InstanceId) -> u32 {
+        if !self.held || self.heir.as_ref().is_some_and(|h| h != heir) {
+            return 0;
+        }
+        self.heir = Some(heir.clone());
+        self.limit.now()
     }
 
     /// The target is no longer listed.
