Cold calls are no evidence of slowness; owners compare list versions

Cause: calls on targets that say they are cold counted as slow of the new version, whose processes all start cold; and the view number that settles which of two owners yields was a counter of each instance's own. Change: samples carry the cold mark; the view number is the highest list version that the instance believed, which never falls.

--- a/crates/node/src/control/move_watch.rs
+++ b/crates/node/src/control/move_watch.rs
@@ -37,7 +37,8 @@
                 continue;
             };
             let us = sample.service_us;
-            let slow = !sample.error && self.bar.is_slow(side, &sample.route, us);
+            let timed = !sample.error && !sample.cold;
+            let slow = timed && self.bar.is_slow(side, &sample.route, us);
             self.evidence.count(side, &sample.route, sample.error, slow);
         }
     }
@@ -52,3 +53,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/node/src/control/sample.rs
+++ b/crates/node/src/control/sample.rs
@@ -13,6 +13,8 @@
     pub route: Arc<str>,
     /// Whether it failed.
     pub error: bool,
+    /// The target said that it is cold, so that its time says nothing about the version.
+    pub cold: bool,
     /// Service time in microseconds.
     pub service_us: u64,
 }
--- a/crates/node/src/dispatch/tally.rs
+++ b/crates/node/src/dispatch/tally.rs
@@ -45,6 +45,7 @@
                 version: target.version.clone(),
                 route: Arc::clone(route),
                 error,
+                cold: report.cold,
                 service_us: report.service_us,
             });
         }
--- a/crates/policy/src/service_view.rs
+++ b/crates/policy/src/service_view.rs
@@ -22,7 +22,8 @@
 /// All that a dispatcher knows from configuration and membership.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceView {
-    /// Rises with each membership change that this instance saw.
+    /// Highest version of the instance list that this instance believed. Never falls; when two
+    /// instances disagree on an owner, the one that saw the older list yields.
     pub view: u64,
     /// Service.
     pub name: ServiceName,
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -42,6 +42,7 @@
     entries: BTreeMap<String, Entry>,
     /// Version, length and time of the last answer that was believed.
     version: u64,
+    highest: u64,
     good_len: usize,
     listed_at: Option<Time>,
     view: Arc<MembersView>,
@@ -56,6 +57,7 @@
             me: InstanceId::new(&me.id),
             entries: BTreeMap::from([(me.id.clone(), own)]),
             version: 0,
+            highest: 0,
             good_len: 0,
             listed_at: None,
             view: Arc::default(),
@@ -77,6 +79,7 @@
             self.take_item(now, item);
         }
         self.version = answer.version;
+        self.highest = self.highest.max(answer.version);
         self.listed_at = Some(now);
         if complete {
             self.good_len = answer.entries.len();
@@ -132,6 +135,7 @@
     pub fn view(&mut self, now: Time) -> Arc<MembersView> {
         let mut next = MembersView {
             version: self.view.version,
+            listed: self.highest,
             ..MembersView::default()
         };
         for (id, entry) in &self.entries {
--- a/crates/state/src/members/tests.rs
+++ b/crates/state/src/members/tests.rs
@@ -265,3 +265,17 @@
     let mut bench = Bench::new(&many);
     assert_eq!(bench.members.view(T0).targets.len(), MAX_ENTRIES - 1);
 }
+
+/// Guards against views that cannot be compared between instances, or that fall when the list starts
+/// anew and would then be ignored by dispatchers for ever.
+#[test]
+fn view_listed_follows_list_and_never_falls() {
+    let mut bench = Bench::new(&[instance("me"), target("t-1")]);
+    bench.version = 40;
+    bench.poll(1_000, &[instance("me")]);
+    assert_eq!(bench.members.view(T0.plus_ms(1_000)).listed, 41);
+    bench.version = 0;
+    let late = 1_000 + OUTDATED_MS;
+    assert!(bench.poll(late, &[instance("me")]));
+    assert_eq!(bench.members.view(T0.plus_ms(late)).listed, 41);
+}
--- a/crates/state/src/members/view.rs
+++ b/crates/state/src/members/view.rs
@@ -9,6 +9,9 @@
 pub struct MembersView {
     /// Rises with each change that this instance saw.
     pub version: u64,
+    /// Highest version of the list that was believed. Unlike `version`, it can be compared between
+    /// instances.
+    pub listed: u64,
     /// Instances.
     pub instances: Vec<InstanceView>,
     /// Targets.
--- a/crates/state/src/views.rs
+++ b/crates/state/src/views.rs
@@ -151,7 +151,7 @@
     owners.retain(owns);
     owners.sort();
     ServiceView {
-        view: input.members.version,
+        view: input.members.listed,
         name: name.clone(),
         me: input.me.clone(),
         zone: input.zone.clone(),
