--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -13,7 +13,7 @@
 use futures::future::join_all;
 use http_types::Method;
 use model::Settings;
-use node::{Node, Token};
+use node::{Node, NodeError, Token};
 use platform::{HttpRequest, exchange};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
@@ -184,9 +184,36 @@
         assert_eq!(answer["code"], 6001, "{answer}");
         let offset = answer["offset"].as_u64().unwrap();
         fleet.reach(offset, Duration::from_secs(3)).await;
+        fleet.settle().await;
         fleet
     }
 
+    /// Waits until all running instances know each other and serve calls.
+    pub async fn settle(&self) {
+        let count = self.running().count();
+        for member in self.running() {
+            until(Duration::from_secs(5), "peers are known", async || {
+                let status = send(member.admin, "ana", "/v1/status", &Value::Null).await;
+                status["peers"].as_object().unwrap().len() + 1 >= count
+            })
+            .await;
+        }
+        // Claims of targets take up to 500 ms.
+        pause(700).await;
+        for member in self.running() {
+            until(Duration::from_secs(5), "calls are served", async || {
+                let mut served = 0;
+                for _ in 0..5 {
+                    let answer = call(member.entry, "/").await;
+                    served +=
+                        usize::from(answer.is_some_and(|a| a.outcome.as_deref() == Some("served")));
+                }
+                served == 5
+            })
+            .await;
+        }
+    }
+
     pub async fn add_target(&mut self, id: &str, zone: &str, version: &str, mean_ms: u32) {
         let spec = UpstreamSpec {
             slots: 8,
@@ -219,10 +246,7 @@
 
     /// Adds an instance that reads another list.
     pub async fn add_member_with(&mut self, id: &str, zone: &'static str, list: SocketAddr) {
-        let addrs = free_addrs();
-        let text = settings_text(id, zone, addrs, self.log.addr(), list);
-        let settings = Settings::parse("test", &text).unwrap();
-        let node = Node::start(settings, &Token::new()).await.unwrap();
+        let (addrs, node) = self.start_node(id, zone, list).await;
         let [entry, peer, admin] = addrs;
         self.members.push(Member {
             id: id.to_owned(),
@@ -234,6 +258,19 @@
         });
     }
 
+    /// Starts a node on free ports. Another process may take a port before the node does.
+    async fn start_node(&self, id: &str, zone: &str, list: SocketAddr) -> ([SocketAddr; 3], Node) {
+        loop {
+            let addrs = free_addrs();
+            let text = settings_text(id, zone, addrs, self.log.addr(), list);
+            let settings = Settings::parse("test", &text).unwrap();
+            match Node::start(settings, &Token::new()).await {
+                Err(NodeError::Listen { .. }) => {}
+                started => return (addrs, started.unwrap()),
+            }
+        }
+    }
+
     pub fn running(&self) -> impl Iterator<Item = &Member> {
         self.members.iter().filter(|m| m.node.is_some())
     }
@@ -441,6 +478,46 @@
     }
 }
 
+/// Asks for addresses all the time and checks that the offset in force never falls at an instance.
+pub struct OffsetWatch {
+    stop: Token,
+    task: task::JoinHandle<usize>,
+}
+
+impl OffsetWatch {
+    pub fn start(entries: Vec<SocketAddr>) -> Self {
+        let stop = Token::new();
+        let cancel = stop.clone();
+        let task = task::spawn(async move {
+            let mut highest = vec![0; entries.len()];
+            let mut answers = 0;
+            while !cancel.is_cancelled() {
+                for (entry, highest) in entries.iter().zip(&mut highest) {
+                    let Some(answer) = ask_addresses(*entry, "orders", "").await else {
+                        continue;
+                    };
+                    assert!(
+                        answer.offset >= *highest,
+                        "{} after {highest}",
+                        answer.offset
+                    );
+                    *highest = answer.offset;
+                    answers += 1;
+                }
+                task::sleep(Duration::from_millis(5)).await;
+            }
+            answers
+        });
+        Self { stop, task }
+    }
+
+    /// Ends the watch; panics if an offset fell.
+    pub async fn stop(self) {
+        self.stop.cancel();
+        assert!(self.task.await > 0, "no address answer");
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/node/tests/fleet_store.rs
+++ b/crates/node/tests/fleet_store.rs
@@ -6,10 +6,9 @@
 
 use std::time::Duration;
 
-use async_std::task;
 use testkit::LogFaults;
 
-use fleet::{Fleet, STREAM, document, down, pause, run, send, until};
+use fleet::{Fleet, OffsetWatch, STREAM, document, down, pause, run, send, until};
 
 const SOON: Duration = Duration::from_secs(2);
 const LATER: Duration = Duration::from_secs(5);
@@ -19,6 +18,7 @@
 fn publish_in_outage_is_accepted_once() {
     run(async {
         let fleet = Fleet::start(3, 2, 5).await;
+        let watch = OffsetWatch::start(fleet.entries());
         fleet.log.set_faults(down());
         let answer = fleet.publish(1, "late", 1, &document("# late")).await;
         assert_eq!(answer["code"], 6002, "{answer}");
@@ -29,6 +29,7 @@
         assert_eq!(answer["code"], 6001, "{answer}");
         fleet.reach(answer["offset"].as_u64().unwrap(), SOON).await;
         assert_eq!(fleet.records_of("late"), 1);
+        watch.stop().await;
         fleet.assert_sound();
     });
 }
@@ -243,6 +244,7 @@
         for number in 0..3 {
             let id = format!("new-{number}");
             fleet.add_member(&id, "a").await;
+            let watch = OffsetWatch::start(fleet.entries());
             let text = document(&format!("# {number}"));
             let member = fleet.members.len() - 1;
             let answer = fleet.publish(member, &id, offset, &text).await;
@@ -252,6 +254,8 @@
             let old = format!("i-{number}");
             fleet.members[number].kill();
             fleet.list.remove(&old);
+            pause(300).await;
+            watch.stop().await;
             let seen = fleet.offsets().await;
             assert!(seen.iter().flatten().all(|o| *o >= offset), "{seen:?}");
         }
@@ -270,6 +274,5 @@
             answer.is_some()
         })
         .await;
-        task::yield_now().await;
     });
 }
