--- a/crates/node/src/call/handle.rs
+++ b/crates/node/src/call/handle.rs
@@ -268,10 +268,15 @@
     }
 }
 
-fn failed(job: &Job, failure: Failure, key: Option<KeyGuard>) -> Answered {
+/// Checks that a call which an upstream may have run is not reported as not run.
+pub(super) fn check_not_run(job: &Job, failure: Failure) {
     if failure.outcome() == Outcome::NotRun && job.ledger.may_have_run() {
         job.ctx.violation(Code::FalseNotRun, &job.wire_id);
     }
+}
+
+fn failed(job: &Job, failure: Failure, key: Option<KeyGuard>) -> Answered {
+    check_not_run(job, failure);
     if failure.outcome() == Outcome::Unknown {
         warn!(
             instance = %job.ctx.settings.instance,
--- a/crates/node/src/call/mod.rs
+++ b/crates/node/src/call/mod.rs
@@ -26,3 +26,6 @@
     response::refusal,
     supervise::{Limits, supervise},
 };
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/node/src/call/tests.rs
@@ -0,0 +1,100 @@
+//! The checks of the call path inside the program fire. Each test forces one violation past the code
+//! that prevents it.
+
+use std::sync::Arc;
+
+use async_std::{channel::unbounded, task};
+use http_types::{Body, Method, Request, Response, StatusCode};
+use model::{Code, Settings, Time};
+use policy::{Call, CallId, TargetState, TargetView};
+
+use super::{
+    answer::Answer,
+    body::Source,
+    exchange::Exchange,
+    handle::check_not_run,
+    job::{Job, Parts},
+    ledger::{Ledger, conclude},
+    *,
+};
+use crate::context::Context;
+
+fn context() -> Arc<Context> {
+    let text = "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"127.0.0.1:1\"\n\
+                peer = \"127.0.0.1:2\"\nadmin = \"127.0.0.1:3\"\nlog = \"127.0.0.1:4\"\n\
+                list = \"127.0.0.1:5\"\n";
+    let (control, _) = unbounded();
+    Context::new(Settings::parse("test", text).unwrap(), control)
+}
+
+async fn job(ctx: &Arc<Context>) -> Arc<Job> {
+    let body = RequestBody::new(ctx.clock, Body::empty(), Length::Absent);
+    let state = Arc::clone(body.state());
+    let (dispatcher, _) = unbounded();
+    let parts = Parts {
+        call: Call {
+            id: CallId(1),
+            class: 0,
+            caller: 0,
+            bytes: 0,
+            arrived: Time(0),
+            deadline: Time::MAX,
+            replayable: true,
+            retries: 0,
+        },
+        idempotent: false,
+        has_type: false,
+        head: Request::new(Method::Post, "http://a/confirm"),
+        source: Source::read(body).await.unwrap(),
+        body: state,
+        dispatcher,
+    };
+    Arc::new(Job::new(ctx, parts))
+}
+
+fn exchange(job: &Arc<Job>) -> Exchange {
+    let target = TargetView {
+        id: "t-1".into(),
+        incarnation: 1,
+        addr: ([127, 0, 0, 1], 1).into(),
+        zone: "a".into(),
+        region: "r".into(),
+        version: "v1".into(),
+        slots: 1,
+        state: TargetState::Usable,
+        owner: "i-1".into(),
+    };
+    Exchange::new(Arc::clone(job), Arc::new(target))
+}
+
+#[test]
+#[should_panic(expected = "9005")]
+fn answer_of_another_call() {
+    task::block_on(async {
+        let job = job(&context()).await;
+        let mut head = Response::new(StatusCode::Ok);
+        head.insert_header("hw-call", "i-1/1/999");
+        Answer::new(exchange(&job), head, Length::Absent, None).into_response(None);
+    });
+}
+
+#[test]
+#[should_panic(expected = "9006")]
+fn not_run_after_a_byte_left() {
+    task::block_on(async {
+        let job = job(&context()).await;
+        let failure = conclude(&Ledger::default(), Code::CannotMeet, 0, None);
+        job.ledger.note_sent();
+        check_not_run(&job, failure);
+    });
+}
+
+#[test]
+#[should_panic(expected = "9007")]
+fn non_idempotent_call_sent_twice() {
+    task::block_on(async {
+        let job = job(&context()).await;
+        exchange(&job).trace.note_sent();
+        exchange(&job).trace.note_sent();
+    });
+}
--- a/crates/node/src/stop/planned.rs
+++ b/crates/node/src/stop/planned.rs
@@ -79,3 +79,6 @@
         task::sleep(POLL).await;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/state/src/state/tests.rs
+++ b/crates/state/src/state/tests.rs
@@ -229,3 +229,15 @@
     }
     assert_eq!(state.assembly_bytes(), 0);
 }
+
+/// The check that a configuration never goes back fires: the fold is made to believe that a later
+/// document is in force.
+#[test]
+#[should_panic(expected = "9010")]
+fn apply_document_older_than_the_one_in_force() {
+    let mut state = State::default();
+    push(&mut state, "p-1", config("t", 0, &text(&["orders"], &[])));
+    let tenant = state.fold.tenants.get_mut(&"t".into()).unwrap();
+    tenant.revision = 100;
+    push(&mut state, "p-2", config("t", 100, &text(&["orders"], &[])));
+}
