--- a/crates/testkit/examples/overhead.rs
+++ b/crates/testkit/examples/overhead.rs
@@ -44,10 +44,6 @@
 idempotent = false
 timeout_ms = 20000
 "#;
-/// Slots of each upstream: an instance opens at most 15 connections to one.
-const SLOTS: u32 = 15;
-/// Upstreams, so many that no call waits for a slot.
-const UPSTREAMS: usize = 64;
 /// Calls at a time, and their number, that make the instance take no upstream as cold any more.
 const WARM_WORKERS: usize = 64;
 const WARM_CALLS: usize = 300;
@@ -89,6 +85,14 @@
     #[argh(option, from_str_fn(parse_service), default = "1000")]
     service_us: u32,
 
+    /// upstreams, 1 to 1000; by default so many that no call waits for a slot
+    #[argh(option, from_str_fn(parse_count), default = "64")]
+    upstreams: usize,
+
+    /// slots of each, 1 to 15: an instance opens at most 15 connections to one
+    #[argh(option, from_str_fn(parse_slots), default = "15")]
+    slots: u32,
+
     /// seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
@@ -106,6 +110,10 @@
     parse_within(text, 10.0..=20_000.0)
 }
 
+fn parse_slots(text: &str) -> Result<u32, String> {
+    parse_within(text, 1..=15)
+}
+
 fn parse_service(text: &str) -> Result<u32, String> {
     parse_within(text, 0..=1_000_000)
 }
@@ -137,7 +145,7 @@
     let binary = args.binary.clone().or_else(built_binary).ok_or(
         "the binary was not built: run `cargo build --release -p hibiscusway` or pass --binary",
     )?;
-    let platform = start_platform(binary).await?;
+    let platform = start_platform(args, binary).await?;
     let instance = platform.start("i-1").await?;
     warm_up(&instance).await;
     measure_idle(args, &instance).await?;
@@ -149,12 +157,12 @@
     measure_memory(args, &fresh).await
 }
 
-async fn start_platform(binary: PathBuf) -> Result<Platform, Box<dyn Error>> {
+async fn start_platform(args: &Args, binary: PathBuf) -> Result<Platform, Box<dyn Error>> {
     let log = LogServer::start().await;
     let list = ListServer::start().await;
     let mut upstreams = Vec::new();
-    for number in 0..UPSTREAMS {
-        upstreams.push(start_upstream(&list, number).await);
+    for number in 0..args.upstreams {
+        upstreams.push(start_upstream(args.slots, &list, number).await);
     }
     let record = Record {
         id: "p-1".to_owned(),
@@ -176,9 +184,9 @@
     })
 }
 
-async fn start_upstream(list: &ListServer, number: usize) -> Upstream {
+async fn start_upstream(slots: u32, list: &ListServer, number: usize) -> Upstream {
     let upstream = Upstream::start(UpstreamSpec {
-        slots: SLOTS,
+        slots,
         mean_us: 0.0,
         sigma: 0.0,
         seed: 1,
@@ -193,7 +201,7 @@
         peer: None,
         service: Some("orders".into()),
         version: Some("v1".into()),
-        slots: Some(SLOTS),
+        slots: Some(slots),
         state: EntryState::Live,
         incarnation: 1,
     });
@@ -440,6 +448,10 @@
     task::sleep(SPREAD).await;
     let with_calls = instance.memory()?;
     let served = join_all(calls).await.iter().flatten().count();
+    if served < args.connections {
+        let text = "not all calls were served, so fewer were in progress: lower --connections";
+        return Err(format!("{served} of {}: {text}", args.connections).into());
+    }
     let each = |more: u64, less: u64| more.saturating_sub(less) / args.connections as u64;
     let connection = each(with_connections, before);
     let in_progress = each(with_calls, with_connections);
--- a/crates/testkit/src/cluster/running.rs
+++ b/crates/testkit/src/cluster/running.rs
@@ -104,16 +104,27 @@
     }
 
     async fn start_instances(&mut self) -> Result<(), ClusterError> {
-        let (log, list) = (self.log.addr(), self.list.addr());
-        for number in 0..self.spec.instances {
-            let zone = self.spec.customer.zones[number % self.spec.customer.zones.len()];
-            let id = format!("i-{number:02}");
-            let started = Instance::start(&id, zone, log, list, &self.cancel);
-            self.instances.push(Box::pin(started).await?);
+        for _ in 0..self.spec.instances {
+            self.add_instance().await?;
         }
         Ok(())
     }
 
+    /// Starts a further instance in the next zone.
+    ///
+    /// # Errors
+    ///
+    /// If it does not start.
+    pub async fn add_instance(&mut self) -> Result<(), ClusterError> {
+        let (log, list) = (self.log.addr(), self.list.addr());
+        let number = self.instances.len();
+        let zone = self.spec.customer.zones[number % self.spec.customer.zones.len()];
+        let id = format!("i-{number:02}");
+        let started = Instance::start(&id, zone, log, list, &self.cancel);
+        self.instances.push(Box::pin(started).await?);
+        Ok(())
+    }
+
     /// Starts an upstream and lists it.
     pub async fn add_target(
         &mut self,
