--- a/crates/node/src/control/move_watch.rs
+++ b/crates/node/src/control/move_watch.rs
@@ -37,7 +37,8 @@
                 continue;
             };
             let us = sample.service_us;
-            let slow = !sample.error && self.bar.is_slow(side, &sample.route, us);
+            let timed = !sample.error && !sample.cold;
+            let slow = timed && self.bar.is_slow(side, &sample.route, us);
             self.evidence.count(side, &sample.route, sample.error, slow);
         }
     }
@@ -47,8 +48,11 @@
         let opinion = judge(&mut self.trial, &self.evidence, share, now).clone();
         MoveEvidence {
             opinion,
-            suspicious: self.trial.is_suspicious(),
+            doubtful: self.trial.is_doubtful(),
             calls: self.evidence.calls(Side::New),
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/policy/src/dispatcher/tests/loans.rs
+++ b/crates/policy/src/dispatcher/tests/loans.rs
@@ -4,7 +4,7 @@
 use wire::LoanMsg;
 
 use super::bed::*;
-use crate::{End, Event};
+use crate::{End, Event, urgency::Urgency};
 
 const WANT: LoanMsg = LoanMsg::Want {
     waiting: 1,
@@ -277,31 +277,40 @@
     );
 }
 
+fn spend(bed: &mut Bed, urgency: Urgency) {
+    while bed.dispatcher.budget.allows(bed.now, 200, urgency) {
+        bed.dispatcher.budget.spend(1);
+    }
+}
+
+/// Guards against wishes and grants that use up the tokens for returns.
+#[test]
+fn budget_low() {
+    let mut bed = Bed::warm(1);
+    spend(&mut bed, Urgency::Normal);
+    assert!(
+        sent(&bed.peer("peer", WANT)).is_empty(),
+        "lent on tokens kept for returns"
+    );
+    let out = bed.peer("peer", LoanMsg::Recall { loan: 77 });
+    assert_eq!(sent(&out), [("peer".into(), returned(77, 0))]);
+}
+
 /// Guards against messages beyond the budget, lost returns when it is spent, and an instance that
 /// stops serving on its own slots.
 #[test]
 fn budget_spent() {
     let mut bed = Bed::warm(1);
-    let loan = loan_of(&bed.peer("peer", WANT));
-    bed.peer("peer", returned(loan, 0));
-    while bed
-        .dispatcher
-        .budget
-        .allows(bed.now, 1, crate::urgency::Urgency::Vital)
-    {
+    spend(&mut bed, Urgency::Vital);
+    assert_eq!(starts(&bed.arrive(URGENT)).len(), 1);
+    while bed.dispatcher.budget.allows(bed.now, 1, Urgency::Vital) {
         bed.dispatcher.budget.spend(1);
     }
-    assert!(
-        sent(&bed.peer("peer", WANT)).is_empty(),
-        "lent without budget"
-    );
-    assert_eq!(starts(&bed.arrive(URGENT)).len(), 1);
-    assert!(sent(&bed.peer("peer", LoanMsg::Recall { loan: 77 })).is_empty());
+    let out = bed.peer("peer", LoanMsg::Recall { loan: 77 });
+    assert!(sent(&out).is_empty(), "sent without budget");
     bed.now = bed.now.plus_ms(5);
-    assert!(
-        sent(&bed.tick()).contains(&("peer".into(), returned(77, 0))),
-        "a return was lost"
-    );
+    let back = ("peer".into(), returned(77, 0));
+    assert!(sent(&bed.tick()).contains(&back), "a return was lost");
     assert!(bed.dispatcher.stats().held_back > 0);
 }
 
--- a/crates/state/src/members/tests.rs
+++ b/crates/state/src/members/tests.rs
@@ -226,6 +226,22 @@
     );
 }
 
+#[test]
+fn instance_says_that_it_leaves() {
+    let mut bench = Bench::new(&[instance("i")]);
+    let leaves = |incarnation| Sighting::Heard {
+        instance: "i".into(),
+        incarnation,
+        leaving: true,
+    };
+    bench.heard(1_000, "i", 2);
+    bench.members.see(T0.plus_ms(1_000), &leaves(1));
+    assert_eq!(bench.presence(1_000, "i"), Some(Usable), "an older process");
+    bench.members.see(T0.plus_ms(1_100), &leaves(2));
+    bench.heard(1_200, "i", 2);
+    assert_eq!(bench.presence(1_200, "i"), Some(Leaving));
+}
+
 #[test]
 fn self_missing_from_the_list() {
     let mut bench = Bench::new(&[instance("i"), target("t")]);
@@ -249,3 +265,17 @@
     let mut bench = Bench::new(&many);
     assert_eq!(bench.members.view(T0).targets.len(), MAX_ENTRIES - 1);
 }
+
+/// Guards against views that cannot be compared between instances, or that fall when the list starts
+/// anew and would then be ignored by dispatchers for ever.
+#[test]
+fn view_listed_follows_list_and_never_falls() {
+    let mut bench = Bench::new(&[instance("me"), target("t-1")]);
+    bench.version = 40;
+    bench.poll(1_000, &[instance("me")]);
+    assert_eq!(bench.members.view(T0.plus_ms(1_000)).listed, 41);
+    bench.version = 0;
+    let late = 1_000 + OUTDATED_MS;
+    assert!(bench.poll(late, &[instance("me")]));
+    assert_eq!(bench.members.view(T0.plus_ms(late)).listed, 41);
+}
