--- a/crates/node/src/call/handle/tests.rs
+++ b/crates/node/src/call/handle/tests.rs
@@ -11,13 +11,14 @@
     task,
 };
 use http_types::{Body, Method, Url};
-use model::{InstanceId, Settings, TargetId};
+use model::{InstanceId, TargetId};
 use policy::{CallId, End, Event, Report, ServiceView, TargetState};
 
 use super::*;
 use crate::{
     call::Length,
     dispatch::DispatchMsg,
+    fixtures::context,
     snapshot::{ServiceSnapshot, Snapshot},
 };
 
@@ -35,13 +36,7 @@
 
 impl Desk {
     async fn open() -> Self {
-        let any = "127.0.0.1:1";
-        let text = format!(
-            "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\n\
-             admin = \"{any}\"\nlog = \"{any}\"\nlist = \"{any}\"\n"
-        );
-        let (control, _) = unbounded();
-        let ctx = Context::new(Settings::parse("test", &text).unwrap(), control);
+        let ctx = context("");
         let (sender, messages) = unbounded();
         let mut services = BTreeMap::new();
         services.insert("orders".into(), service());
--- a/crates/node/src/call/keys/tests.rs
+++ b/crates/node/src/call/keys/tests.rs
@@ -2,22 +2,14 @@
 //! their call may have run.
 
 use async_std::task;
-use model::Settings;
 
 use super::*;
+use crate::fixtures::context;
 
 fn ids(names: &[&str]) -> Vec<InstanceId> {
     names.iter().map(|n| InstanceId::new(n)).collect()
 }
 
-fn context() -> std::sync::Arc<Context> {
-    let text = "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"127.0.0.1:1\"\n\
-                peer = \"127.0.0.1:2\"\nadmin = \"127.0.0.1:3\"\nlog = \"127.0.0.1:4\"\n\
-                list = \"127.0.0.1:5\"\n";
-    let (control, _) = async_std::channel::unbounded();
-    Context::new(Settings::parse("test", text).unwrap(), control)
-}
-
 #[test]
 fn rank_same_everywhere() {
     let live = ids(&["i-1", "i-2", "i-3", "i-4"]);
@@ -43,7 +35,7 @@
 #[test]
 fn claim_dropped_is_unknown() {
     task::block_on(async {
-        let ctx = context();
+        let ctx = context("");
         let Claim::New(guard) = claim(&ctx, "s/c/k").await else {
             panic!("a new key is refused");
         };
@@ -66,7 +58,7 @@
 #[test]
 fn claim_silent_holder_is_unchecked() {
     task::block_on(async {
-        let ctx = context();
+        let ctx = context("");
         let live = ids(&["i-2", "i-3"]);
         let snapshot = crate::snapshot::Snapshot {
             live,
--- a/crates/node/src/call/tests.rs
+++ b/crates/node/src/call/tests.rs
@@ -5,8 +5,8 @@
 
 use async_std::{channel::unbounded, task};
 use http_types::{Body, Method, Request, Response, StatusCode};
-use model::{Code, Settings, Time};
-use policy::{Call, CallId, TargetState, TargetView};
+use model::{Code, Time};
+use policy::{Call, CallId};
 
 use super::{
     answer::Answer,
@@ -17,15 +17,10 @@
     ledger::{Ledger, conclude},
     *,
 };
-use crate::context::Context;
-
-fn context() -> Arc<Context> {
-    let text = "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"127.0.0.1:1\"\n\
-                peer = \"127.0.0.1:2\"\nadmin = \"127.0.0.1:3\"\nlog = \"127.0.0.1:4\"\n\
-                list = \"127.0.0.1:5\"\n";
-    let (control, _) = unbounded();
-    Context::new(Settings::parse("test", text).unwrap(), control)
-}
+use crate::{
+    context::Context,
+    fixtures::{context, target},
+};
 
 async fn job(ctx: &Arc<Context>) -> Arc<Job> {
     let body = RequestBody::new(ctx.clock, Body::empty(), Length::Absent);
@@ -53,25 +48,14 @@
 }
 
 fn exchange(job: &Arc<Job>) -> Exchange {
-    let target = TargetView {
-        id: "t-1".into(),
-        incarnation: 1,
-        addr: ([127, 0, 0, 1], 1).into(),
-        zone: "a".into(),
-        region: "r".into(),
-        version: "v1".into(),
-        slots: 1,
-        state: TargetState::Usable,
-        owner: "i-1".into(),
-    };
-    Exchange::new(Arc::clone(job), Arc::new(target))
+    Exchange::new(Arc::clone(job), Arc::new(target()))
 }
 
 #[test]
 #[should_panic(expected = "9005")]
 fn answer_of_another_call() {
     task::block_on(async {
-        let job = job(&context()).await;
+        let job = job(&context("")).await;
         let mut head = Response::new(StatusCode::Ok);
         head.insert_header("hw-call", "i-1/1/999");
         Answer::new(exchange(&job), head, Length::Absent, None).into_response(None);
@@ -82,7 +66,7 @@
 #[should_panic(expected = "9006")]
 fn not_run_after_a_byte_left() {
     task::block_on(async {
-        let job = job(&context()).await;
+        let job = job(&context("")).await;
         let failure = conclude(&Ledger::default(), Code::CannotMeet, 0, None);
         job.ledger.note_sent();
         check_not_run(&job, failure);
@@ -93,7 +77,7 @@
 #[should_panic(expected = "9007")]
 fn non_idempotent_call_sent_twice() {
     task::block_on(async {
-        let job = job(&context()).await;
+        let job = job(&context("")).await;
         exchange(&job).trace.note_sent();
         exchange(&job).trace.note_sent();
     });
--- a/crates/node/src/dispatch/tally/tests.rs
+++ b/crates/node/src/dispatch/tally/tests.rs
@@ -1,20 +1,7 @@
 //! Guards against a bad version that produces no evidence because it refuses or cannot be reached.
 
 use super::*;
-
-fn target() -> TargetView {
-    TargetView {
-        id: "t-1".into(),
-        incarnation: 1,
-        addr: ([127, 0, 0, 1], 1).into(),
-        zone: "a".into(),
-        region: "r".into(),
-        version: "v2".into(),
-        slots: 3,
-        state: policy::TargetState::Usable,
-        owner: "i-1".into(),
-    }
-}
+use crate::fixtures::target;
 
 fn report(end: End, cold: bool) -> Report {
     Report {
--- a/crates/node/src/dispatch/task/tests.rs
+++ b/crates/node/src/dispatch/task/tests.rs
@@ -1,34 +1,18 @@
 //! Guards against slots that stay taken by starts that no call took over.
 
 use async_std::{channel::bounded, future::timeout};
-use model::{Class, Settings};
-use policy::{Call, TargetState, TargetView};
+use model::Class;
+use policy::{Call, TargetView};
 
 use super::*;
+use crate::fixtures::{context, target};
 
 const PATIENCE: Duration = Duration::from_secs(5);
 
-fn context() -> Arc<Context> {
-    let any = "127.0.0.1:1";
-    let text = format!(
-        "instance = \"i-1\"\nzone = \"a\"\nregion = \"r\"\nlisten = \"127.0.0.1:2\"\npeer = \"127.0.0.1:3\"\n\
-         admin = \"{any}\"\nlog = \"{any}\"\nlist = \"{any}\"\n"
-    );
-    let (control, _) = unbounded();
-    Context::new(Settings::parse("test", &text).unwrap(), control)
-}
-
 fn view() -> Arc<ServiceView> {
     let target = TargetView {
-        id: "t-1".into(),
-        incarnation: 1,
-        addr: ([127, 0, 0, 1], 1).into(),
-        zone: "a".into(),
-        region: "r".into(),
-        version: "v1".into(),
         slots: 1,
-        state: TargetState::Usable,
-        owner: "i-1".into(),
+        ..target()
     };
     Arc::new(ServiceView {
         view: 1,
@@ -66,7 +50,7 @@
 #[test]
 fn start_of_gone_call_frees_slot() {
     task::block_on(async {
-        let ctx = context();
+        let ctx = context("");
         let cancel = Token::new();
         let dispatcher = spawn_dispatcher(&ctx, &cancel, view());
         let (gone, _) = bounded(4);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,8 @@
 mod context;
 mod control;
 mod dispatch;
+#[cfg(test)]
+mod fixtures;
 mod listener;
 mod logging;
 mod metrics;
