Calls beyond an instance's connections wait; large log records are read in parts

Cause: an owner of a target with over 15 slots started more calls than it may open connections, and the excess failed with 3010; a read of 256 records could exceed the bound of an answer and fail for ever. Change: at most 15 calls on a target from one instance; 64 records a read, and fewer after an answer that was too large.

--- a/crates/node/src/control/log_reader.rs
+++ b/crates/node/src/control/log_reader.rs
@@ -3,13 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::{channel::bounded, task};
-use platform::LogClient;
+use platform::{LogClient, PlatformError};
 use tracing::warn;
 
 use crate::{Token, context::Context, control::ControlEvent};
 
-/// Records asked for at a time.
-const READ_LIMIT: u32 = 256;
+/// Records asked for at a time. 64 records of 64 KiB, with every byte escaped in JSON, stay within the
+/// bound of an answer and within the memory for control.
+const READ_LIMIT: u32 = 64;
 /// Time that a read waits for new records, in milliseconds.
 const WAIT_MS: u64 = 1_000;
 /// Pause after a failed read.
@@ -21,10 +22,11 @@
     let client = LogClient::new(ctx.settings.log, &ctx.settings.stream);
     let (sender, receiver) = bounded(1);
     let mut from = 1;
+    let mut limit = READ_LIMIT;
     let mut failing = false;
     while !cancel.is_cancelled() {
         let Some(read) = cancel
-            .run(Box::pin(client.read(from, READ_LIMIT, WAIT_MS)))
+            .run(Box::pin(client.read(from, limit, WAIT_MS)))
             .await
         else {
             return;
@@ -32,6 +34,7 @@
         match read {
             Ok(answer) => {
                 failing = false;
+                limit = READ_LIMIT;
                 let event = ControlEvent::LogRead {
                     answer,
                     next: sender.clone(),
@@ -44,6 +47,8 @@
                 };
                 from = next;
             }
+            // Other writers may have appended larger records than this system does.
+            Err(PlatformError::TooLarge { .. }) if limit > 1 => limit /= 2,
             Err(error) => {
                 if !failing {
                     warn!(instance = %ctx.settings.instance, %error, "event=log_read_failed");
--- a/crates/node/tests/fleet_store.rs
+++ b/crates/node/tests/fleet_store.rs
@@ -276,3 +276,23 @@
         .await;
     });
 }
+
+/// Another writer's records that are larger than this system's would make every read exceed the bound of
+/// an answer, so that no instance got past them.
+#[test]
+fn large_foreign_records_are_passed() {
+    run(async {
+        let fleet = Fleet::start(1, 1, 5).await;
+        let large = "x".repeat(2 * 1024 * 1024);
+        for _ in 0..15 {
+            fleet.log.push(STREAM, &large);
+        }
+        let answer = fleet.publish(0, "after", 1, &document("# after")).await;
+        assert!(
+            [6001, 6002].contains(&answer["code"].as_u64().unwrap()),
+            "{answer}"
+        );
+        let answer = fleet.decided(0, "after", LATER).await;
+        assert_eq!(answer["code"], 6001, "{answer}");
+    });
+}
--- a/crates/policy/src/dispatcher/choose.rs
+++ b/crates/policy/src/dispatcher/choose.rs
@@ -18,6 +18,10 @@
 /// A slow target gets a call after this idle time whatever the class, so that its recovery is seen.
 const SLOW_RETRY_US: u64 = 1_000_000;
 
+/// Calls on one target from one instance. Each takes a connection, and 16 instances may hold 240
+/// connections to a target together.
+const MAX_CONNECTIONS: u32 = 15;
+
 /// A free slot with its cost; ties go to the target that was started least recently.
 type Candidate = (f64, Time, TargetId, Slot);
 
@@ -60,11 +64,28 @@
         if waiting.tried.contains(id) || !self.version_fits(target) {
             return false;
         }
+        if !self.has_connection(id, target) {
+            return false;
+        }
         let hurried = waiting.latest.since_us(now) <= SLOW_LAST_US;
         let unseen = now.since_us(target.started) > SLOW_RETRY_US;
         waiting.loose || !target.is_slow() || hurried || unseen || !self.has_quick(now, waiting)
     }
 
+    /// Whether this instance may open a further connection to the target. Only targets with many slots
+    /// reach the limit.
+    fn has_connection(&self, id: &TargetId, target: &Target) -> bool {
+        if target.view.slots <= MAX_CONNECTIONS {
+            return true;
+        }
+        let lent = self
+            .borrowed
+            .values()
+            .filter(|b| b.target == *id && b.call.is_some());
+        let lent = u32::try_from(lent.count()).unwrap_or(u32::MAX);
+        target.own.saturating_add(lent) < MAX_CONNECTIONS
+    }
+
     /// Whether another target may become free that is not slow. Without one, waiting for it would only
     /// refuse calls that a slow target can run.
     fn has_quick(&self, now: Time, waiting: &Waiting) -> bool {
--- a/crates/policy/src/dispatcher/tests/choice.rs
+++ b/crates/policy/src/dispatcher/tests/choice.rs
@@ -57,6 +57,19 @@
     assert_eq!(starts(&bed.arrive(URGENT)).len(), 1);
 }
 
+/// Guards against calls that fail because their instance may open no further connection to a target
+/// with many slots.
+#[test]
+fn choose_within_connections() {
+    let mut many = target(0, "me");
+    many.slots = 30;
+    let mut bed = Bed::warm_with(view(vec![many]));
+    for _ in 0..40 {
+        bed.arrive(CONFIRM);
+    }
+    assert_eq!(bed.dispatcher.targets[&"t-0".into()].own, 15);
+}
+
 /// Guards against more calls on a cold target than its limit.
 #[test]
 fn limit_cold_start_and_cold_again() {
