--- a/crates/node/tests/fleet_moves.rs
+++ b/crates/node/tests/fleet_moves.rs
@@ -46,15 +46,24 @@
 
 /// Waits for the outcome at all instances and returns it. It must be the same everywhere.
 async fn outcome(fleet: &Fleet, limit: Duration) -> Value {
+    let began = Instant::now();
     let mut found = Vec::new();
-    until(limit, "outcome at all instances", async || {
+    loop {
         found.clear();
         for member in 0..fleet.members.len() {
             found.push(moves(fleet, member).await);
         }
-        found.iter().all(|m| !m["verdict"].is_null())
-    })
-    .await;
+        if found.iter().all(|m| !m["verdict"].is_null()) {
+            break;
+        }
+        let records = || fleet.log.records(STREAM).into_iter().map(|r| r.data);
+        assert!(
+            began.elapsed() < limit,
+            "{found:#?} {:#?}",
+            records().collect::<Vec<_>>()
+        );
+        pause(10).await;
+    }
     assert!(found.iter().all(|m| *m == found[0]), "{found:?}");
     found[0].clone()
 }
@@ -65,7 +74,8 @@
         let mut any = false;
         for member in 0..fleet.members.len() {
             let shown = moves(fleet, member).await;
-            any |= shown["reason"] != "" || !shown["verdict"].is_null();
+            let reason = shown["reason"].as_str();
+            any |= reason.is_some_and(|r| !r.is_empty()) || !shown["verdict"].is_null();
         }
         any
     })
