Membership view: compared in place instead of rebuilt 30 times a second

Cause: the control thread asks for the view three times in each tick of 100 ms and after each poll. Members::view copied all entries into a new view and compared it with the last one. Members::poll copied every list entry although almost all were unchanged.

Change: view compares entries with the rows of the last view and makes a new one only on a difference; poll keeps entries that are equal, so that shared names compare by pointer.

--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -124,8 +124,15 @@
 
     /// The current view. Its version rises whenever anything in it changes.
     pub fn view(&mut self, now: Time) -> Arc<MembersView> {
+        if !self.is_current(now) {
+            self.view = Arc::new(self.make_view(now));
+        }
+        Arc::clone(&self.view)
+    }
+
+    fn make_view(&self, now: Time) -> MembersView {
         let mut next = MembersView {
-            version: self.view.version,
+            version: self.view.version + 1,
             ..MembersView::default()
         };
         for (id, entry) in &self.entries {
@@ -143,11 +150,35 @@
                 }
             }
         }
-        if next != *self.view {
-            next.version += 1;
-            self.view = Arc::new(next);
+        next
+    }
+
+    /// Whether the last view still holds. The control thread asks about 30 times a second, so entries
+    /// are compared in place instead of being copied into a view to compare.
+    fn is_current(&self, now: Time) -> bool {
+        let mut instances = self.view.instances.iter();
+        let mut targets = self.view.targets.iter();
+        for (id, entry) in &self.entries {
+            let Some(presence) = self.presence(now, id, entry) else {
+                continue;
+            };
+            let same = match entry.item.kind {
+                EntryKind::Entry => instances
+                    .next()
+                    .is_some_and(|i| i.shows(&entry.item, presence)),
+                EntryKind::Upstream if !TargetEntry::is_complete(&entry.item) => true,
+                EntryKind::Upstream => {
+                    let listed = entry.missing_since.is_none();
+                    targets
+                        .next()
+                        .is_some_and(|t| t.shows(&entry.item, presence, listed))
+                }
+            };
+            if !same {
+                return false;
+            }
         }
-        Arc::clone(&self.view)
+        instances.next().is_none() && targets.next().is_none()
     }
 
     /// An answer with fewer than half of the entries of the last good one is not believed while
--- a/crates/state/src/members/entry.rs
+++ b/crates/state/src/members/entry.rs
@@ -43,7 +43,10 @@
         }
         self.renew(item.incarnation, now);
         self.left |= item.state == EntryState::Leaving;
-        self.item.clone_from(item);
+        // Most entries of a poll are unchanged. Keeping the old one avoids 730 copies a second.
+        if self.item != *item {
+            self.item.clone_from(item);
+        }
         self.listed_now = true;
     }
 
--- a/crates/state/src/members/instance_view.rs
+++ b/crates/state/src/members/instance_view.rs
@@ -38,4 +38,15 @@
             presence,
         }
     }
+
+    /// Whether the view of `item` would be equal.
+    pub(super) fn shows(&self, item: &ListEntry, presence: Presence) -> bool {
+        self.presence == presence
+            && self.incarnation == item.incarnation
+            && self.addr == item.addr
+            && self.peer == item.peer
+            && self.zone == item.zone
+            && self.region == item.region
+            && self.id.as_str() == item.id
+    }
 }
--- a/crates/state/src/members/target_entry.rs
+++ b/crates/state/src/members/target_entry.rs
@@ -48,4 +48,23 @@
             presence,
         })
     }
+
+    /// Whether the list gives all that an upstream's entry needs.
+    pub(super) const fn is_complete(item: &ListEntry) -> bool {
+        item.service.is_some() && item.version.is_some() && item.slots.is_some()
+    }
+
+    /// Whether the entry made from `item` would be equal.
+    pub(super) fn shows(&self, item: &ListEntry, presence: Presence, listed: bool) -> bool {
+        self.presence == presence
+            && self.listed == listed
+            && self.incarnation == item.incarnation
+            && self.addr == item.addr
+            && Some(self.slots) == item.slots
+            && item.service.as_ref() == Some(&self.service)
+            && item.version.as_ref() == Some(&self.version)
+            && self.zone == item.zone
+            && self.region == item.region
+            && self.id.as_str() == item.id
+    }
 }
