--- a/crates/testkit/examples/overhead.rs
+++ b/crates/testkit/examples/overhead.rs
@@ -76,10 +76,23 @@
     #[argh(option, from_str_fn(parse_count), default = "32")]
     workers: usize,
 
-    /// connections opened, and calls in progress, while memory is measured, 1 to 1000
-    #[argh(option, from_str_fn(parse_count), default = "400")]
+    /// connections opened, and calls in progress, while memory is measured, 0 to
+    /// 2000; 0 leaves that part out
+    #[argh(option, from_str_fn(parse_connections), default = "400")]
     connections: usize,
 
+    /// traffic threads of the instance, 1 to 64; one for each core if not given
+    #[argh(option, from_str_fn(parse_threads), default = "0")]
+    threads: u64,
+
+    /// upstreams, 1 to 200; an instance opens at most 15 connections to each
+    #[argh(option, from_str_fn(parse_targets), default = "1")]
+    targets: usize,
+
+    /// service time of the timed calls in microseconds, 0 to 100000
+    #[argh(option, from_str_fn(parse_service), default = "0")]
+    service_us: u64,
+
     /// seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
@@ -101,6 +114,22 @@
     parse_within(text, 1..=1_000)
 }
 
+fn parse_connections(text: &str) -> Result<usize, String> {
+    parse_within(text, 0..=2_000)
+}
+
+fn parse_threads(text: &str) -> Result<u64, String> {
+    parse_within(text, 1..=64)
+}
+
+fn parse_targets(text: &str) -> Result<usize, String> {
+    parse_within(text, 1..=200)
+}
+
+fn parse_service(text: &str) -> Result<u64, String> {
+    parse_within(text, 0..=100_000)
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match task::block_on(run(&args)) {
@@ -116,25 +145,29 @@
 struct Platform {
     log: LogServer,
     list: ListServer,
-    upstream: Upstream,
+    upstreams: Vec<Upstream>,
     binary: PathBuf,
+    threads: u64,
 }
 
 async fn run(args: &Args) -> Result<(), Box<dyn Error>> {
     let binary = args.binary.clone().or_else(built_binary).ok_or(
         "the binary was not built: run `cargo build --release -p hibiscusway` or pass --binary",
     )?;
-    let platform = start_platform(binary).await?;
+    let platform = start_platform(binary, args).await?;
     let instance = platform.start("i-1").await?;
     measure_idle(args, &instance).await?;
     measure_latency(args, &platform, &instance).await?;
     measure_cpu(args, &instance).await?;
     drop(instance);
+    if args.connections == 0 {
+        return Ok(());
+    }
     let fresh = platform.start("i-2").await?;
     measure_memory(args, &fresh).await
 }
 
-async fn start_platform(binary: PathBuf) -> Result<Platform, Box<dyn Error>> {
+async fn start_platform(binary: PathBuf, args: &Args) -> Result<Platform, Box<dyn Error>> {
     let log = LogServer::start().await;
     let list = ListServer::start().await;
     let spec = UpstreamSpec {
@@ -143,20 +176,24 @@
         sigma: 0.0,
         seed: 1,
     };
-    let upstream = Upstream::start(spec).await;
-    list.put(ListEntry {
-        id: "t-1".to_owned(),
-        kind: EntryKind::Upstream,
-        zone: "a".into(),
-        region: "region-1".into(),
-        addr: upstream.addr(),
-        peer: None,
-        service: Some("orders".into()),
-        version: Some("v1".into()),
-        slots: Some(SLOTS),
-        state: EntryState::Live,
-        incarnation: 1,
-    });
+    let mut upstreams = Vec::new();
+    for number in 1..=args.targets {
+        let upstream = Upstream::start(spec).await;
+        list.put(ListEntry {
+            id: format!("t-{number}"),
+            kind: EntryKind::Upstream,
+            zone: "a".into(),
+            region: "region-1".into(),
+            addr: upstream.addr(),
+            peer: None,
+            service: Some("orders".into()),
+            version: Some("v1".into()),
+            slots: Some(SLOTS),
+            state: EntryState::Live,
+            incarnation: 1,
+        });
+        upstreams.push(upstream);
+    }
     let record = Record {
         id: "p-1".to_owned(),
         author: OperatorName::new("testkit"),
@@ -172,8 +209,9 @@
     Ok(Platform {
         log,
         list,
-        upstream,
+        upstreams,
         binary,
+        threads: args.threads,
     })
 }
 
@@ -181,7 +219,8 @@
     /// Starts an instance and waits until it serves.
     async fn start(&self, id: &str) -> Result<ChildInstance, Box<dyn Error>> {
         let (log, list) = (self.log.addr(), self.list.addr());
-        let child = ChildInstance::start(&self.binary, id, "a", log, list)?;
+        let more = format!("threads = {}\n", self.threads);
+        let child = ChildInstance::start_with(&self.binary, id, "a", log, list, &more)?;
         let until = Instant::now() + START_LIMIT;
         while Instant::now() < until {
             let answer = ask_addresses(child.addr, "orders", "a").await;
@@ -236,15 +275,17 @@
 /// One way to the upstream.
 struct Route {
     addr: SocketAddr,
+    service_us: String,
     idle: Mutex<Vec<TcpStream>>,
     times: Mutex<Histogram<u64>>,
     failed: Mutex<u64>,
 }
 
 impl Route {
-    fn new(addr: SocketAddr) -> Result<Arc<Self>, Box<dyn Error>> {
+    fn new(addr: SocketAddr, service_us: u64) -> Result<Arc<Self>, Box<dyn Error>> {
         Ok(Arc::new(Self {
             addr,
+            service_us: service_us.to_string(),
             idle: Mutex::default(),
             times: Mutex::new(Histogram::new_with_bounds(1, 60_000_000, 3)?),
             failed: Mutex::default(),
@@ -254,7 +295,7 @@
     /// Runs a call that was due `at`.
     async fn run(&self, at: Instant) {
         let stream = lock(&self.idle).pop();
-        let Some(stream) = call(self.addr, stream, "0").await else {
+        let Some(stream) = call(self.addr, stream, &self.service_us).await else {
             *lock(&self.failed) += 1;
             return;
         };
@@ -274,8 +315,8 @@
     instance: &ChildInstance,
 ) -> Result<(), Box<dyn Error>> {
     let routes = [
-        Route::new(platform.upstream.addr())?,
-        Route::new(instance.addr)?,
+        Route::new(platform.upstreams[0].addr(), args.service_us)?,
+        Route::new(instance.addr, args.service_us)?,
     ];
     for route in &routes {
         for _ in 0..WARM_UP {
@@ -351,7 +392,8 @@
     let before = instance.cpu()?;
     let began = Instant::now();
     let addr = instance.addr;
-    let workers = (0..args.workers).map(|_| task::spawn(call_until(addr, until)));
+    let workers = (0..args.workers)
+        .map(|_| task::spawn(call_until(addr, until, args.service_us.to_string())));
     let served: u64 = join_all(workers).await.into_iter().sum();
     let elapsed = began.elapsed().as_secs_f64();
     let cpu = instance.cpu()?.saturating_sub(before).as_secs_f64();
@@ -370,11 +412,11 @@
 }
 
 /// Calls without pause on one connection; returns how many were served.
-async fn call_until(addr: SocketAddr, until: Instant) -> u64 {
+async fn call_until(addr: SocketAddr, until: Instant, service_us: String) -> u64 {
     let mut served = 0;
     let mut stream = None;
     while Instant::now() < until {
-        stream = call(addr, stream, "0").await;
+        stream = call(addr, stream, &service_us).await;
         served += u64::from(stream.is_some());
     }
     served
--- a/crates/testkit/src/child.rs
+++ b/crates/testkit/src/child.rs
@@ -34,9 +34,25 @@
         zone: &str,
         log: SocketAddr,
         list: SocketAddr,
+    ) -> io::Result<Self> {
+        Self::start_with(binary, id, zone, log, list, "")
+    }
+
+    /// Starts `binary` as instance `id` with further lines in its settings.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ChildInstance::start`].
+    pub fn start_with(
+        binary: &Path,
+        id: &str,
+        zone: &str,
+        log: SocketAddr,
+        list: SocketAddr,
+        more: &str,
     ) -> io::Result<Self> {
         let free = crate::cluster::free_addrs()?;
-        let text = crate::cluster::settings_text(id, zone, log, list, free);
+        let text = crate::cluster::settings_text(id, zone, log, list, free) + more;
         let name = format!("hibiscusway-testkit-{}-{id}.toml", std::process::id());
         let settings = env::temp_dir().join(name);
         fs::write(&settings, text)?;
