--- a/crates/testkit/examples/overhead.rs
+++ b/crates/testkit/examples/overhead.rs
@@ -77,8 +77,9 @@
     #[argh(option, from_str_fn(parse_count), default = "32")]
     workers: usize,
 
-    /// connections opened, and calls in progress, while memory is measured, 1 to 1000
-    #[argh(option, from_str_fn(parse_count), default = "400")]
+    /// connections opened, and calls in progress, while memory is measured, 0 to
+    /// 2000; 0 leaves that part out
+    #[argh(option, from_str_fn(parse_connections), default = "400")]
     connections: usize,
 
     /// service time of the upstreams in microseconds, 0 to 1000000
@@ -93,6 +94,10 @@
     #[argh(option, from_str_fn(parse_slots), default = "15")]
     slots: u32,
 
+    /// traffic threads of the instance, 1 to 64; one for each core if not given
+    #[argh(option, from_str_fn(parse_threads), default = "0")]
+    threads: u64,
+
     /// seed of the arrivals
     #[argh(option, default = "1")]
     seed: u64,
@@ -122,6 +127,14 @@
     parse_within(text, 1..=1_000)
 }
 
+fn parse_connections(text: &str) -> Result<usize, String> {
+    parse_within(text, 0..=2_000)
+}
+
+fn parse_threads(text: &str) -> Result<u64, String> {
+    parse_within(text, 1..=64)
+}
+
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match task::block_on(run(&args)) {
@@ -139,6 +152,7 @@
     list: ListServer,
     upstreams: Vec<Upstream>,
     binary: PathBuf,
+    threads: u64,
 }
 
 async fn run(args: &Args) -> Result<(), Box<dyn Error>> {
@@ -152,6 +166,9 @@
     measure_latency(args, &platform, &instance).await?;
     measure_cpu(args, &instance).await?;
     drop(instance);
+    if args.connections == 0 {
+        return Ok(());
+    }
     let fresh = platform.start("i-2").await?;
     warm_up(&fresh).await;
     measure_memory(args, &fresh).await
@@ -181,6 +198,7 @@
         list,
         upstreams,
         binary,
+        threads: args.threads,
     })
 }
 
@@ -212,7 +230,8 @@
     /// Starts an instance and waits until it serves.
     async fn start(&self, id: &str) -> Result<ChildInstance, Box<dyn Error>> {
         let (log, list) = (self.log.addr(), self.list.addr());
-        let child = ChildInstance::start(&self.binary, id, "a", log, list)?;
+        let more = format!("threads = {}\n", self.threads);
+        let child = ChildInstance::start_with(&self.binary, id, "a", log, list, &more)?;
         let until = Instant::now() + START_LIMIT;
         while Instant::now() < until {
             let answer = ask_addresses(child.addr, "orders", "a").await;
