One traffic thread by default; unchanged instance lists are not transferred

Cause: with one traffic thread for each core, threads wake each other for every call; and a poll of 730 targets each second takes 144 KB/s of the 9 KB/s for control. Change: threads = 1 unless stated; GET /v1/instances?after=V, answered 304 while the list is unchanged. Lists that ignore the parameter work as before.

--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -24,6 +24,9 @@
 ];
 /// Most operators in a settings file. Every one is compared for each request.
 pub const MAX_OPERATORS: usize = 256;
+/// Traffic threads unless stated. One thread serves about 10,500 calls/s of a core, two about 7,300 each,
+/// because they wake each other; 130,000 calls/s over 16 instances are about 8,100 each.
+const DEFAULT_THREADS: u64 = 1;
 /// Largest number of traffic threads.
 const MAX_THREADS: u64 = 64;
 /// Default limit on the time that a planned stop may take.
@@ -116,7 +119,7 @@
         stream: stream.unwrap_or("hibiscusway").to_owned(),
         list: list?,
         statsd: statsd.and_then(|s| s.parse().ok()),
-        threads: threads.unwrap_or(0),
+        threads: threads.unwrap_or(DEFAULT_THREADS),
         stop_ms: stop_ms.unwrap_or(DEFAULT_STOP_MS),
         operators,
     })
--- a/crates/node/src/control/list_reader.rs
+++ b/crates/node/src/control/list_reader.rs
@@ -5,25 +5,36 @@
 use async_std::task;
 use platform::ListClient;
 use tracing::warn;
+use wire::ListAnswer;
 
 use crate::{Token, context::Context, control::ControlEvent};
 
 /// Interval of polls.
 const POLL: Duration = Duration::from_secs(1);
 
-/// Polls the list until cancelled.
+/// Polls the list until cancelled. An unchanged list is not sent again by the platform, since the whole
+/// list of 730 targets takes 144 KB, but it counts as seen again.
 pub async fn read_list(ctx: Arc<Context>, cancel: Token) {
     let client = ListClient::new(ctx.settings.list);
+    let mut last = ListAnswer::default();
+    let mut failing = false;
     while !cancel.is_cancelled() {
-        let Some(poll) = cancel.run(client.entries()).await else {
+        let Some(poll) = cancel.run(Box::pin(client.changes(last.version))).await else {
             return;
         };
         match poll {
             Ok(answer) => {
-                let _ = ctx.control.send(ControlEvent::List(answer)).await;
+                failing = false;
+                if let Some(answer) = answer {
+                    last = answer;
+                }
+                let _ = ctx.control.send(ControlEvent::List(last.clone())).await;
             }
             Err(error) => {
-                warn!(instance = %ctx.settings.instance, %error, "event=list_read_failed");
+                if !failing {
+                    warn!(instance = %ctx.settings.instance, %error, "event=list_read_failed");
+                }
+                failing = true;
             }
         }
         cancel.run(task::sleep(POLL)).await;
--- a/crates/platform/src/list_client.rs
+++ b/crates/platform/src/list_client.rs
@@ -7,12 +7,14 @@
 use wire::{ListAnswer, ListEntry};
 
 use crate::{
-    HttpRequest, PlatformError,
-    log_client::{json_exchange, to_json},
+    HttpRequest, PlatformError, exchange,
+    log_client::{json_exchange, parse_answer, to_json},
 };
 
 /// Time limit of an exchange, in milliseconds.
 const LIMIT_MS: u64 = 2_000;
+/// HTTP status of an answer without entries.
+const NOT_MODIFIED: u16 = 304;
 
 /// The instance list at one address.
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +38,22 @@
         json_exchange(&self.request(Method::Get, "/v1/instances", &[])).await
     }
 
+    /// All entries, or `None` if the list's version is still `version`. A list that does not know the
+    /// question answers in full each time.
+    ///
+    /// # Errors
+    ///
+    /// Any [`PlatformError`].
+    pub async fn changes(&self, version: u64) -> Result<Option<ListAnswer>, PlatformError> {
+        let path = format!("/v1/instances?after={version}");
+        let request = self.request(Method::Get, &path, &[]);
+        let answer = exchange(&request).await?;
+        if answer.status == NOT_MODIFIED {
+            return Ok(None);
+        }
+        parse_answer(&request, &answer).map(Some)
+    }
+
     /// Registers or updates an entry.
     ///
     /// # Errors
--- a/crates/platform/src/log_client.rs
+++ b/crates/platform/src/log_client.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use wire::{AppendAnswer, AppendRequest, ReadAnswer};
 
-use crate::{HttpRequest, PlatformError, exchange};
+use crate::{HttpAnswer, HttpRequest, PlatformError, exchange};
 
 /// Time limit of an append, in milliseconds.
 const APPEND_LIMIT_MS: u64 = 2_000;
@@ -97,6 +97,14 @@
     request: &HttpRequest<'_>,
 ) -> Result<T, PlatformError> {
     let answer = exchange(request).await?;
+    parse_answer(request, &answer)
+}
+
+/// The JSON body of an answer that must have status 200.
+pub(crate) fn parse_answer<T: DeserializeOwned>(
+    request: &HttpRequest<'_>,
+    answer: &HttpAnswer,
+) -> Result<T, PlatformError> {
     if answer.status != 200 {
         return Err(PlatformError::Status {
             addr: request.addr,
--- a/crates/testkit/src/list/server.rs
+++ b/crates/testkit/src/list/server.rs
@@ -153,6 +153,11 @@
     answer
 }
 
+/// Whether equal versions mean equal contents, which faults may break.
+fn is_sound(entries: &Entries) -> bool {
+    !entries.empty && entries.flapping.is_none() && entries.wrong.is_empty()
+}
+
 /// Whether the present period is one in which entries are left out.
 fn is_off(period: Duration) -> bool {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
@@ -166,7 +171,14 @@
     }
     let path = req.url().path().to_owned();
     if path == "/v1/instances" && req.method() == Method::Get {
-        let answer = answer(&lock(&entries));
+        let (answer, sound) = {
+            let entries = lock(&entries);
+            (answer(&entries), is_sound(&entries))
+        };
+        let after = format!("after={}", answer.version);
+        if sound && req.url().query() == Some(&after) {
+            return Ok(Response::new(StatusCode::NotModified));
+        }
         return json_response(&answer);
     }
     let Some(id) = path.strip_prefix("/v1/instances/") else {
--- a/crates/testkit/tests/stand_ins.rs
+++ b/crates/testkit/tests/stand_ins.rs
@@ -145,24 +145,28 @@
     });
 }
 
+fn entry(id: &str) -> ListEntry {
+    ListEntry {
+        id: id.to_owned(),
+        kind: EntryKind::Upstream,
+        zone: "a".into(),
+        region: "r".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        peer: None,
+        service: Some("orders".into()),
+        version: Some("v1".into()),
+        slots: Some(3),
+        state: EntryState::Live,
+        incarnation: 1,
+    }
+}
+
 #[test]
 fn list_faults_change_entries() {
     task::block_on(async {
         let server = ListServer::start().await;
         let client = ListClient::new(server.addr());
-        let entry = ListEntry {
-            id: "t-1".to_owned(),
-            kind: EntryKind::Upstream,
-            zone: "a".into(),
-            region: "r".into(),
-            addr: server.addr(),
-            peer: None,
-            service: Some("orders".into()),
-            version: Some("v1".into()),
-            slots: Some(3),
-            state: EntryState::Live,
-            incarnation: 1,
-        };
+        let entry = entry("t-1");
         server.set_lag(Duration::from_secs(30));
         client.register(&entry).await.unwrap();
         assert!(client.entries().await.unwrap().entries.is_empty());
@@ -181,3 +185,22 @@
         assert!(client.entries().await.is_err());
     });
 }
+
+/// Guards against polls that transfer an unchanged list, and against changes that are not transferred.
+#[test]
+fn list_changes_only() {
+    task::block_on(async {
+        let list = ListServer::start().await;
+        list.put(entry("a"));
+        let client = ListClient::new(list.addr());
+        let first = client.changes(0).await.unwrap().expect("a first answer");
+        assert_eq!(client.changes(first.version).await.unwrap(), None);
+        list.put(entry("b"));
+        let second = client
+            .changes(first.version)
+            .await
+            .unwrap()
+            .expect("a change");
+        assert_eq!(second.entries.len(), 2);
+    });
+}
