--- a/crates/node/src/admin/routes.rs
+++ b/crates/node/src/admin/routes.rs
@@ -62,9 +62,9 @@
     let name = name.as_ref().map(ToString::to_string);
     // Programs read the status several times a second; changes and refusals are rare.
     if method == Method::Get && code.is_none() {
-        debug!(%instance, operator = name, %method, path, "event=admin_request");
+        debug!(event = "admin_request", %instance, operator = name, %method, path);
     } else {
-        info!(%instance, operator = name, %method, path, code, "event=admin_request");
+        info!(event = "admin_request", %instance, operator = name, %method, path, code);
     }
     finish(answer)
 }
--- a/crates/node/src/call/handle.rs
+++ b/crates/node/src/call/handle.rs
@@ -85,12 +85,9 @@
     pub fn note_cut(&mut self) {
         if let Some(job) = self.job.take() {
             self.code = job.cut_code();
-            warn!(
-                instance = %job.ctx.settings.instance,
+            warn!(event = "answer_cut", instance = %job.ctx.settings.instance,
                 call = %job.wire_id,
-                code = self.code.number(),
-                "event=answer_cut"
-            );
+                code = self.code.number());
         }
     }
 
@@ -278,13 +275,10 @@
 fn failed(job: &Job, failure: Failure, key: Option<KeyGuard>) -> Answered {
     check_not_run(job, failure);
     if failure.outcome() == Outcome::Unknown {
-        warn!(
-            instance = %job.ctx.settings.instance,
+        warn!(event = "call_outcome_unknown", instance = %job.ctx.settings.instance,
             call = %job.wire_id,
             code = failure.code().number(),
-            sent = job.ledger.sent(),
-            "event=call_outcome_unknown"
-        );
+            sent = job.ledger.sent());
     }
     release(key, failure.outcome());
     Answered::refused(failure.code(), failure.retry_ms())
@@ -354,7 +348,7 @@
 fn start(job: &Arc<Job>, run: &mut Run, target: Arc<TargetView>) {
     let again = job.ledger.may_have_run() || !run.attempts.is_empty();
     if again && !job.idempotent {
-        warn!(call = %job.wire_id, target = %target.id, "event=start_rejected");
+        warn!(event = "start_rejected", call = %job.wire_id, target = %target.id);
         Exchange::new(Arc::clone(job), target).end(policy::End::Cancelled, false);
         return;
     }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -226,12 +226,12 @@
     match supervise(&limits, copy).await {
         Ok(Ok(_)) => Ok(()),
         Ok(Err(error)) => {
-            debug!(%error, "event=answer_cut");
+            debug!(event = "answer_cut", %error);
             answered.note_cut();
             Err(())
         }
         Err(stop) => {
-            debug!(?stop, "event=answer_cut");
+            debug!(event = "answer_cut", ?stop);
             answered.note_cut();
             Err(())
         }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -82,12 +82,9 @@
     /// Reports a violated invariant. Stops the program in debug builds.
     pub fn violation(&self, code: Code, detail: &str) {
         self.metrics.violation(code);
-        error!(
-            instance = %self.settings.instance,
+        error!(event = "invariant_violated", instance = %self.settings.instance,
             code = code.number(),
-            detail,
-            "event=invariant_violated"
-        );
+            detail);
         debug_assert!(false, "{code}: {detail}");
     }
 }
--- a/crates/node/src/control/appender.rs
+++ b/crates/node/src/control/appender.rs
@@ -37,11 +37,11 @@
     for record in records {
         match record.encode() {
             Ok(line) => lines.push(line),
-            Err(error) => warn!(%instance, id = record.id, %error, "event=record_refused"),
+            Err(error) => warn!(event = "record_refused", %instance, id = record.id, %error),
         }
     }
     if let Err(error) = Box::pin(client.append(lines)).await {
-        warn!(%instance, %error, "event=append_unknown");
+        warn!(event = "append_unknown", %instance, %error);
     }
     let ids = records.iter().map(|r| r.id.clone()).collect();
     let _ = ctx.control.send(ControlEvent::AppendEnded { ids }).await;
--- a/crates/node/src/control/list_reader.rs
+++ b/crates/node/src/control/list_reader.rs
@@ -32,7 +32,7 @@
             }
             Err(error) => {
                 if !failing {
-                    warn!(instance = %ctx.settings.instance, %error, "event=list_read_failed");
+                    warn!(event = "list_read_failed", instance = %ctx.settings.instance, %error);
                 }
                 failing = true;
             }
--- a/crates/node/src/control/log_reader.rs
+++ b/crates/node/src/control/log_reader.rs
@@ -51,7 +51,7 @@
             Err(PlatformError::TooLarge { .. }) if limit > 1 => limit /= 2,
             Err(error) => {
                 if !failing {
-                    warn!(instance = %ctx.settings.instance, %error, "event=log_read_failed");
+                    warn!(event = "log_read_failed", instance = %ctx.settings.instance, %error);
                 }
                 failing = true;
                 cancel.run(task::sleep(RETRY_PAUSE)).await;
--- a/crates/node/src/control/peer_events.rs
+++ b/crates/node/src/control/peer_events.rs
@@ -116,7 +116,7 @@
     if control.facts.len() >= MAX_FACTS && matches!(fact, Fact::Draining { .. }) {
         return;
     }
-    info!(instance = %control.ctx.settings.instance, ?fact, "event=fact");
+    info!(event = "fact", instance = %control.ctx.settings.instance, ?fact);
     control.members.see(now, &Sighting::Fact(fact.clone()));
     control.ctx.peers.send_all(&PeerMsg::Fact(fact.clone()));
     control.facts.insert(fact);
--- a/crates/node/src/control/records.rs
+++ b/crates/node/src/control/records.rs
@@ -66,7 +66,7 @@
     let (offset, code) = (applied.offset, applied.code.number());
     let Ok(record) = Record::decode(data) else {
         if applied.code != Code::Repeated {
-            warn!(%instance, offset, code, detail = applied.detail, "event=record_skipped");
+            warn!(event = "record_skipped", %instance, offset, code, detail = applied.detail);
         }
         return;
     };
@@ -78,7 +78,7 @@
     };
     if known.offset == offset {
         let (id, author, detail) = (&record.id, &record.author, &applied.detail);
-        info!(%instance, offset, code, id, %author, detail, "event=proposal_decided");
+        info!(event = "proposal_decided", %instance, offset, code, id, %author, detail);
     }
     let detail = if known.offset == offset {
         applied.detail.clone()
@@ -106,7 +106,7 @@
     if applied.is_accepted() {
         control.adopting.clear();
         let instance = &control.ctx.settings.instance;
-        info!(%instance, offset = applied.offset, "event=snapshot_adopted");
+        info!(event = "snapshot_adopted", %instance, offset = applied.offset);
     }
 }
 
@@ -127,7 +127,7 @@
     let records = control
         .state
         .snapshot(&OperatorName::new(me.as_str()), wall);
-    info!(instance = %me, offset = control.state.offset(), parts = records.len(), "event=snapshot_append");
+    info!(event = "snapshot_append", instance = %me, offset = control.state.offset(), parts = records.len());
     for record in records {
         let _ = control.appender.try_send(record);
     }
--- a/crates/node/src/dispatch/task.rs
+++ b/crates/node/src/dispatch/task.rs
@@ -200,7 +200,7 @@
 /// not stay taken.
 fn start(task: &mut Task, call: CallId, target: &TargetId) {
     let Some(view) = task.targets.get(target).cloned() else {
-        debug!(call = call.0, %target, "event=start_unknown_target");
+        debug!(event = "start_unknown_target", call = call.0, %target);
         task.unstarted
             .push_back(unstarted(call, target, End::ConnectFailed));
         return;
--- a/crates/node/src/listener.rs
+++ b/crates/node/src/listener.rs
@@ -83,7 +83,7 @@
         match next {
             Ok((stream, peer)) => take(&ctx, &cancel, &mut counts, stream, peer),
             Err(error) => {
-                warn!(instance = %ctx.settings.instance, %error, "event=accept_failed");
+                warn!(event = "accept_failed", instance = %ctx.settings.instance, %error);
                 task::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -87,14 +87,14 @@
     let signals = match Signals::new([SIGTERM, SIGINT]) {
         Ok(signals) => signals,
         Err(error) => {
-            error!(%error, "event=signals_failed");
+            error!(event = "signals_failed", %error);
             return ExitCode::from(EXIT_START);
         }
     };
     let node = match task::block_on(Node::start(settings, &Token::new())) {
         Ok(node) => node,
         Err(error) => {
-            error!(%error, "event=start_failed");
+            error!(event = "start_failed", %error);
             return ExitCode::from(EXIT_START);
         }
     };
@@ -126,7 +126,7 @@
         pending.next();
         let _ = sender.try_send(());
         pending.next();
-        warn!("event=stop_forced");
+        warn!(event = "stop_forced");
         exit(i32::from(EXIT_FORCED));
     });
     let _ = receiver.recv().await;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -32,7 +32,7 @@
         let client = settings.statsd.and_then(|addr| match connect(addr) {
             Ok(client) => Some(client),
             Err(error) => {
-                warn!(instance = %settings.instance, %addr, %error, "event=metrics_off");
+                warn!(event = "metrics_off", instance = %settings.instance, %addr, %error);
                 None
             }
         });
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -100,7 +100,7 @@
             listener,
         ));
         task::spawn(serve_admin(Arc::clone(ctx), node.cancel.child(), admin));
-        info!(instance = %ctx.settings.instance, %addr, "event=started");
+        info!(event = "started", instance = %ctx.settings.instance, %addr);
         Ok(node)
     }
 
--- a/crates/node/src/peer/incoming.rs
+++ b/crates/node/src/peer/incoming.rs
@@ -85,7 +85,7 @@
             .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         reader.push(&bytes);
         if let Err(code) = take_messages(ctx, &mut reader, &mut peer) {
-            warn!(instance = %ctx.settings.instance, ?peer, code = code.number(), "event=peer_stream_refused");
+            warn!(event = "peer_stream_refused", instance = %ctx.settings.instance, ?peer, code = code.number());
             return;
         }
     }
--- a/crates/node/src/peer/outgoing.rs
+++ b/crates/node/src/peer/outgoing.rs
@@ -87,7 +87,7 @@
     let instance = &ctx.settings.instance;
     loop {
         let Err(error) = run_link(ctx, peer, addr, queue).await;
-        debug!(%instance, %peer, %error, "event=peer_link_down");
+        debug!(event = "peer_link_down", %instance, %peer, %error);
         let _ = ctx.control.send(ControlEvent::LinkDown(peer.clone())).await;
         task::sleep(RECONNECT_PAUSE).await;
         // Messages queued for the broken stream would arrive late; their senders cope with loss.
@@ -140,7 +140,7 @@
     timeout(SILENCE, pings.ping(Ping::opaque()))
         .await
         .map_err(|_| LinkError::Silent)??;
-    info!(instance = %ctx.settings.instance, %peer, "event=peer_link_up");
+    info!(event = "peer_link_up", instance = %ctx.settings.instance, %peer);
     let _ = ctx.control.send(ControlEvent::LinkUp(peer.clone())).await;
     let pinger = Box::pin(ping_loop(pings));
     let work = Box::pin(forward(ctx, queue, &mut stream));
--- a/crates/node/src/stop/planned.rs
+++ b/crates/node/src/stop/planned.rs
@@ -35,19 +35,19 @@
 pub async fn stop_planned(ctx: &Context) -> Stopped {
     let instance = &ctx.settings.instance;
     if ctx.progress.leave() {
-        info!(%instance, "event=stop_started");
+        info!(event = "stop_started", %instance);
         announce(ctx).await;
         task::sleep(LIST_LAG + MAX_ANSWER_AGE).await;
     }
     ctx.progress.drain.cancel();
     let calls = wait_idle(ctx).await;
     if calls == 0 {
-        info!(%instance, "event=stopped");
+        info!(event = "stopped", %instance);
         return Stopped::Whole;
     }
     ctx.metrics.violation(Code::StopCut);
     let code = Code::StopCut.number();
-    warn!(%instance, code, calls, "event=stop_cut");
+    warn!(event = "stop_cut", %instance, code, calls);
     Stopped::Cut { calls }
 }
 
@@ -60,7 +60,7 @@
             return;
         };
         if start.elapsed() >= REGISTER_LIMIT {
-            warn!(%instance, %error, "event=leaving_unlisted");
+            warn!(event = "leaving_unlisted", %instance, %error);
             return;
         }
         task::sleep(REGISTER_PAUSE).await;
