Move tests run one after the other

Cause: six fleets at a time in one test binary wait for the processor, and calls of both versions are then slow; slow_version_is_undone failed in 1 of 10 runs with two binaries at a time, and 11 of 24 with six. Change: a lock lets one move test run at a time; the checks are unchanged.

--- a/crates/node/tests/fleet_moves.rs
+++ b/crates/node/tests/fleet_moves.rs
@@ -3,12 +3,24 @@
 
 mod fleet;
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
 
 use serde_json::Value;
 use testkit::{BadVersion, LogFaults, UpstreamFaults};
 
-use fleet::{Fleet, Load, STREAM, document, down, failures, move_text, pause, run, until};
+use fleet::{Fleet, Load, STREAM, document, down, failures, move_text, pause, until};
+
+/// One move at a time: several fleets on one machine wait for the processor, and then calls of both
+/// versions are slow for a reason that is not theirs.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn run(test: impl Future<Output = ()>) {
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    fleet::run(test);
+}
 
 const PATHS: &[&str] = &["/a", "/a", "/a", "/b"];
 
