--- a/crates/node/src/control/move_watch.rs
+++ b/crates/node/src/control/move_watch.rs
@@ -37,6 +37,12 @@
                 continue;
             };
             let us = sample.service_us;
+            if sample.cut {
+                if !sample.cold && self.bar.is_over(&sample.route, us) {
+                    self.evidence.count(side, &sample.route, false, true);
+                }
+                continue;
+            }
             let timed = !sample.error && !sample.cold;
             let slow = timed && self.bar.is_slow(side, &sample.route, us);
             self.evidence.count(side, &sample.route, sample.error, slow);
--- a/crates/node/src/control/move_watch/tests.rs
+++ b/crates/node/src/control/move_watch/tests.rs
@@ -23,6 +23,7 @@
         version: version.into(),
         route: "GET /".into(),
         error: false,
+        cut: false,
         cold,
         service_us,
     }
@@ -41,3 +42,18 @@
     watch.count(&warm);
     assert_eq!(slow(&watch), 50);
 }
+
+/// A version so slow that hedges always win against it would otherwise leave no evidence.
+#[test]
+fn count_outrun_calls_as_slow() {
+    let mut watch = MoveWatch::new(&shift(), &"i-1".into(), 1);
+    let old: Vec<Sample> = (0..200).map(|_| sample("v1", 1_000, false)).collect();
+    watch.count(&old);
+    let cut = |us| Sample {
+        cut: true,
+        ..sample("v2", us, false)
+    };
+    watch.count(&[cut(90_000), cut(1_000)]);
+    let counts = watch.evidence.totals(Side::New)["GET /"].clone();
+    assert_eq!((counts.calls, counts.slow), (1, 1));
+}
--- a/crates/node/src/control/sample.rs
+++ b/crates/node/src/control/sample.rs
@@ -13,6 +13,8 @@
     pub route: Arc<str>,
     /// Whether it failed.
     pub error: bool,
+    /// Whether it was cancelled, so that it would have taken longer.
+    pub cut: bool,
     /// The target said that it is cold, so that its time says nothing about the version.
     pub cold: bool,
     /// Service time in microseconds.
--- a/crates/node/src/dispatch/tally.rs
+++ b/crates/node/src/dispatch/tally.rs
@@ -45,6 +45,7 @@
                 version: target.version.clone(),
                 route: Arc::clone(route),
                 error,
+                cut: report.end == End::Cancelled,
                 cold: report.cold,
                 service_us: report.service_us,
             });
@@ -76,11 +77,13 @@
 }
 
 /// Whether an attempt counts as an error of its version; `None` if it says nothing. A version that
-/// cannot be reached or refuses everything is bad, but refusing while cold or draining is regular.
+/// cannot be reached or refuses everything is bad, but refusing while cold or draining is regular. A
+/// cancelled attempt may still show that its version is slow: hedges win against slow versions, and
+/// without the losers nothing would be seen of them.
 fn is_error(report: Report) -> Option<bool> {
     match report.end {
-        End::Good => Some(false),
-        End::Cancelled => None,
+        End::Cancelled if report.service_us == 0 => None,
+        End::Good | End::Cancelled => Some(false),
         End::Refused if report.cold || report.draining => None,
         End::Error | End::Timeout | End::Cut | End::ConnectFailed | End::Refused => Some(true),
     }
--- a/crates/node/src/dispatch/tally/tests.rs
+++ b/crates/node/src/dispatch/tally/tests.rs
@@ -41,8 +41,17 @@
 
 #[test]
 fn note_cold_refusal() {
-    let ends = [report(End::Refused, true), report(End::Cancelled, false)];
-    assert!(errors(&ends).is_empty());
+    assert!(errors(&[report(End::Refused, true)]).is_empty());
+}
+
+#[test]
+fn note_cancelled_only_if_sent() {
+    let unsent = Report {
+        service_us: 0,
+        ..report(End::Cancelled, false)
+    };
+    assert!(errors(&[unsent]).is_empty());
+    assert_eq!(errors(&[report(End::Cancelled, false)]), [false]);
 }
 
 #[test]
--- a/crates/policy/src/moves/slow_bar.rs
+++ b/crates/policy/src/moves/slow_bar.rs
@@ -43,6 +43,17 @@
         slow
     }
 
+    /// Whether a call that was cancelled after `us`, for example because its hedge won, was slow for
+    /// certain. It would have taken at least as long.
+    #[must_use]
+    pub fn is_over(&self, route: &str, us: u64) -> bool {
+        let known = self
+            .routes
+            .get(route)
+            .or_else(|| self.routes.get(OTHER_ROUTE));
+        known.and_then(|s| s.bar_us).is_some_and(|bar| us > bar)
+    }
+
     fn samples(&mut self, route: &str) -> &mut Samples {
         let known = self.routes.contains_key(route);
         let route = if known || self.routes.len() < MAX_ROUTES {
