--- a/crates/node/src/call/job.rs
+++ b/crates/node/src/call/job.rs
@@ -21,7 +21,7 @@
 
 /// What a [`Job`] is made of; its fields have the same meaning.
 #[derive(Debug)]
-#[allow(missing_docs)]
+#[allow(missing_docs)] // Each field is described at the field of the same name in `Job`.
 pub struct Parts {
     pub call: Call,
     pub idempotent: bool,
--- a/crates/state/src/driver.rs
+++ b/crates/state/src/driver.rs
@@ -137,16 +137,8 @@
             wants.push(verdict(shift, Verdict::Undone, "vanished"));
             return;
         }
-        if !watch.may_advance(input.now, evidence) {
-            return;
-        }
-        let in_time = input.wall.plus_ms(DONE_MARGIN_MS) <= shift.deadline;
-        match shift.next_share() {
-            Some(to) => wants.push(step(shift, to)),
-            None if in_time && evidence.is_some_and(|e| e.calls > 0) => {
-                wants.push(verdict(shift, Verdict::Done, "good"));
-            }
-            None => {}
+        if watch.may_advance(input.now, evidence) {
+            wants.extend(advance(input, shift, evidence));
         }
     }
 
@@ -192,6 +184,20 @@
     }
 }
 
+/// The next step, or the verdict at full share while there is time for it.
+fn advance(
+    input: DriverInput<'_>,
+    shift: &MoveState,
+    evidence: Option<&MoveEvidence>,
+) -> Option<Want> {
+    if let Some(to) = shift.next_share() {
+        return Some(step(shift, to));
+    }
+    let in_time = input.wall.plus_ms(DONE_MARGIN_MS) <= shift.deadline;
+    let used = evidence.is_some_and(|e| e.calls > 0);
+    (in_time && used).then(|| verdict(shift, Verdict::Done, "good"))
+}
+
 fn stop_fact(service: &ServiceName, shift: &MoveState, reason: &str) -> Fact {
     Fact::Stop {
         service: service.clone(),
