--- a/crates/policy/src/callers.rs
+++ b/crates/policy/src/callers.rs
@@ -27,14 +27,14 @@
     }
 
     /// Whether the caller used more than its fair share.
-    #[allow(clippy::cast_precision_loss)]
+    #[allow(clippy::cast_precision_loss, reason = "a count of callers")]
     pub(crate) fn is_over(&self, caller: u64) -> bool {
         let used = self.used.get(&caller).copied().unwrap_or(0.0);
         used * self.used.len() as f64 > OVER * self.total
     }
 
     /// Lets past use fade.
-    #[allow(clippy::cast_precision_loss)]
+    #[allow(clippy::cast_precision_loss, reason = "exact below 2^53 us, 285 years")]
     pub(crate) fn fade(&mut self, now: Time) {
         let factor = (-(now.since_us(self.at) as f64) / HALF_LIFE_US).exp2();
         self.at = now;
--- a/crates/policy/src/class_state.rs
+++ b/crates/policy/src/class_state.rs
@@ -60,7 +60,7 @@
     }
 
     /// Time after which few calls are still in progress, in microseconds, once known.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // A positive number of us.
     pub(crate) fn p95_us(&self) -> Option<u64> {
         (self.samples >= P95_SAMPLES).then_some(self.p95.max(self.median) as u64)
     }
--- a/crates/policy/src/dispatcher/admit.rs
+++ b/crates/policy/src/dispatcher/admit.rs
@@ -204,7 +204,7 @@
 }
 
 /// Latest start of a call that waits from `from` on.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // A positive number of us.
 pub(super) fn latest_start(call: &Call, from: Time, delay_ms: u64, mean_us: f64) -> Time {
     let service = Time(call.deadline.0.saturating_sub(mean_us as u64));
     from.plus_ms(delay_ms).min(service)
--- a/crates/policy/src/dispatcher/finish.rs
+++ b/crates/policy/src/dispatcher/finish.rs
@@ -77,7 +77,7 @@
         self.judge_all();
     }
 
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // A positive number of us.
     fn finish_loan(&mut self, lender: &model::InstanceId, loan: u64, report: &Report, ratio: f64) {
         let Some(b) = self.borrowed.get_mut(&(lender.clone(), loan)) else {
             return;
--- a/crates/policy/src/moves/sprt.rs
+++ b/crates/policy/src/moves/sprt.rs
@@ -76,7 +76,7 @@
 }
 
 /// Counters stay far below 2^52.
-#[allow(clippy::cast_precision_loss)]
+#[allow(clippy::cast_precision_loss, reason = "counters stay far below 2^52")]
 pub(crate) fn as_f64(count: u64) -> f64 {
     count as f64
 }
