--- /dev/null
+++ b/crates/balance/src/cold_gate.rs
@@ -0,0 +1,59 @@
+//! Limit on requests to a cold target, over all instances.
+//!
+//! A few instances, chosen by rendezvous hash, may send to a cold target, each at an equal part of the
+//! rate that the target bears. While views of the membership differ, at most twice as many may send.
+
+use model::{InstanceId, TargetId, Time, rendezvous_rank};
+
+/// Instances that may send to one cold target. More of them start more requests at once, since each
+/// may begin with one; fewer leave the target unused when they have no requests.
+const SENDERS: usize = 4;
+/// Part of the rate that is used. Two disagreeing views then stay below 1.5 times the rate.
+const RATE_USED: f64 = 0.75;
+/// Largest wait between two requests, in microseconds.
+const MAX_GAP_US: f64 = 60_000_000.0;
+
+/// Paces the requests of this instance to one cold target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ColdGate {
+    next: Time,
+}
+
+impl ColdGate {
+    /// Whether a request may go to the cold `target` now. `rate` is what the target bears, in
+    /// requests a second.
+    #[must_use]
+    pub fn is_open(
+        &self,
+        now: Time,
+        target: &TargetId,
+        own: &InstanceId,
+        instances: &[InstanceId],
+    ) -> bool {
+        now >= self.next && senders(target, own, instances).contains(&own.as_str())
+    }
+
+    /// Notes a request to the target.
+    pub fn note(&mut self, now: Time, rate: f64, instances: usize) {
+        let own_rate = rate * RATE_USED / instances.clamp(1, SENDERS) as f64;
+        let gap = (1_000_000.0 / own_rate.max(0.01)).min(MAX_GAP_US);
+        self.next = now.plus_us(gap as u64);
+    }
+}
+
+fn senders<'a>(
+    target: &TargetId,
+    own: &'a InstanceId,
+    instances: &'a [InstanceId],
+) -> Vec<&'a str> {
+    let mut names: Vec<&str> = instances.iter().map(InstanceId::as_str).collect();
+    if !names.contains(&own.as_str()) {
+        names.push(own.as_str());
+    }
+    rendezvous_rank(target.as_str(), &mut names);
+    names.truncate(SENDERS);
+    names
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,39 @@
+//! Decisions of the gateway, without I/O or clocks: which route a request takes, which target it goes
+//! to, how many second sends the system may make, how a new version is taken in, and which instances
+//! callers are told of.
+
+mod budget;
+mod caller_limits;
+mod cold_gate;
+mod evidence;
+mod health;
+mod load;
+mod manifest;
+mod members;
+mod order;
+mod part;
+mod rollout;
+mod route;
+mod service_spec;
+mod target_entry;
+mod targets;
+mod work;
+
+pub use crate::{
+    budget::RetryBudget,
+    caller_limits::CallerLimits,
+    cold_gate::ColdGate,
+    evidence::{Evidence, Tally},
+    health::Health,
+    load::{Load, Outlook},
+    manifest::Manifest,
+    members::{Member, Members, Presence},
+    order::{Order, Verdict},
+    part::{Part, pick_part},
+    rollout::{Rollout, Stage},
+    route::Route,
+    service_spec::ServiceSpec,
+    target_entry::TargetEntry,
+    targets::{Target, Targets},
+    work::Work,
+};
--- /dev/null
+++ b/crates/balance/src/manifest/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+use crate::Part;
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        parts: vec![Part {
+            service: ServiceName::new("s"),
+            weight: 1,
+        }],
+        repeatable: true,
+        attempts: 2,
+        timeout_ms: 1_000,
+        aim_ms: 250,
+        priority: 1,
+    }
+}
+
+fn manifest(routes: Vec<Route>) -> Manifest {
+    Manifest::new(1, CallerLimits::default(), [], routes)
+}
+
+#[test]
+fn route_longest_prefix_wins() {
+    let m = manifest(vec![route("a", "h", "/x/"), route("b", "h", "/x/y/")]);
+    assert_eq!(&*m.route("h", "/x/y/z").unwrap().name, "b");
+    assert_eq!(&*m.route("h", "/x/yy/z").unwrap().name, "a");
+}
+
+#[test]
+fn route_needs_whole_segments() {
+    let m = manifest(vec![route("a", "h", "/x/")]);
+    assert!(m.route("h", "/x").is_none(), "a prefix without its slash");
+    assert!(m.route("h", "/xy/").is_none());
+    assert!(m.route("other", "/x/").is_none());
+}
+
+#[test]
+fn route_root_prefix_matches_all() {
+    let m = manifest(vec![route("a", "h", "/")]);
+    assert!(m.route("h", "/").is_some());
+    assert!(m.route("h", "/deep/er").is_some());
+}
--- /dev/null
+++ b/crates/balance/src/members.rs
@@ -0,0 +1,104 @@
+//! The instances of the system as this one knows them.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use model::{InstanceId, Time, Zone};
+
+/// Time without a word after which an instance is not named to callers, in microseconds. Beats come
+/// every 0.4 s; three lost ones in a row are rare, and callers must not be sent to a dead instance
+/// for more than a few seconds.
+const QUIET_US: u64 = 2_000_000;
+/// Time without a word after which an instance is forgotten, in microseconds.
+const FORGET_US: u64 = 60_000_000;
+
+/// Whether an instance takes new callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It does.
+    Ready,
+    /// It has just started and knows too little.
+    Starting,
+    /// It is about to end.
+    Leaving,
+}
+
+/// One other instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Name.
+    pub name: InstanceId,
+    /// Number of its process; larger for a later one.
+    pub boot: u64,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address for other instances.
+    pub peer: SocketAddr,
+    /// Whether it takes callers.
+    pub presence: Presence,
+    /// When it was last heard of; `None` if it was only read of.
+    pub heard: Option<Time>,
+}
+
+/// All other instances known.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    known: BTreeMap<SocketAddr, Member>,
+}
+
+impl Members {
+    /// Takes in what an instance said of itself. Words of an earlier process are ignored.
+    pub fn hear(&mut self, member: Member) {
+        if self
+            .known
+            .get(&member.peer)
+            .is_some_and(|k| k.boot > member.boot)
+        {
+            return;
+        }
+        self.known.insert(member.peer, member);
+    }
+
+    /// Takes in an instance that was read of, unless it is known already.
+    pub fn learn(&mut self, member: Member) {
+        self.known.entry(member.peer).or_insert(member);
+    }
+
+    /// Forgets instances that were quiet for long. Instances that were only read of stay: they cost
+    /// one datagram a beat.
+    pub fn sweep(&mut self, now: Time) {
+        self.known
+            .retain(|_, m| m.heard.is_none_or(|heard| now.since_us(heard) < FORGET_US));
+    }
+
+    /// All known instances.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.known.values()
+    }
+
+    /// Instances heard of recently.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = &Member> {
+        self.known
+            .values()
+            .filter(move |m| m.heard.is_some_and(|heard| now.since_us(heard) < QUIET_US))
+    }
+
+    /// Instances that callers of `zone` may be told of: those of their zone, or all if it has none.
+    #[must_use]
+    pub fn ready(&self, now: Time) -> Vec<&Member> {
+        self.live(now)
+            .filter(|m| m.presence == Presence::Ready)
+            .collect()
+    }
+
+    /// Names of the instances that share work, for rendezvous hashing.
+    #[must_use]
+    pub fn names(&self, now: Time) -> Vec<InstanceId> {
+        let live = self.live(now).filter(|m| m.presence != Presence::Leaving);
+        live.map(|m| m.name.clone()).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balance/src/rollout/tests.rs
@@ -0,0 +1,104 @@
+use model::{ServiceName, Version};
+
+use super::*;
+
+const LIMIT_MS: u64 = 16_000;
+
+fn rollout() -> Rollout {
+    let order = Order {
+        service: ServiceName::new("s"),
+        version: Version::new("v2"),
+        limit_ms: LIMIT_MS,
+        offset: 7,
+    };
+    Rollout::new(order, Time(0))
+}
+
+/// Plays a rollout at one instance with 140 requests a second; `is_bad` tells which requests to the new
+/// version fail. Returns the verdict, its time in ms and the requests that the new version got.
+fn play(is_bad: impl Fn(u64, Stage, u64) -> bool) -> (Verdict, u64, u64) {
+    let mut rollout = rollout();
+    let mut new = 0;
+    for ms in (0..LIMIT_MS).step_by(7) {
+        let now = Time::from_ms(ms);
+        if let Some(verdict) = rollout.lead(now, ms > 500, &[]) {
+            return (verdict, ms, new);
+        }
+        let is_new = rollout.draw();
+        if is_new {
+            new += 1;
+            let bad = is_bad(ms, rollout.stage, new);
+            rollout
+                .own
+                .note(true, rollout.stage.0, (new % 4 == 0).into(), !bad);
+        } else {
+            rollout.own.note(false, 0, 0, true);
+        }
+        rollout.judge();
+    }
+    (Verdict::Running, LIMIT_MS, new)
+}
+
+/// A tenth of the requests that come in the allowed time, plus 50.
+const MOST_TO_BAD: u64 = LIMIT_MS / 7 / 10 + 50;
+
+#[test]
+fn lead_good_version_is_done_in_time() {
+    let (verdict, ms, _) = play(|_, _, new| new % 100 == 99);
+    assert_eq!(verdict, Verdict::Done);
+    assert!(ms < LIMIT_MS * 9 / 10, "{ms}");
+}
+
+#[test]
+fn lead_bad_version_is_undone_within_exposure() {
+    let cases: [(&str, fn(u64, Stage, u64) -> bool); 4] = [
+        ("errors", |_, _, new| new % 2 == 0),
+        ("late", |ms, _, new| ms > 3_500 && new % 2 == 0),
+        ("under load", |_, stage, new| stage.0 >= 3 && new % 2 == 0),
+        ("one route", |_, _, new| new % 8 == 0),
+    ];
+    for (name, is_bad) in cases {
+        let (verdict, _, new) = play(is_bad);
+        assert_eq!(verdict, Verdict::Undone, "{name}");
+        assert!(new <= MOST_TO_BAD, "{name}: {new} requests");
+    }
+}
+
+#[test]
+fn lead_waits_for_all_instances() {
+    let mut rollout = rollout();
+    let other = (InstanceId::new("b"), 1);
+    rollout.hear(
+        other.clone(),
+        Stage::LAST,
+        false,
+        Evidence::default(),
+        Time(0),
+    );
+    let late = Time::from_ms(LIMIT_MS);
+    let behind = (InstanceId::new("c"), 1);
+    assert_eq!(rollout.lead(late, true, &[other.clone(), behind]), None);
+    assert_eq!(rollout.lead(late, true, &[other]), Some(Verdict::Done));
+}
+
+#[test]
+fn draw_nothing_after_stop() {
+    let mut rollout = rollout();
+    rollout.hear(
+        (InstanceId::new("b"), 1),
+        Stage(3),
+        true,
+        Evidence::default(),
+        Time(0),
+    );
+    assert!((0..100).all(|_| !rollout.draw()));
+}
+
+#[test]
+fn draw_first_stage_keeps_share() {
+    let mut rollout = rollout();
+    rollout.lead(Time::from_ms(10), true, &[]);
+    assert_eq!(rollout.stage, Stage(1));
+    let new = (0..1_000).filter(|_| rollout.draw()).count();
+    assert!((60..=70).contains(&new), "{new}");
+}
--- /dev/null
+++ b/crates/balance/src/route.rs
@@ -0,0 +1,28 @@
+//! One route: which requests it takes, where they go and what they are owed.
+
+use std::sync::Arc;
+
+use crate::Part;
+
+/// A route of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// Name, unique in the configuration.
+    pub name: Arc<str>,
+    /// Host that a request must name.
+    pub host: Arc<str>,
+    /// Start of the path, with a slash at both ends.
+    pub prefix: Arc<str>,
+    /// Services that share the requests; never empty.
+    pub parts: Vec<Part>,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// Most targets that one request may be sent to.
+    pub attempts: u32,
+    /// Longest time that a request may be kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// Latency objective, in milliseconds.
+    pub aim_ms: u64,
+    /// Rank; 0 is the most urgent.
+    pub priority: u32,
+}
--- /dev/null
+++ b/crates/balance/src/targets.rs
@@ -0,0 +1,212 @@
+//! The targets of all services, as their entries and the calls to them show.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use model::{ServiceName, TargetId, Time};
+
+use crate::{ColdGate, Health, Load, TargetEntry};
+
+/// Time after the store's return within which a missing entry is not taken as gone, in microseconds.
+/// The platform states that live targets are back within 2 s.
+const RETURN_US: u64 = 2_000_000;
+
+/// One target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// What it says of itself.
+    pub entry: TargetEntry,
+    /// When it was first seen.
+    pub seen: Time,
+    /// Until when it is cold.
+    pub cold_until: Time,
+    /// Latest load report.
+    pub load: Option<Load>,
+    /// Recent outcomes.
+    pub health: Health,
+    /// Pace of requests while it is cold.
+    pub gate: ColdGate,
+    /// Requests of this instance that are there.
+    pub inflight: u32,
+    /// Requests that this instance sent after the latest load report.
+    pub unseen: u32,
+    /// Until when it stays although its entry is missing.
+    lapsed: Option<Time>,
+}
+
+impl Target {
+    fn new(entry: TargetEntry, now: Time) -> Self {
+        Self {
+            cold_until: now.plus_ms(entry.cold_ms),
+            entry,
+            seen: now,
+            load: None,
+            health: Health::default(),
+            gate: ColdGate::default(),
+            inflight: 0,
+            unseen: 0,
+            lapsed: None,
+        }
+    }
+
+    /// Whether it is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
+    /// Takes in a load report.
+    pub fn note_load(&mut self, load: Load) {
+        self.load = Some(load);
+        self.unseen = 0;
+    }
+
+    /// Takes in how much longer the target says that it is cold.
+    pub fn note_cold(&mut self, now: Time, cold_ms: u64) {
+        self.cold_until = now.plus_ms(cold_ms);
+    }
+}
+
+/// All targets.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    services: HashMap<ServiceName, BTreeMap<TargetId, Target>>,
+    homes: HashMap<TargetId, ServiceName>,
+    returned: Option<Time>,
+}
+
+impl Targets {
+    /// Takes in an entry; whether it changes what may be sent where.
+    pub fn put(&mut self, entry: TargetEntry, now: Time) -> bool {
+        let id = entry.id.clone();
+        let known = self.get_mut(&id);
+        if let Some(target) = known
+            && target.entry.born == entry.born
+            && target.entry.service == entry.service
+            && target.entry.addr == entry.addr
+        {
+            target.lapsed = None;
+            if entry.cold_ms > 0 {
+                target.note_cold(now, entry.cold_ms);
+            }
+            let changed = !target.entry.is_same(&entry);
+            target.entry = entry;
+            return changed;
+        }
+        self.remove(&id);
+        self.homes.insert(id.clone(), entry.service.clone());
+        let of_service = self.services.entry(entry.service.clone()).or_default();
+        of_service.insert(id, Target::new(entry, now));
+        true
+    }
+
+    /// Takes in that an entry is missing; whether that changes what may be sent where. Soon after the
+    /// store's return the target stays for a while, unless it was leaving.
+    pub fn lose(&mut self, id: &TargetId, now: Time) -> bool {
+        let until = self.returned.map_or(Time(0), |at| at.plus_us(RETURN_US));
+        let Some(target) = self.get_mut(id) else {
+            return false;
+        };
+        if now < until && !target.entry.draining {
+            target.lapsed = Some(until);
+            return false;
+        }
+        self.remove(id);
+        true
+    }
+
+    /// Replaces all entries by those of a whole listing; targets that are not in it are lost.
+    pub fn replace(&mut self, entries: Vec<TargetEntry>, now: Time) -> bool {
+        let listed: Vec<TargetId> = entries.iter().map(|e| e.id.clone()).collect();
+        let missing: Vec<TargetId> = self
+            .homes
+            .keys()
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect();
+        let mut changed = false;
+        for entry in entries {
+            changed |= self.put(entry, now);
+        }
+        for id in missing {
+            changed |= self.lose(&id, now);
+        }
+        changed
+    }
+
+    /// Notes that the store answers again after it was away.
+    pub fn note_return(&mut self, now: Time) {
+        self.returned = Some(now);
+    }
+
+    /// Drops targets whose entries did not come back in time.
+    pub fn sweep(&mut self, now: Time) -> bool {
+        let over = |t: &Target| t.lapsed.is_some_and(|until| now >= until);
+        let gone: Vec<TargetId> = self
+            .all()
+            .filter(|t| over(t))
+            .map(|t| t.entry.id.clone())
+            .collect();
+        for id in &gone {
+            self.remove(id);
+        }
+        !gone.is_empty()
+    }
+
+    /// Drops a target.
+    pub fn remove(&mut self, id: &TargetId) {
+        let Some(service) = self.homes.remove(id) else {
+            return;
+        };
+        if let Some(of_service) = self.services.get_mut(&service) {
+            of_service.remove(id);
+        }
+    }
+
+    /// A target.
+    #[must_use]
+    pub fn get(&self, id: &TargetId) -> Option<&Target> {
+        self.services.get(self.homes.get(id)?)?.get(id)
+    }
+
+    /// A target, to change what is known of it.
+    pub fn get_mut(&mut self, id: &TargetId) -> Option<&mut Target> {
+        self.services.get_mut(self.homes.get(id)?)?.get_mut(id)
+    }
+
+    /// The targets of a service.
+    pub fn of(&self, service: &ServiceName) -> impl Iterator<Item = &Target> {
+        self.services
+            .get(service)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+    }
+
+    /// All targets.
+    pub fn all(&self) -> impl Iterator<Item = &Target> {
+        self.services.values().flat_map(BTreeMap::values)
+    }
+
+    /// Whether a target still has this address.
+    #[must_use]
+    pub fn has_address(&self, addr: SocketAddr) -> bool {
+        self.all().any(|t| t.entry.addr == addr)
+    }
+
+    /// Number of targets.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.homes.len()
+    }
+
+    /// Whether no target is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.homes.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/balance/src/targets/tests.rs
@@ -0,0 +1,71 @@
+use model::{Version, Zone};
+
+use super::*;
+
+fn entry(id: &str, born: u64) -> TargetEntry {
+    TargetEntry {
+        id: TargetId::new(id),
+        service: ServiceName::new("s"),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        zone: Zone::new("z"),
+        version: Version::new("v1"),
+        slots: 3,
+        draining: false,
+        cold_ms: 0,
+        born,
+    }
+}
+
+const NOW: Time = Time(10_000_000);
+
+#[test]
+fn lose_is_immediate_while_store_is_sound() {
+    let mut targets = Targets::default();
+    targets.put(entry("a", 1), NOW);
+    assert!(targets.lose(&TargetId::new("a"), NOW));
+    assert!(targets.is_empty());
+}
+
+#[test]
+fn lose_after_outage_waits_for_return() {
+    let mut targets = Targets::default();
+    targets.put(entry("a", 1), NOW);
+    targets.note_return(NOW);
+    assert!(!targets.replace(vec![], NOW));
+    assert!(!targets.sweep(NOW.plus_ms(1_900)));
+    assert_eq!(targets.len(), 1);
+    assert!(
+        targets.sweep(NOW.plus_ms(2_000)),
+        "missing after 2 s is gone"
+    );
+}
+
+#[test]
+fn put_after_lapse_keeps_target() {
+    let mut targets = Targets::default();
+    targets.put(entry("a", 1), NOW);
+    targets.note_return(NOW);
+    targets.lose(&TargetId::new("a"), NOW);
+    targets.put(entry("a", 1), NOW.plus_ms(500));
+    assert!(!targets.sweep(NOW.plus_ms(3_000)));
+}
+
+#[test]
+fn put_restart_forgets_state() {
+    let mut targets = Targets::default();
+    targets.put(entry("a", 1), NOW);
+    targets.get_mut(&TargetId::new("a")).unwrap().inflight = 3;
+    assert!(targets.put(entry("a", 2), NOW));
+    assert_eq!(targets.get(&TargetId::new("a")).unwrap().inflight, 0);
+    assert_eq!(targets.len(), 1);
+}
+
+#[test]
+fn put_heartbeat_changes_nothing() {
+    let mut targets = Targets::default();
+    targets.put(entry("a", 1), NOW);
+    assert!(!targets.put(entry("a", 1), NOW));
+    let mut leaving = entry("a", 1);
+    leaving.draining = true;
+    assert!(targets.put(leaving, NOW));
+}
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -5,8 +5,8 @@
 
 use http_types::Method;
 use model::Code;
-use platform::{HttpAnswer, HttpRequest, exchange};
 use serde::{Serialize, de::DeserializeOwned};
+use store::{HttpAnswer, HttpRequest, exchange};
 use wire::ErrorBody;
 
 use crate::{args::Args, failure::Failure, token::read_token};
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,496 @@
+//! One request of a caller: its route, its targets, and what is answered.
+
+use std::{rc::Rc, sync::Arc};
+
+use balance::{Manifest, RetryBudget, Route, Verdict, pick_part};
+use h1::{Request, Response, write_headers};
+use model::{ServiceName, TargetId, Time};
+use platform::{cold_ms, headers, load_report};
+use rand::Rng;
+use tracing::{info, warn};
+
+use crate::{
+    choose::{Pick, Wish, choose, work_ms},
+    exchange::{Loss, Message, Sent, exchange},
+    reply::{Refusal, pass_on, refusal},
+    state::State,
+};
+
+/// Connections that a request may fail to open before it is refused. Such tries reach no target.
+const MAX_UNSENT: u32 = 3;
+/// Times the usual work from which a response counts as slow in a rollout.
+const SLOW_FACTOR: f64 = 4.0;
+/// Shortest time that is worth another attempt, as a part of the route's work time.
+const MIN_LEFT: f64 = 0.8;
+
+/// What became of a request, for the log.
+#[derive(Debug, Default)]
+struct Story {
+    attempts: u32,
+    unsent: u32,
+    path: String,
+}
+
+/// The response to a request, as bytes.
+#[derive(Debug)]
+pub struct Reply {
+    /// Bytes for the caller.
+    pub bytes: Vec<u8>,
+    /// Whether the connection is to be closed after them.
+    pub close: bool,
+}
+
+/// Serves one request.
+pub async fn serve(state: Rc<State>, request: Request, arrived: Time) -> Reply {
+    state.busy.set(state.busy.get() + 1);
+    let _busy = Busy(Rc::clone(&state));
+    let id = request.headers.only(headers::REQUEST_ID).map(str::to_owned);
+    let mut story = Story::default();
+    let result = route_and_send(&state, &request, id.as_deref(), arrived, &mut story).await;
+    let close = !request.reusable || state.phase.get() == crate::phase::Phase::Leaving;
+    let took_ms = state.now().since_us(arrived) / 1_000;
+    let id = id.as_deref();
+    let shown = id.unwrap_or("-");
+    let bytes = match result {
+        Ok((response, route)) => {
+            let is_late = took_ms > route.aim_ms;
+            state.metrics.served(&route.name, took_ms, is_late);
+            let (attempts, path) = (story.attempts, &*story.path);
+            if response.status >= 400 || is_late {
+                warn!(
+                    event = "answered",
+                    id = shown,
+                    route = &*route.name,
+                    status = response.status,
+                    took_ms,
+                    aim_ms = route.aim_ms,
+                    attempts,
+                    targets = path
+                );
+            } else {
+                info!(
+                    event = "answered",
+                    id = shown,
+                    route = &*route.name,
+                    status = response.status,
+                    took_ms,
+                    attempts,
+                    targets = path
+                );
+            }
+            pass_on(&response, request.method == "HEAD", close)
+        }
+        Err(kind) => {
+            state.metrics.refused(kind);
+            warn!(
+                event = "refused",
+                id = shown,
+                path = request.path(),
+                code = kind.code(),
+                status = kind.status().0,
+                took_ms,
+                attempts = story.attempts,
+                unsent = story.unsent,
+                targets = &*story.path,
+                config = state.manifest().map_or(0, |m| m.version),
+                targets_age_ms = state
+                    .targets_read
+                    .get()
+                    .map_or(0, |t| state.now().since_us(t) / 1_000)
+            );
+            refusal(kind, id, close)
+        }
+    };
+    Reply { bytes, close }
+}
+
+/// Counts a request in progress until dropped.
+struct Busy(Rc<State>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+    }
+}
+
+async fn route_and_send(
+    state: &Rc<State>,
+    request: &Request,
+    id: Option<&str>,
+    arrived: Time,
+    story: &mut Story,
+) -> Result<(Response, Arc<Route>), Refusal> {
+    let manifest = state.manifest().ok_or(Refusal::NoConfig)?;
+    let route = find_route(&manifest, request).ok_or(Refusal::NoRoute)?;
+    let limit_ms = deadline_ms(request).map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
+    let deadline = arrived.plus_ms(limit_ms);
+    let draw = rand::rng().random::<f64>();
+    let part = pick_part(&route.parts, draw).ok_or(Refusal::NoTarget)?;
+    with_budget(state, &part.service, |budget| {
+        budget.note_request(state.now())
+    });
+    let is_new = draw_version(state, &part.service);
+    let mut job = Job {
+        state,
+        request,
+        id,
+        route: &route,
+        service: &part.service,
+        deadline,
+        is_new,
+        tried: Vec::new(),
+        may_have_run: false,
+        story,
+    };
+    let response = job.run().await?;
+    Ok((response, Arc::clone(&route)))
+}
+
+/// The route of a request, by its host without port and its path.
+fn find_route(manifest: &Manifest, request: &Request) -> Option<Arc<Route>> {
+    let host = request.headers.only("host")?.to_ascii_lowercase();
+    let name = host.split(':').next().unwrap_or_default();
+    manifest.route(name, request.path()).cloned()
+}
+
+/// How long the caller waits, in milliseconds.
+fn deadline_ms(request: &Request) -> Option<u64> {
+    request.headers.only(headers::DEADLINE_MS)?.parse().ok()
+}
+
+fn with_budget<T>(
+    state: &State,
+    service: &ServiceName,
+    action: impl FnOnce(&mut RetryBudget) -> T,
+) -> T {
+    let settings = &state.settings;
+    let mut budgets = state.budgets.borrow_mut();
+    let budget = budgets.entry(service.clone()).or_insert_with(|| {
+        let window_us = std::time::Duration::from_secs_f64(settings.retry_window_s).as_micros();
+        let window_us = u64::try_from(window_us).unwrap_or(u64::MAX);
+        RetryBudget::new(window_us, settings.retry_ratio, settings.retry_slack)
+    });
+    action(budget)
+}
+
+fn draw_version(state: &State, service: &ServiceName) -> bool {
+    state
+        .rollouts
+        .borrow_mut()
+        .get_mut(service)
+        .is_some_and(balance::Rollout::draw)
+}
+
+struct Job<'a> {
+    state: &'a Rc<State>,
+    request: &'a Request,
+    id: Option<&'a str>,
+    route: &'a Arc<Route>,
+    service: &'a ServiceName,
+    deadline: Time,
+    is_new: bool,
+    tried: Vec<TargetId>,
+    may_have_run: bool,
+    story: &'a mut Story,
+}
+
+impl Job<'_> {
+    async fn run(&mut self) -> Result<Response, Refusal> {
+        loop {
+            let pick = self.pick().await?;
+            let started = self.state.now();
+            if started >= self.deadline {
+                return Err(self.give_up(Refusal::Expired, Refusal::Late));
+            }
+            let sent = self.send(&pick).await;
+            let took_us = self.state.now().since_us(started);
+            if let Some(done) = self.conclude(&pick, sent, took_us) {
+                return done;
+            }
+        }
+    }
+
+    async fn pick(&mut self) -> Result<Pick, Refusal> {
+        let mut pick = choose(self.state, &self.wish(self.is_new)).await;
+        if pick.is_none() && self.is_new && !self.must_be_new() {
+            self.is_new = false;
+            pick = choose(self.state, &self.wish(false)).await;
+        }
+        let Some(pick) = pick else {
+            return Err(self.give_up(Refusal::NoTarget, Refusal::Unknown));
+        };
+        let left_ms = self.left_ms();
+        if pick.outlook.ms > left_ms && !pick.outlook.is_free {
+            return Err(self.give_up(Refusal::TooBusy, Refusal::Unknown));
+        }
+        Ok(pick)
+    }
+
+    fn wish(&self, is_new: bool) -> Wish<'_> {
+        Wish {
+            service: self.service,
+            route: &self.route.name,
+            is_new,
+            tried: &self.tried,
+        }
+    }
+
+    /// Whether the old version may get nothing any more.
+    fn must_be_new(&self) -> bool {
+        let rollouts = self.state.rollouts.borrow();
+        rollouts
+            .get(self.service)
+            .is_some_and(|r| r.verdict == Verdict::Done)
+    }
+
+    fn left_ms(&self) -> f64 {
+        self.deadline.since_us(self.state.now()) as f64 / 1_000.0
+    }
+
+    /// The refusal that is true: `unrun` only if no target can have run the request.
+    fn give_up(&self, unrun: Refusal, unknown: Refusal) -> Refusal {
+        if self.may_have_run { unknown } else { unrun }
+    }
+
+    async fn send(&mut self, pick: &Pick) -> Sent {
+        let now = self.state.now();
+        let bytes = self.encode(pick, now);
+        let instances = self.state.instances().len();
+        if let Some(target) = self.state.targets.borrow_mut().get_mut(&pick.id) {
+            target.inflight += 1;
+            target.unseen += 1;
+            if target.is_cold(now) {
+                let manifest = self.state.manifest();
+                let spec = manifest.as_ref().and_then(|m| m.service(self.service));
+                target
+                    .gate
+                    .note(now, spec.map_or(1.0, |s| s.cold_rate), instances);
+            }
+        }
+        let _inflight = InFlight {
+            state: Rc::clone(self.state),
+            id: pick.id.clone(),
+        };
+        let message = Message {
+            method: &self.request.method,
+            id: self.id,
+            bytes: &bytes,
+        };
+        exchange(self.state, pick.addr, message, self.deadline).await
+    }
+
+    /// The request as it goes to a target.
+    fn encode(&self, pick: &Pick, now: Time) -> Vec<u8> {
+        let request = self.request;
+        let mut bytes = Vec::with_capacity(request.body.len() + 512);
+        bytes.extend_from_slice(
+            format!("{} {} HTTP/1.1\r\n", request.method, request.target).as_bytes(),
+        );
+        let kept = request.headers.end_to_end().filter(|(name, _)| {
+            !headers::REPLACED
+                .iter()
+                .any(|own| name.eq_ignore_ascii_case(own))
+        });
+        write_headers(&mut bytes, kept);
+        let left_ms = self.deadline.since_us(now) / 1_000;
+        let own = format!(
+            "{}: {left_ms}\r\n{}: {}\r\n",
+            headers::DEADLINE_MS,
+            headers::EXPECTED_TARGET,
+            pick.id
+        );
+        bytes.extend_from_slice(own.as_bytes());
+        let has_length =
+            request.headers.has("content-length") || request.headers.has("transfer-encoding");
+        if has_length {
+            bytes.extend_from_slice(
+                format!("Content-Length: {}\r\n", request.body.len()).as_bytes(),
+            );
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&request.body);
+        bytes
+    }
+
+    /// What follows from one send; `None` for another attempt.
+    fn conclude(
+        &mut self,
+        pick: &Pick,
+        sent: Sent,
+        took_us: u64,
+    ) -> Option<Result<Response, Refusal>> {
+        match sent {
+            Sent::Unsent(error) => {
+                self.note(pick, "unsent", took_us);
+                info!(event = "target_unreachable", target_id = %pick.id, %error);
+                self.state.note_down(&pick.id);
+                self.tried.push(pick.id.clone());
+                self.story.unsent += 1;
+                if self.story.unsent >= MAX_UNSENT {
+                    return Some(Err(self.give_up(Refusal::NoTarget, Refusal::Unknown)));
+                }
+                None
+            }
+            Sent::Response(response) => self.conclude_response(pick, *response, took_us),
+            Sent::Lost(loss) => {
+                self.note(
+                    pick,
+                    if loss == Loss::Timeout {
+                        "timeout"
+                    } else {
+                        "lost"
+                    },
+                    took_us,
+                );
+                self.sent_to(pick);
+                self.may_have_run = true;
+                self.judge(pick, false);
+                if loss == Loss::Timeout {
+                    return Some(Err(Refusal::Late));
+                }
+                if self.route.repeatable && self.may_retry() {
+                    return None;
+                }
+                Some(Err(Refusal::Unknown))
+            }
+        }
+    }
+
+    fn conclude_response(
+        &mut self,
+        pick: &Pick,
+        response: Response,
+        took_us: u64,
+    ) -> Option<Result<Response, Refusal>> {
+        self.learn(pick, &response);
+        self.sent_to(pick);
+        if response.headers.has(headers::NOT_RUN) || response.status == 421 {
+            self.note(pick, "shed", took_us);
+            self.state.metrics.count("sheds", 1);
+            if response.status == 421 {
+                self.state.targets.borrow_mut().remove(&pick.id);
+                self.state.pool.forget(pick.addr);
+            }
+            if self.may_retry() {
+                return None;
+            }
+            return Some(Err(self.give_up(Refusal::Shed, Refusal::Unknown)));
+        }
+        let is_signed = response.headers.has(headers::SIGNATURE);
+        let is_own = response.headers.only(headers::REQUEST_ID) == self.id;
+        let is_proper = is_signed && is_own && !response.headers.has("content-encoding");
+        self.may_have_run = true;
+        if is_proper && response.status < 500 {
+            self.note(pick, "ok", took_us);
+            self.note_work(pick, took_us);
+            return Some(Ok(response));
+        }
+        self.note(pick, if is_proper { "error" } else { "invalid" }, took_us);
+        self.judge(pick, false);
+        if self.route.repeatable && self.may_retry() {
+            return None;
+        }
+        let is_failure = response.status >= 400 && is_own;
+        Some(if is_failure {
+            Ok(response)
+        } else {
+            Err(Refusal::Unknown)
+        })
+    }
+
+    /// Takes in load and warm-up from a response.
+    fn learn(&self, pick: &Pick, response: &Response) {
+        let now = self.state.now();
+        let mut targets = self.state.targets.borrow_mut();
+        let Some(target) = targets.get_mut(&pick.id) else {
+            return;
+        };
+        if let Some(load) = load_report(&response.headers, now) {
+            target.note_load(load);
+        }
+        if let Some(ms) = cold_ms(&response.headers) {
+            target.note_cold(now, ms);
+        }
+    }
+
+    fn sent_to(&mut self, pick: &Pick) {
+        self.story.attempts += 1;
+        if self.story.attempts > 1 {
+            with_budget(self.state, self.service, |b| b.note_extra(self.state.now()));
+        }
+        self.tried.push(pick.id.clone());
+    }
+
+    /// Whether another send fits attempts, time and budget.
+    fn may_retry(&self) -> bool {
+        let work_ms = work_ms(self.state, &self.route.name);
+        self.story.attempts < self.route.attempts
+            && self.left_ms() > work_ms * MIN_LEFT
+            && with_budget(self.state, self.service, |b| {
+                b.allows(self.state.now(), self.state.instances().len())
+            })
+    }
+
+    fn note_work(&self, pick: &Pick, took_us: u64) {
+        let took_ms = took_us as f64 / 1_000.0;
+        let expected =
+            work_ms(self.state, &self.route.name) * f64::from(pick.pace.max(100)) / 100.0;
+        let mut work = self.state.work.borrow_mut();
+        let work = work.entry(Arc::clone(&self.route.name)).or_default();
+        let is_slow = work.is_known() && took_ms > expected * SLOW_FACTOR;
+        if !pick.is_new {
+            work.note(took_ms, pick.pace);
+        }
+        self.state.note_outcome(&pick.id, true);
+        self.note_evidence(pick, !is_slow);
+    }
+
+    fn judge(&self, pick: &Pick, is_good: bool) {
+        self.state.note_outcome(&pick.id, is_good);
+        self.note_evidence(pick, is_good);
+    }
+
+    fn note_evidence(&self, pick: &Pick, is_good: bool) {
+        let mut rollouts = self.state.rollouts.borrow_mut();
+        let Some(rollout) = rollouts.get_mut(self.service) else {
+            return;
+        };
+        if rollout.verdict != Verdict::Running {
+            return;
+        }
+        let route = model::rendezvous(&self.route.name, "") as u32;
+        let stage = rollout.stage.0;
+        rollout.own.note(pick.is_new, stage, route, is_good);
+        if rollout.judge() {
+            warn!(event = "rollout_stopped", service = %self.service,
+                version = %rollout.order.version, stage, evidence = ?rollout.evidence().new);
+        }
+    }
+
+    fn note(&mut self, pick: &Pick, what: &str, took_us: u64) {
+        use std::fmt::Write;
+        let _ = write!(
+            self.story.path,
+            "{}:{what}:{}ms:pace{}:load_age{}us ",
+            pick.id,
+            took_us / 1_000,
+            pick.pace,
+            pick.age_us.min(999_999_999)
+        );
+    }
+}
+
+/// Counts a request at a target until dropped.
+struct InFlight {
+    state: Rc<State>,
+    id: TargetId,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(target) = self.state.targets.borrow_mut().get_mut(&self.id) {
+            target.inflight = target.inflight.saturating_sub(1);
+            target.unseen = target.unseen.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/choose.rs
@@ -0,0 +1,246 @@
+//! Chooses the target of one send: a few candidates are asked for their load, the best one is taken.
+
+use std::{rc::Rc, sync::Arc};
+
+use balance::{Outlook, Target, Verdict};
+use model::{ServiceName, TargetId, Time, Version};
+use rand::Rng;
+
+use crate::{probe::probe, state::State};
+
+/// Candidates that are asked in a round. With three, the choice comes close to one with full knowledge.
+const ASKED: usize = 3;
+/// Rounds before a request is queued at a busy target or refused.
+const ROUNDS: usize = 2;
+/// Age up to which a load report is taken as current, in microseconds.
+const FRESH_US: u64 = 6_000;
+/// Cost of another zone, in milliseconds: traffic between zones is paid for, and takes 1 ms more.
+const ZONE_MS: f64 = 6.0;
+/// Random part of the ranking, so that instances with the same view do not all ask the same targets.
+const JITTER: f64 = 0.6;
+/// Time for which targets of a version that was never ordered get nothing, in microseconds. Its order
+/// may be read later than their entries.
+const NEW_VERSION_US: u64 = 3_000_000;
+
+/// What a choice is made for.
+#[derive(Debug)]
+pub struct Wish<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Route, whose work time is known.
+    pub route: &'a Arc<str>,
+    /// Whether the new version of a rollout is to be taken.
+    pub is_new: bool,
+    /// Targets that the request was sent to before.
+    pub tried: &'a [TargetId],
+}
+
+/// A chosen target.
+#[derive(Clone, Debug)]
+pub struct Pick {
+    /// Target.
+    pub id: TargetId,
+    /// Address.
+    pub addr: std::net::SocketAddr,
+    /// Pace by its latest report, in percent.
+    pub pace: u32,
+    /// Age of that report, in microseconds.
+    pub age_us: u64,
+    /// What the request is expected to meet.
+    pub outlook: Outlook,
+    /// Whether the target runs the new version of a rollout.
+    pub is_new: bool,
+}
+
+/// The best target for `wish`, if there is any.
+pub async fn choose(state: &Rc<State>, wish: &Wish<'_>) -> Option<Pick> {
+    let mut asked: Vec<TargetId> = Vec::new();
+    let mut best: Option<(f64, Pick)> = None;
+    for _ in 0..ROUNDS {
+        let round = shortlist(state, wish, &asked);
+        if round.is_empty() {
+            break;
+        }
+        let stale: Vec<TargetId> = round
+            .iter()
+            .filter(|id| is_stale(state, id))
+            .cloned()
+            .collect();
+        if !stale.is_empty() {
+            probe(state, &stale).await;
+        }
+        for id in &round {
+            let scored = score(state, wish, id);
+            if let Some((cost, pick)) = scored
+                && best.as_ref().is_none_or(|(least, _)| cost < *least)
+            {
+                best = Some((cost, pick));
+            }
+        }
+        if best.as_ref().is_some_and(|(_, pick)| pick.outlook.is_free) {
+            break;
+        }
+        asked.extend(round);
+    }
+    best.map(|(_, pick)| pick)
+}
+
+/// Targets worth asking, without those in `asked`.
+fn shortlist(state: &Rc<State>, wish: &Wish<'_>, asked: &[TargetId]) -> Vec<TargetId> {
+    let now = state.now();
+    let work_ms = work_ms(state, wish.route);
+    let rule = VersionRule::of(state, wish.service);
+    let instances = state.instances();
+    let targets = state.targets.borrow();
+    let usable: Vec<&Target> = targets
+        .of(wish.service)
+        .filter(|t| is_usable(state, t) && rule.allows(t, wish.is_new, now))
+        .filter(|t| !wish.tried.contains(&t.entry.id) && !asked.contains(&t.entry.id))
+        .collect();
+    let open =
+        |t: &&Target| !t.is_cold(now) || t.gate.is_open(now, &t.entry.id, state.own(), &instances);
+    let sound: Vec<&Target> = usable
+        .iter()
+        .copied()
+        .filter(|t| !t.health.is_out(now))
+        .filter(open)
+        .collect();
+    // Where all look bad, the fault is more likely here or in front of them.
+    let pool = if sound.is_empty() {
+        usable.into_iter().filter(open).collect()
+    } else {
+        sound
+    };
+    let mut rng = rand::rng();
+    let mut ranked: Vec<(f64, &Target)> = pool
+        .into_iter()
+        .map(|t| {
+            (
+                cost(state, t, now, work_ms) * (1.0 + JITTER * rng.random::<f64>()),
+                t,
+            )
+        })
+        .collect();
+    ranked.sort_by(|a, b| a.0.total_cmp(&b.0));
+    ranked.truncate(ASKED);
+    ranked
+        .into_iter()
+        .map(|(_, t)| t.entry.id.clone())
+        .collect()
+}
+
+fn is_usable(state: &State, target: &Target) -> bool {
+    !target.entry.draining && !state.zones_out.borrow().contains(&target.entry.zone)
+}
+
+fn is_stale(state: &State, id: &TargetId) -> bool {
+    let now = state.now();
+    let targets = state.targets.borrow();
+    let load = targets.get(id).and_then(|t| t.load);
+    !load.is_some_and(|load| load.is_fresh(now, FRESH_US))
+}
+
+/// Expected time at a target, with what speaks against it, in milliseconds.
+fn cost(state: &State, target: &Target, now: Time, work_ms: f64) -> f64 {
+    let zone_ms = if target.entry.zone == state.settings.zone {
+        0.0
+    } else {
+        ZONE_MS
+    };
+    let expected = outlook(target, now, work_ms).ms;
+    // A failure costs about another attempt.
+    expected * (1.0 + 2.0 * target.health.bad_share(now)) + zone_ms
+}
+
+fn outlook(target: &Target, now: Time, work_ms: f64) -> Outlook {
+    match target.load {
+        Some(load) => load.outlook(now, work_ms, target.unseen),
+        None => Outlook {
+            ms: work_ms * (1.0 + f64::from(target.inflight)),
+            is_free: target.inflight < target.entry.slots,
+        },
+    }
+}
+
+fn score(state: &Rc<State>, wish: &Wish<'_>, id: &TargetId) -> Option<(f64, Pick)> {
+    let now = state.now();
+    let instances = state.instances();
+    let targets = state.targets.borrow();
+    let target = targets.get(id)?;
+    let is_shut = target.is_cold(now) && !target.gate.is_open(now, id, state.own(), &instances);
+    if is_shut || !is_usable(state, target) {
+        return None;
+    }
+    let work_ms = work_ms(state, wish.route);
+    let load = target.load;
+    let silent = if is_stale(state, id) { 2.0 } else { 1.0 };
+    let pick = Pick {
+        id: id.clone(),
+        addr: target.entry.addr,
+        pace: load.map_or(100, |load| load.pace),
+        age_us: load.map_or(u64::MAX, |load| now.since_us(load.at)),
+        outlook: outlook(target, now, work_ms),
+        is_new: VersionRule::of(state, wish.service).is_new(target),
+    };
+    Some((cost(state, target, now, work_ms) * silent, pick))
+}
+
+/// Work time of a route at the usual pace, in milliseconds.
+pub fn work_ms(state: &State, route: &Arc<str>) -> f64 {
+    state
+        .work
+        .borrow()
+        .get(route)
+        .copied()
+        .unwrap_or_default()
+        .ms()
+}
+
+/// Which versions of a service may get requests.
+#[derive(Debug)]
+struct VersionRule<'a> {
+    state: &'a State,
+    ordered: Option<(Version, Verdict)>,
+}
+
+impl<'a> VersionRule<'a> {
+    fn of(state: &'a State, service: &ServiceName) -> Self {
+        let rollouts = state.rollouts.borrow();
+        let ordered = rollouts
+            .get(service)
+            .map(|r| (r.order.version.clone(), r.verdict));
+        Self { state, ordered }
+    }
+
+    fn is_new(&self, target: &Target) -> bool {
+        self.ordered
+            .as_ref()
+            .is_some_and(|(version, _)| *version == target.entry.version)
+    }
+
+    fn allows(&self, target: &Target, is_new: bool, now: Time) -> bool {
+        let is_of_new = self.is_new(target);
+        match self.ordered.as_ref().map(|(_, verdict)| verdict) {
+            Some(Verdict::Running) => is_of_new == is_new,
+            Some(Verdict::Undone) => !is_of_new,
+            Some(Verdict::Done) if is_of_new => true,
+            _ => self.is_settled(target, now),
+        }
+    }
+
+    /// Whether a version is known for long enough to be the ordinary one, or is the only one.
+    fn is_settled(&self, target: &Target, now: Time) -> bool {
+        let versions = self.state.versions.borrow();
+        let entry = &target.entry;
+        let first = versions
+            .iter()
+            .filter(|((s, _), _)| *s == entry.service)
+            .map(|(_, at)| *at)
+            .min();
+        let key = (entry.service.clone(), entry.version.clone());
+        let Some(at) = versions.get(&key) else {
+            return true;
+        };
+        first == Some(*at) || now.since_us(*at) >= NEW_VERSION_US
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,30 @@
+//! The gateway: takes requests of callers by host and path, and passes them on to targets that are
+//! registered in the platform's store. All tasks of an instance run on one thread; what they decide is
+//! in `balance`.
+
+mod beat;
+mod call;
+mod caller;
+mod choose;
+mod clock;
+mod entries;
+mod exchange;
+mod logs;
+mod metrics;
+mod orders;
+mod peers;
+mod phase;
+mod pool;
+mod probe;
+mod reply;
+mod rollouts;
+mod run;
+mod serving;
+mod settings;
+mod state;
+
+pub use crate::{
+    logs::init_logging,
+    run::{RunError, run},
+    settings::{Settings, SettingsError},
+};
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,191 @@
+//! Exchange of beats with the other instances over UDP.
+
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    rc::Rc,
+    time::Duration,
+};
+
+use async_std::{net::UdpSocket, task};
+use balance::{Member, Presence, Rollout};
+use model::Time;
+use tracing::{debug, info, warn};
+
+use crate::{
+    beat::{Beat, RolloutReport},
+    phase::Phase,
+    state::State,
+};
+
+/// Time between two beats, in milliseconds. Five fit into the time after which an instance counts as
+/// gone; at 16 instances this is 38 datagrams a second each way.
+const BEAT_MS: u64 = 400;
+/// Time between two beats while a rollout runs, in milliseconds: a fault is to stop it within seconds.
+const ROLLOUT_BEAT_MS: u64 = 200;
+
+/// Sends beats until the process ends.
+pub async fn send_beats(state: Rc<State>, socket: Rc<UdpSocket>) {
+    loop {
+        send_beat(&state, &socket).await;
+        let runs = state.rollouts.borrow().values().any(is_open);
+        let pause = if runs { ROLLOUT_BEAT_MS } else { BEAT_MS };
+        task::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+fn is_open(rollout: &Rollout) -> bool {
+    rollout.verdict == balance::Verdict::Running
+}
+
+/// Sends one beat to all known instances and to the seeds that are not among them.
+pub async fn send_beat(state: &Rc<State>, socket: &UdpSocket) {
+    let bytes = own_beat(state).encode();
+    for addr in recipients(state) {
+        if let Err(error) = socket.send_to(&bytes, addr).await {
+            debug!(event = "beat_unsent", peer = %addr, %error);
+        }
+    }
+}
+
+fn recipients(state: &State) -> Vec<SocketAddr> {
+    let mut members = state.members.borrow_mut();
+    members.sweep(state.now());
+    let mut addrs: Vec<SocketAddr> = members.all().map(|m| m.peer).collect();
+    for seed in &state.settings.seeds {
+        let addr = SocketAddr::new(seed.ip(), state.settings.peer.port());
+        if !addrs.contains(&addr) {
+            addrs.push(addr);
+        }
+    }
+    addrs.retain(|addr| *addr != SocketAddr::from(state.settings.peer));
+    addrs
+}
+
+fn own_beat(state: &State) -> Beat {
+    let outcomes = state.outcomes.take();
+    let rollouts = state.rollouts.borrow();
+    let reports = rollouts.values().map(|r| RolloutReport {
+        service: r.order.service.clone(),
+        order: r.order.offset,
+        stage: r.stage.0,
+        stopped: r.is_stopped,
+        verdict: r.verdict,
+        evidence: if is_open(r) {
+            r.own.clone()
+        } else {
+            balance::Evidence::default()
+        },
+    });
+    Beat {
+        name: state.own().clone(),
+        boot: state.boot,
+        zone: state.settings.zone.clone(),
+        front: state.settings.callers,
+        presence: match state.phase.get() {
+            Phase::Starting => 0,
+            Phase::Ready => 1,
+            Phase::Leaving => 2,
+        },
+        orders_next: state.orders_next.get(),
+        outcomes: outcomes
+            .into_iter()
+            .filter(|(_, (_, bad))| *bad > 0)
+            .map(|(id, (good, bad))| (id, good, bad))
+            .collect(),
+        rollouts: reports.collect(),
+    }
+}
+
+/// Receives beats until the process ends. `behind` is told when a sender has read further in the
+/// operator's records than this instance.
+pub async fn receive_beats(state: Rc<State>, socket: Rc<UdpSocket>, behind: impl Fn()) {
+    let mut buffer = vec![0; crate::beat::MAX_BYTES];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((count, from)) => {
+                let Some(beat) = Beat::decode(&buffer[..count]) else {
+                    debug!(event = "beat_foreign", %from);
+                    continue;
+                };
+                if let SocketAddr::V4(from) = from {
+                    hear(&state, beat, from, &behind);
+                }
+            }
+            Err(error) => {
+                warn!(event = "beats_failed", %error);
+                task::sleep(Duration::from_millis(BEAT_MS)).await;
+            }
+        }
+    }
+}
+
+fn hear(state: &State, beat: Beat, from: SocketAddrV4, behind: &impl Fn()) {
+    let now = state.now();
+    if beat.orders_next > state.orders_next.get() {
+        behind();
+    }
+    note_member(state, &beat, from, now);
+    for (id, good, bad) in &beat.outcomes {
+        if let Some(target) = state.targets.borrow_mut().get_mut(id) {
+            target.health.note(now, *good, *bad);
+        }
+    }
+    let mut rollouts = state.rollouts.borrow_mut();
+    let sender = (beat.name.clone(), beat.boot);
+    for report in beat.rollouts {
+        let Some(rollout) = rollouts.get_mut(&report.service) else {
+            continue;
+        };
+        if rollout.order.offset != report.order {
+            continue;
+        }
+        if is_open(rollout) && report.verdict != balance::Verdict::Running {
+            info!(event = "rollout_verdict", service = %report.service, verdict = ?report.verdict,
+                source = %beat.name);
+            rollout.verdict = report.verdict;
+        }
+        let stage = Beat::stage(&report);
+        let was_stopped = rollout.is_stopped;
+        rollout.hear(sender.clone(), stage, report.stopped, report.evidence, now);
+        if rollout.judge() || (rollout.is_stopped && !was_stopped) {
+            warn!(event = "rollout_stopped", service = %report.service, source = %beat.name,
+                stage = rollout.stage.0);
+        }
+    }
+}
+
+fn note_member(state: &State, beat: &Beat, from: SocketAddrV4, now: Time) {
+    let presence = beat.presence();
+    let mut members = state.members.borrow_mut();
+    let is_news = !members
+        .live(now)
+        .any(|m| m.name == beat.name && m.boot == beat.boot && m.presence == presence);
+    if is_news {
+        info!(event = "peer", peer = %beat.name, boot = beat.boot, presence = ?presence);
+    }
+    members.hear(Member {
+        name: beat.name.clone(),
+        boot: beat.boot,
+        zone: beat.zone.clone(),
+        front: beat.front,
+        peer: from.into(),
+        presence,
+        heard: Some(now),
+    });
+}
+
+/// Notes an instance that was read of in the store.
+pub fn learn(state: &State, entry: platform::PeerEntry) {
+    if entry.peer == SocketAddr::from(state.settings.peer) {
+        return;
+    }
+    state.members.borrow_mut().learn(Member {
+        name: entry.name,
+        boot: entry.boot,
+        zone: entry.zone,
+        front: entry.front,
+        peer: entry.peer,
+        presence: Presence::Starting,
+        heard: None,
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/pool.rs
@@ -0,0 +1,96 @@
+//! Kept connections to targets.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
+
+use async_std::net::TcpStream;
+use futures::FutureExt;
+use model::Time;
+use socket2::{SockRef, TcpKeepalive};
+
+/// Longest idle time of a connection when the target states none, in milliseconds. Targets close idle
+/// connections after some seconds, and a request that crosses the close is lost.
+const IDLE_MS: u64 = 4_000;
+/// Time before the stated end of an idle connection from which it is not used, in milliseconds.
+const MARGIN_MS: u64 = 1_500;
+/// Most idle connections to one target.
+const MAX_IDLE: usize = 4;
+/// Time for a connection to be opened. Targets answer within a few milliseconds.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+/// Time for sent bytes to be acknowledged, and for a sign of life of an idle connection.
+const ACK_LIMIT: Duration = Duration::from_millis(1_000);
+
+#[derive(Debug)]
+struct Idle {
+    stream: TcpStream,
+    until: Time,
+}
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+impl Pool {
+    /// A kept connection on which the target has neither sent nor closed.
+    pub fn take(&self, addr: SocketAddr, now: Time) -> Option<TcpStream> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        while let Some(Idle { stream, until }) = list.pop() {
+            if now >= until {
+                list.clear();
+                return None;
+            }
+            // Anything readable is the end of the connection or a stray response.
+            if stream.peek(&mut [0]).now_or_never().is_none() {
+                return Some(stream);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection. `keep_ms`: idle time that the target stated.
+    pub fn put(&self, addr: SocketAddr, stream: TcpStream, keep_ms: Option<u64>, now: Time) {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(addr).or_default();
+        let keep_ms = keep_ms.map_or(IDLE_MS, |ms| ms.saturating_sub(MARGIN_MS));
+        if list.len() < MAX_IDLE && keep_ms > 0 {
+            list.push(Idle {
+                stream,
+                until: now.plus_ms(keep_ms),
+            });
+        }
+    }
+
+    /// Closes all idle connections to an address.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
+    /// Closes connections that are too old, and those to addresses that are not wanted.
+    pub fn sweep(&self, now: Time, is_wanted: impl Fn(SocketAddr) -> bool) {
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|addr, list| {
+            list.retain(|i| now < i.until);
+            !list.is_empty() && is_wanted(*addr)
+        });
+    }
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// What the system reports; nothing was sent.
+pub async fn connect(addr: SocketAddr) -> std::io::Result<TcpStream> {
+    let stream = async_std::io::timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await?;
+    let socket = SockRef::from(&stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(ACK_LIMIT)
+        .with_interval(ACK_LIMIT)
+        .with_retries(1);
+    socket.set_tcp_nodelay(true)?;
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(ACK_LIMIT))?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/gateway/src/reply/tests.rs
@@ -0,0 +1,46 @@
+use h1::{Headers, ResponseDecoder};
+
+use super::*;
+
+fn decode(bytes: &[u8]) -> Response {
+    ResponseDecoder::new("GET", 1_000)
+        .feed(&mut bytes.to_vec())
+        .unwrap()
+        .unwrap()
+}
+
+#[test]
+fn refusal_not_run_says_when_to_come_back() {
+    let response = decode(&refusal(Refusal::TooBusy, Some("id-1"), false));
+    assert_eq!(response.status, 503);
+    assert_eq!(response.headers.only("retry-after"), Some("0.040"));
+    assert_eq!(response.headers.only(headers::REQUEST_ID), Some("id-1"));
+}
+
+#[test]
+fn refusal_unknown_outcome_promises_nothing() {
+    for kind in [Refusal::Unknown, Refusal::Late] {
+        let response = decode(&refusal(kind, None, true));
+        assert!(matches!(response.status, 502 | 504));
+        assert!(!response.headers.has("retry-after") && !response.reusable);
+    }
+}
+
+#[test]
+fn pass_on_sets_own_framing() {
+    let mut headers = Headers::default();
+    headers.push("Transfer-Encoding", b"chunked");
+    headers.push("Connection", b"close");
+    headers.push("X-Kept", b"1");
+    let response = Response {
+        status: 200,
+        reason: String::from("OK"),
+        headers,
+        body: b"abc".to_vec(),
+        reusable: false,
+    };
+    let passed = decode(&pass_on(&response, false, false));
+    assert_eq!(passed.body, b"abc");
+    assert!(passed.reusable && passed.headers.has("x-kept"));
+    assert!(!passed.headers.has("transfer-encoding"));
+}
--- /dev/null
+++ b/crates/gateway/src/rollouts.rs
@@ -0,0 +1,106 @@
+//! Leads rollouts where this instance has the duty, and records verdicts.
+
+use std::{rc::Rc, time::Duration};
+
+use async_std::task;
+use balance::{Order, Rollout, Verdict};
+use model::InstanceId;
+use platform::{Change, PlatformError, Store, Topic};
+use tracing::{info, warn};
+
+use crate::{orders::note_verdict, state::State};
+
+/// Time between two looks at the rollouts.
+const PACE: Duration = Duration::from_millis(200);
+
+/// Leads rollouts until the process ends.
+pub async fn lead_rollouts(state: Rc<State>) {
+    let mut store = Store::new(state.settings.store);
+    loop {
+        task::sleep(PACE).await;
+        for (order, verdict) in due(&state) {
+            if let Err(error) = record(&state, &mut store, &order, verdict).await {
+                warn!(event = "verdict_unrecorded", service = %order.service, ?verdict, %error);
+            }
+        }
+    }
+}
+
+/// Verdicts to be recorded now.
+fn due(state: &State) -> Vec<(Order, Verdict)> {
+    let now = state.now();
+    let live: Vec<(InstanceId, u64)> = state
+        .members
+        .borrow()
+        .live(now)
+        .map(|m| (m.name.clone(), m.boot))
+        .collect();
+    let mut due = Vec::new();
+    for rollout in state.rollouts.borrow_mut().values_mut() {
+        if rollout.verdict != Verdict::Running || !state.has_duty(&duty(rollout)) {
+            continue;
+        }
+        if !rollout.is_recorded {
+            due.push((rollout.order.clone(), Verdict::Running));
+        }
+        let stage = rollout.stage;
+        if let Some(verdict) = rollout.lead(now, has_targets(state, rollout), &live) {
+            due.push((rollout.order.clone(), verdict));
+        }
+        if rollout.stage != stage {
+            info!(event = "rollout_stage", service = %rollout.order.service, stage = rollout.stage.0,
+                share = rollout.stage.share(), evidence = ?rollout.evidence());
+        }
+    }
+    due
+}
+
+fn duty(rollout: &Rollout) -> String {
+    format!("rollout {} {}", rollout.order.service, rollout.order.offset)
+}
+
+/// Whether targets of the new version can take requests at full speed.
+fn has_targets(state: &State, rollout: &Rollout) -> bool {
+    let now = state.now();
+    let targets = state.targets.borrow();
+    let zones_out = state.zones_out.borrow();
+    targets.of(&rollout.order.service).any(|t| {
+        t.entry.version == rollout.order.version
+            && !t.entry.draining
+            && !t.is_cold(now)
+            && !zones_out.contains(&t.entry.zone)
+    })
+}
+
+/// Records a verdict, unless another instance has done so.
+async fn record(
+    state: &Rc<State>,
+    store: &mut Store,
+    order: &Order,
+    verdict: Verdict,
+) -> Result<(), PlatformError> {
+    state.metrics.count("store_calls", 2);
+    let newest = store.newest(Topic::Status).await?;
+    for (_, change) in newest.listing.changes {
+        if let Change::Verdict(recorded) = change {
+            note_verdict(state, &recorded, "store");
+        }
+    }
+    let is_settled = state
+        .rollouts
+        .borrow()
+        .get(&order.service)
+        .is_none_or(|r| r.verdict != Verdict::Running || r.order != *order);
+    if is_settled {
+        return Ok(());
+    }
+    store.record_verdict(order, verdict, newest.end).await?;
+    let mut rollouts = state.rollouts.borrow_mut();
+    if let Some(rollout) = rollouts.get_mut(&order.service) {
+        rollout.is_recorded = true;
+        rollout.verdict = verdict;
+        info!(event = "rollout_recorded", service = %order.service, ?verdict,
+            evidence = ?rollout.evidence());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,258 @@
+//! Runs one gateway instance from its start to its planned stop.
+
+use std::{io, net::SocketAddr, path::Path, rc::Rc, time::Duration};
+
+use async_std::{
+    channel::{Receiver, Sender, bounded},
+    net::{TcpListener, TcpStream, UdpSocket},
+    task,
+};
+use platform::{Change, PeerEntry, Store, Topic};
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use thiserror::Error;
+use tracing::{error, info, warn};
+
+use crate::{
+    caller::serve_caller,
+    entries::follow_entries,
+    orders::follow_orders,
+    peers::{learn, receive_beats, send_beat, send_beats},
+    phase::Phase,
+    rollouts::lead_rollouts,
+    serving::serve_small,
+    settings::Settings,
+    state::State,
+};
+
+/// Pause after a failed accept, such as for lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Time between two looks at whether the instance may take callers or may end.
+const PHASE_PACE: Duration = Duration::from_millis(50);
+/// Part of the time for a planned stop after which idle connections are closed. Callers have a new
+/// address answer by then.
+const IDLE_END_PART: f64 = 0.6;
+/// Time before the end of a planned stop at which the process ends in any case.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Pause between two tries to announce the instance in the store.
+const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Why an instance could not run.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// An address could not be bound.
+    #[error("cannot listen on {addr}: {error}")]
+    Listen {
+        /// Address.
+        addr: SocketAddr,
+        /// What the system reported.
+        error: io::Error,
+    },
+    /// Signals could not be watched.
+    #[error("cannot watch signals: {0}")]
+    Signals(io::Error),
+}
+
+/// Runs an instance until it is asked to stop and has finished its work.
+///
+/// # Errors
+///
+/// If it cannot start.
+pub fn run(settings: Settings, file: &Path) -> Result<(), RunError> {
+    let signals = watch_signals().map_err(RunError::Signals)?;
+    task::block_on(run_until_stopped(settings, file, signals))
+}
+
+async fn run_until_stopped(
+    settings: Settings,
+    file: &Path,
+    signals: Receiver<i32>,
+) -> Result<(), RunError> {
+    let state = State::new(settings);
+    let own = &state.settings;
+    let callers = listen(own.callers).await?;
+    let small = [
+        listen(own.ready).await?,
+        listen(own.directory).await?,
+        listen(own.metrics).await?,
+    ];
+    let peer_addr = SocketAddr::from(own.peer);
+    let socket = UdpSocket::bind(peer_addr).await;
+    let socket = Rc::new(socket.map_err(|error| RunError::Listen {
+        addr: peer_addr,
+        error,
+    })?);
+    info!(event = "started", instance = %own.instance, zone = %own.zone, callers = %own.callers,
+        boot = state.boot, version = env!("CARGO_PKG_VERSION"));
+    for listener in small {
+        let state = Rc::clone(&state);
+        task::spawn_local(accept(listener, move |s| serve_small(Rc::clone(&state), s)));
+    }
+    {
+        let state = Rc::clone(&state);
+        task::spawn_local(accept(callers, move |s| serve_caller(Rc::clone(&state), s)));
+    }
+    let (tell_behind, behind) = bounded(1);
+    task::spawn_local(follow_orders(Rc::clone(&state), behind));
+    task::spawn_local(follow_entries(Rc::clone(&state)));
+    task::spawn_local(announce(Rc::clone(&state)));
+    task::spawn_local(send_beats(Rc::clone(&state), Rc::clone(&socket)));
+    let tell = move || {
+        // A full channel means that it was told already.
+        let _ = Sender::try_send(&tell_behind, ());
+    };
+    task::spawn_local(receive_beats(Rc::clone(&state), Rc::clone(&socket), tell));
+    task::spawn_local(lead_rollouts(Rc::clone(&state)));
+    task::spawn_local(become_ready(Rc::clone(&state), Rc::clone(&socket)));
+    wait_for_stop(&state, file, &signals).await;
+    stop(&state, &socket).await;
+    Ok(())
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|error| RunError::Listen { addr, error })
+}
+
+fn watch_signals() -> io::Result<Receiver<i32>> {
+    let (sender, receiver) = bounded(16);
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    std::thread::Builder::new()
+        .name(String::from("signals"))
+        .spawn(move || {
+            for signal in signals.forever() {
+                // 16 signals are waiting then; one more changes nothing.
+                let _ = sender.try_send(signal);
+            }
+        })?;
+    Ok(receiver)
+}
+
+async fn accept<F: Future<Output = ()> + 'static>(
+    listener: TcpListener,
+    serve: impl Fn(TcpStream) -> F,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                task::spawn_local(serve(stream));
+            }
+            Err(error) => {
+                warn!(event = "accept_failed", %error);
+                task::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Writes this instance into the store and reads the others from there.
+async fn announce(state: Rc<State>) {
+    let own = &state.settings;
+    let entry = PeerEntry {
+        name: own.instance.clone(),
+        boot: state.boot,
+        zone: own.zone.clone(),
+        front: own.callers,
+        peer: own.peer.into(),
+    };
+    let mut store = Store::new(own.store);
+    let mut is_written = false;
+    loop {
+        state.metrics.count("store_calls", 1);
+        let result = if is_written {
+            store.newest(Topic::Instances).await.map(|newest| {
+                for (_, change) in newest.listing.changes {
+                    if let Change::Instance(entry) = change {
+                        learn(&state, entry);
+                    }
+                }
+                true
+            })
+        } else {
+            store.announce(&entry).await.map(|()| false)
+        };
+        match result {
+            Ok(true) => return,
+            Ok(false) => is_written = true,
+            Err(error) => {
+                warn!(event = "announce_failed", %error);
+                task::sleep(ANNOUNCE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Waits until the configuration and the targets are known, then takes callers.
+async fn become_ready(state: Rc<State>, socket: Rc<UdpSocket>) {
+    while state.manifest().is_none() || state.targets_read.get().is_none() {
+        task::sleep(PHASE_PACE).await;
+    }
+    if state.phase.get() == Phase::Starting {
+        state.phase.set(Phase::Ready);
+        info!(
+            event = "ready",
+            config = state.manifest().map_or(0, |m| m.version),
+            targets = state.targets.borrow().len()
+        );
+        send_beat(&state, &socket).await;
+    }
+}
+
+/// Handles signals until one asks for a stop.
+async fn wait_for_stop(state: &State, file: &Path, signals: &Receiver<i32>) {
+    while let Ok(signal) = signals.recv().await {
+        if signal != SIGHUP {
+            return;
+        }
+        reload(state, file);
+    }
+}
+
+/// Checks changed settings. Addresses and names cannot change while the process runs.
+fn reload(state: &State, file: &Path) {
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(error) => {
+            error!(event = "reload_failed", file = %file.display(), %error);
+            return;
+        }
+    };
+    match Settings::parse(&file.display().to_string(), &text) {
+        Ok(settings) if settings == state.settings => info!(event = "reload", outcome = "same"),
+        Ok(_) => warn!(event = "reload", outcome = "in force after the next start"),
+        Err(error) => error!(event = "reload_failed", %error),
+    }
+}
+
+/// Finishes what callers still send, within the time for a planned stop.
+async fn stop(state: &Rc<State>, socket: &UdpSocket) {
+    state.phase.set(Phase::Leaving);
+    let total = Duration::from_secs_f64(state.settings.stop_s);
+    info!(
+        event = "stopping",
+        callers = state.callers.get(),
+        busy = state.busy.get(),
+        limit_ms = state.settings.stop_s * 1_000.0
+    );
+    send_beat(state, socket).await;
+    let start = state.now();
+    let passed = || Duration::from_micros(state.now().since_us(start));
+    while passed() < total.mul_f64(IDLE_END_PART) {
+        task::sleep(PHASE_PACE).await;
+    }
+    state.end_idle();
+    while passed() < total.saturating_sub(STOP_MARGIN) {
+        if state.callers.get() == 0 {
+            break;
+        }
+        task::sleep(PHASE_PACE).await;
+    }
+    info!(
+        event = "stopped",
+        callers = state.callers.get(),
+        busy = state.busy.get()
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/serving.rs
@@ -0,0 +1,92 @@
+//! The small endpoints of an instance: readiness, the address query and metrics.
+
+use std::{rc::Rc, time::Duration};
+
+use async_std::{
+    future::timeout,
+    io::{ReadExt, WriteExt},
+    net::TcpStream,
+};
+use h1::{Request, RequestDecoder, RequestLimits, Step};
+use platform::{
+    directory_answer, directory_query,
+    serving::{DIRECTORY_PATH, READY_PATH},
+};
+
+use crate::{phase::Phase, reply::plain, state::State};
+
+/// Largest request, in bytes.
+const LIMITS: RequestLimits = RequestLimits {
+    head: 8 * 1_024,
+    body: 0,
+};
+/// Time for which a connection may be idle.
+const IDLE: Duration = Duration::from_secs(10);
+/// Time for which a caller may keep an address answer, in milliseconds. Longer ones save queries;
+/// callers of a stopping instance must have a new one before it ends.
+const KEEP_MS: u64 = 3_000;
+
+/// Answers requests on one connection.
+pub async fn serve_small(state: Rc<State>, mut stream: TcpStream) {
+    let mut decoder = RequestDecoder::default();
+    let mut input = Vec::new();
+    let mut piece = [0; 2_048];
+    loop {
+        match decoder.step(&mut input, LIMITS) {
+            Ok(Step::Whole(request)) => {
+                let bytes = answer(&state, &request);
+                if stream.write_all(&bytes).await.is_err() || !request.reusable {
+                    return;
+                }
+            }
+            Ok(_) => match timeout(IDLE, stream.read(&mut piece)).await {
+                Ok(Ok(count)) if count > 0 => input.extend_from_slice(&piece[..count]),
+                _ => return,
+            },
+            Err(_) => {
+                let bytes = plain(
+                    400,
+                    "Bad Request",
+                    "text/plain",
+                    b"malformed request\n",
+                    true,
+                );
+                // The caller is gone or gets it; nothing else follows either way.
+                let _ = stream.write_all(&bytes).await;
+                return;
+            }
+        }
+    }
+}
+
+fn answer(state: &State, request: &Request) -> Vec<u8> {
+    let close = !request.reusable;
+    match request.path() {
+        READY_PATH => {
+            let is_ready = state.phase.get() == Phase::Ready;
+            let (status, reason) = if is_ready {
+                (200, "OK")
+            } else {
+                (503, "Service Unavailable")
+            };
+            plain(status, reason, "text/plain", b"", close)
+        }
+        DIRECTORY_PATH => {
+            let addresses = state.addresses(directory_query(request).zone);
+            if addresses.is_empty() {
+                return plain(503, "Service Unavailable", "application/json", b"{}", close);
+            }
+            state.metrics.count("address_queries", 1);
+            let body = directory_answer(&addresses, KEEP_MS);
+            plain(200, "OK", "application/json", &body, close)
+        }
+        "/metrics" => plain(
+            200,
+            "OK",
+            "text/plain",
+            state.metrics.text().as_bytes(),
+            close,
+        ),
+        _ => plain(404, "Not Found", "text/plain", b"", close),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings/tests.rs
@@ -0,0 +1,41 @@
+use super::*;
+
+const EXAMPLE: &str = r#"
+instance = "edge-a-1"
+zone = "a"
+callers = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+directory = "10.1.0.35:8143"
+peer = "10.1.0.35:7660"
+metrics = "10.1.0.35:7661"
+store = "10.200.1.7:8142"
+seeds = ["10.1.0.35:8146"]
+stop_s = 6
+retry_ratio = 0.2
+retry_slack = 60
+retry_window_s = 10
+probes_per_s = 60
+"#;
+
+#[test]
+fn parse_example() {
+    let settings = Settings::parse("f", EXAMPLE).unwrap();
+    assert_eq!(settings.zone.as_str(), "a");
+    assert!((settings.stop_s - 6.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn parse_names_what_is_wrong() {
+    for (from, to, word) in [
+        ("zone = \"a\"", "zone = \"\"", "zone"),
+        ("stop_s = 6", "stop_s = -1", "stop_s"),
+        ("retry_ratio = 0.2", "retry_ratio = nan", "retry_ratio"),
+        ("10.1.0.35:8144", "nowhere", "callers"),
+        ("probes_per_s", "probe_per_s", "probe_per_s"),
+        ("store = \"10.200.1.7:8142\"", "", "store"),
+    ] {
+        let error = Settings::parse("f.toml", &EXAMPLE.replacen(from, to, 1)).unwrap_err();
+        let text = error.to_string();
+        assert!(text.contains("f.toml") && text.contains(word), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,195 @@
+//! What all tasks of one instance share. All of them run on one thread.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use async_std::channel::{Receiver, Sender, bounded};
+use balance::{Manifest, Members, RetryBudget, Rollout, Targets, Work};
+use model::{InstanceId, ServiceName, Time, Version, Zone};
+
+use crate::{clock::Clock, metrics::Metrics, phase::Phase, pool::Pool, settings::Settings};
+
+/// Shared state of one instance.
+#[derive(Debug)]
+pub struct State {
+    /// Settings.
+    pub settings: Settings,
+    /// Clock.
+    pub clock: Clock,
+    /// Number of this process.
+    pub boot: u64,
+    /// Configuration in force, once known.
+    pub manifest: RefCell<Option<Rc<Manifest>>>,
+    /// Targets.
+    pub targets: RefCell<Targets>,
+    /// Other instances.
+    pub members: RefCell<Members>,
+    /// Rollouts by service.
+    pub rollouts: RefCell<HashMap<ServiceName, Rollout>>,
+    /// Zones whose targets get nothing.
+    pub zones_out: RefCell<BTreeSet<Zone>>,
+    /// When each version of a service was first seen.
+    pub versions: RefCell<HashMap<(ServiceName, Version), Time>>,
+    /// Work time by route.
+    pub work: RefCell<HashMap<Arc<str>, Work>>,
+    /// Budgets of second sends by service.
+    pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Phase.
+    pub phase: Cell<Phase>,
+    /// Connections of callers.
+    pub callers: Cell<usize>,
+    /// Requests in progress.
+    pub busy: Cell<usize>,
+    /// When the operator's records were last known to be current.
+    pub orders_read: Cell<Time>,
+    /// Where reading the operator's records goes on.
+    pub orders_next: Cell<u64>,
+    /// When the targets were last known to be current.
+    pub targets_read: Cell<Option<Time>>,
+    /// Outcomes by target since the last beat.
+    pub outcomes: RefCell<HashMap<model::TargetId, (u32, u32)>>,
+    /// Closed when idle connections of callers are to end.
+    pub idle_end: Receiver<()>,
+    idle_open: RefCell<Option<Sender<()>>>,
+    probes: Cell<(Time, f64)>,
+}
+
+impl State {
+    /// The state of a starting instance.
+    pub fn new(settings: Settings) -> Rc<Self> {
+        let (idle_open, idle_end) = bounded(1);
+        let clock = Clock::start();
+        Rc::new(Self {
+            metrics: Metrics::new(&settings),
+            clock,
+            boot: Clock::boot_number(),
+            manifest: RefCell::default(),
+            targets: RefCell::default(),
+            members: RefCell::default(),
+            rollouts: RefCell::default(),
+            zones_out: RefCell::default(),
+            versions: RefCell::default(),
+            work: RefCell::default(),
+            budgets: RefCell::default(),
+            pool: Pool::default(),
+            phase: Cell::new(Phase::Starting),
+            callers: Cell::new(0),
+            busy: Cell::new(0),
+            orders_read: Cell::new(Time(0)),
+            orders_next: Cell::new(0),
+            targets_read: Cell::new(None),
+            outcomes: RefCell::default(),
+            idle_end,
+            idle_open: RefCell::new(Some(idle_open)),
+            probes: Cell::new((clock.now(), 0.0)),
+            settings,
+        })
+    }
+
+    /// Monotonic time.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Name of this instance.
+    pub fn own(&self) -> &InstanceId {
+        &self.settings.instance
+    }
+
+    /// The configuration in force.
+    pub fn manifest(&self) -> Option<Rc<Manifest>> {
+        self.manifest.borrow().clone()
+    }
+
+    /// Live instances, this one included.
+    pub fn instances(&self) -> Vec<InstanceId> {
+        let mut names = self.members.borrow().names(self.now());
+        names.push(self.own().clone());
+        names
+    }
+
+    /// Whether this instance is the first choice among the live ones for `duty`.
+    pub fn has_duty(&self, duty: &str) -> bool {
+        let own = model::rendezvous(duty, self.own().as_str());
+        let members = self.members.borrow();
+        let others = members.names(self.now());
+        others
+            .iter()
+            .all(|name| (model::rendezvous(duty, name.as_str()), name) < (own, self.own()))
+    }
+
+    /// Takes leave for one probe from the budget of this instance.
+    pub fn may_probe(&self) -> bool {
+        /// Part of the allowed probes that is used; the rest covers views that differ.
+        const USED: f64 = 0.7;
+        let now = self.now();
+        let (noted, tokens) = self.probes.get();
+        let live = self.members.borrow().live(now).count() + 1;
+        let targets = self.targets.borrow().len();
+        let rate = self.settings.probes_per_s * USED * targets as f64 / live as f64;
+        let tokens = (tokens + rate * now.since_us(noted) as f64 / 1e6).min(rate);
+        let may = tokens >= 1.0;
+        self.probes
+            .set((now, if may { tokens - 1.0 } else { tokens }));
+        may
+    }
+
+    /// Ends idle connections of callers.
+    pub fn end_idle(&self) {
+        self.idle_open.borrow_mut().take();
+    }
+
+    /// Addresses for callers of `zone`: the ready instances there, or all if there is none.
+    pub fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let mut ready: Vec<(&Zone, SocketAddr)> = members
+            .ready(self.now())
+            .iter()
+            .map(|m| (&m.zone, m.front))
+            .collect();
+        if self.phase.get() == Phase::Ready {
+            ready.push((&self.settings.zone, self.settings.callers));
+        }
+        let near: Vec<SocketAddr> = ready
+            .iter()
+            .filter(|(z, _)| z.as_str() == zone)
+            .map(|(_, a)| *a)
+            .collect();
+        if near.is_empty() {
+            ready.into_iter().map(|(_, a)| a).collect()
+        } else {
+            near
+        }
+    }
+
+    /// Notes an outcome at a target, for this instance and the next beat.
+    pub fn note_outcome(&self, id: &model::TargetId, is_good: bool) {
+        let now = self.now();
+        if let Some(target) = self.targets.borrow_mut().get_mut(id) {
+            target
+                .health
+                .note(now, u32::from(is_good), u32::from(!is_good));
+        }
+        let mut outcomes = self.outcomes.borrow_mut();
+        let (good, bad) = outcomes.entry(id.clone()).or_default();
+        *good += u32::from(is_good);
+        *bad += u32::from(!is_good);
+    }
+
+    /// Notes that a target refuses connections.
+    pub fn note_down(&self, id: &model::TargetId) {
+        let now = self.now();
+        if let Some(target) = self.targets.borrow_mut().get_mut(id) {
+            target.health.note_down(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/h1/src/body/tests.rs
@@ -0,0 +1,95 @@
+use proptest::prelude::*;
+
+use super::*;
+
+fn chunked(max: u64) -> BodyDecoder {
+    BodyDecoder::new(Framing::Chunked, max).unwrap()
+}
+
+fn headers(lines: &[(&str, &str)]) -> Headers {
+    let mut headers = Headers::default();
+    for (name, value) in lines {
+        headers.push(name, value.as_bytes());
+    }
+    headers
+}
+
+#[test]
+fn framing_rejects_smuggling() {
+    let bad: [&[(&str, &str)]; 6] = [
+        &[("Content-Length", "3"), ("Transfer-Encoding", "chunked")],
+        &[("Content-Length", "3"), ("Content-Length", "4")],
+        &[("Content-Length", "+3")],
+        &[("Content-Length", "3, 3")],
+        &[("Transfer-Encoding", "gzip, chunked")],
+        &[
+            ("Transfer-Encoding", "chunked"),
+            ("Transfer-Encoding", "chunked"),
+        ],
+    ];
+    for lines in bad {
+        assert_eq!(
+            Framing::of(&headers(lines)),
+            Err(MessageError::Length),
+            "{lines:?}"
+        );
+    }
+}
+
+#[test]
+fn feed_chunked_leaves_next_message() {
+    let mut input = b"3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: 1\r\n\r\nGET".to_vec();
+    let mut decoder = chunked(10);
+    assert_eq!(decoder.feed(&mut input), Ok(true));
+    assert_eq!(decoder.into_body(), b"abcde");
+    assert_eq!(input, b"GET");
+}
+
+#[test]
+fn feed_chunked_malformed() {
+    for bytes in [
+        "x\r\n",
+        "3\r\nabcd\r\n",
+        "3\nabc",
+        "\r\n",
+        "11111111111111111\r\n",
+    ] {
+        let mut input = bytes.as_bytes().to_vec();
+        assert_eq!(
+            chunked(100).feed(&mut input),
+            Err(MessageError::Chunk),
+            "{bytes:?}"
+        );
+    }
+}
+
+#[test]
+fn feed_over_limit() {
+    let mut input = b"5\r\nabcde\r\n".to_vec();
+    assert_eq!(chunked(4).feed(&mut input), Err(MessageError::BodyTooLarge));
+    assert!(BodyDecoder::new(Framing::Length(5), 4).is_err());
+}
+
+proptest! {
+    /// Guards against decoding that depends on how the bytes were cut by the network.
+    #[test]
+    fn feed_any_cut(body in proptest::collection::vec(any::<u8>(), 0..200), cut in 1_usize..20) {
+        let mut bytes = Vec::new();
+        for piece in body.chunks(7) {
+            bytes.extend_from_slice(format!("{:x}\r\n", piece.len()).as_bytes());
+            bytes.extend_from_slice(piece);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        let mut decoder = chunked(1_000);
+        let mut input = Vec::new();
+        let mut done = false;
+        for piece in bytes.chunks(cut) {
+            prop_assert!(!done);
+            input.extend_from_slice(piece);
+            done = decoder.feed(&mut input).unwrap();
+        }
+        prop_assert!(done);
+        prop_assert_eq!(decoder.into_body(), body);
+    }
+}
--- /dev/null
+++ b/crates/h1/src/request/tests.rs
@@ -0,0 +1,82 @@
+use super::*;
+
+const LIMITS: RequestLimits = RequestLimits {
+    head: 200,
+    body: 20,
+};
+
+fn whole(step: Step) -> Box<Request> {
+    match step {
+        Step::Whole(request) => request,
+        other => panic!("not a whole request: {other:?}"),
+    }
+}
+
+#[test]
+fn step_pipelined_requests() {
+    let mut input =
+        b"GET /a?b=c HTTP/1.1\r\nHost: h\r\n\r\nPOST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
+            .to_vec();
+    let mut decoder = RequestDecoder::default();
+    let first = whole(decoder.step(&mut input, LIMITS).unwrap());
+    assert_eq!((first.path(), first.query("b")), ("/a", Some("c")));
+    let second = whole(decoder.step(&mut input, LIMITS).unwrap());
+    assert_eq!((&*second.method, &*second.body), ("POST", &b"hi"[..]));
+    assert!(matches!(decoder.step(&mut input, LIMITS), Ok(Step::Idle)));
+}
+
+#[test]
+fn step_keeps_target_and_case() {
+    let mut input = b"GET /A/%2e%2E/b//c HTTP/1.1\r\nX-Odd-CASE:  v \r\n\r\n".to_vec();
+    let request = whole(RequestDecoder::default().step(&mut input, LIMITS).unwrap());
+    assert_eq!(request.target, "/A/%2e%2E/b//c");
+    assert_eq!(
+        request.headers.iter().next(),
+        Some(("X-Odd-CASE", &b"v"[..]))
+    );
+}
+
+#[test]
+fn step_body_in_pieces() {
+    let mut decoder = RequestDecoder::default();
+    let mut input = b"PUT / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n".to_vec();
+    assert!(matches!(
+        decoder.step(&mut input, LIMITS),
+        Ok(Step::Continue)
+    ));
+    input.extend_from_slice(b"ab");
+    assert!(matches!(
+        decoder.step(&mut input, LIMITS),
+        Ok(Step::Partial)
+    ));
+    input.extend_from_slice(b"c");
+    assert_eq!(
+        whole(decoder.step(&mut input, LIMITS).unwrap()).body,
+        b"abc"
+    );
+}
+
+#[test]
+fn step_over_limits() {
+    let mut head = format!("GET / HTTP/1.1\r\nX: {}\r\n", "a".repeat(300)).into_bytes();
+    let step = RequestDecoder::default().step(&mut head, LIMITS);
+    assert_eq!(step.unwrap_err(), MessageError::HeadTooLarge);
+    let mut body = b"PUT / HTTP/1.1\r\nContent-Length: 21\r\n\r\n".to_vec();
+    let step = RequestDecoder::default().step(&mut body, LIMITS);
+    assert_eq!(step.unwrap_err(), MessageError::BodyTooLarge);
+    let lines = "A: b\r\n".repeat(MAX_HEADERS + 1);
+    let mut many = format!("GET / HTTP/1.1\r\n{lines}\r\n").into_bytes();
+    let step = RequestDecoder::default().step(&mut many, LIMITS);
+    assert_eq!(step.unwrap_err(), MessageError::HeadTooLarge);
+}
+
+#[test]
+fn step_hop_headers_stay_behind() {
+    let mut input =
+        b"GET / HTTP/1.1\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: x\r\nX-End: 2\r\n\r\n"
+            .to_vec();
+    let request = whole(RequestDecoder::default().step(&mut input, LIMITS).unwrap());
+    assert!(!request.reusable);
+    let kept: Vec<_> = request.headers.end_to_end().map(|(name, _)| name).collect();
+    assert_eq!(kept, ["X-End"]);
+}
--- /dev/null
+++ b/crates/h1/src/response/tests.rs
@@ -0,0 +1,58 @@
+use super::*;
+
+const MAX: u64 = 1_000;
+
+fn feed(method: &str, bytes: &str) -> (Result<Option<Response>, MessageError>, ResponseDecoder) {
+    let mut decoder = ResponseDecoder::new(method, MAX);
+    (decoder.feed(&mut bytes.as_bytes().to_vec()), decoder)
+}
+
+#[test]
+fn feed_skips_informational() {
+    let bytes = "HTTP/1.1 103 Early\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab";
+    let response = feed("GET", bytes).0.unwrap().unwrap();
+    assert_eq!((response.status, &*response.body), (200, &b"ab"[..]));
+    assert!(response.reusable);
+}
+
+#[test]
+fn feed_head_has_no_body() {
+    let bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n";
+    assert!(feed("HEAD", bytes).0.unwrap().is_some());
+    assert!(feed("GET", bytes).0.unwrap().is_none());
+}
+
+#[test]
+fn end_without_length_is_whole() {
+    let (response, decoder) = feed("GET", "HTTP/1.1 200 OK\r\n\r\nabc");
+    assert!(response.unwrap().is_none());
+    let response = decoder.end().unwrap();
+    assert_eq!(response.body, b"abc");
+    assert!(!response.reusable);
+}
+
+#[test]
+fn end_short_of_length_is_truncated() {
+    for bytes in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        "HTTP/1.1 200 OK\r\nConte",
+        "",
+    ] {
+        let (response, decoder) = feed("GET", bytes);
+        assert!(response.unwrap().is_none());
+        assert_eq!(
+            decoder.end().unwrap_err(),
+            MessageError::Truncated,
+            "{bytes:?}"
+        );
+    }
+}
+
+#[test]
+fn feed_garbage() {
+    assert_eq!(
+        feed("GET", "\u{1}\u{2} nonsense\r\n\r\n").0.unwrap_err(),
+        MessageError::Head
+    );
+}
--- a/crates/node/src/admin/tests.rs
+++ b/crates/node/src/admin/tests.rs
@@ -12,11 +12,11 @@
 };
 use http_types::Method;
 use model::{Code, Settings, Tenant, Version, Wall};
-use platform::{HttpRequest, exchange};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use socket2::{Domain, Socket, Type};
+use store::{HttpRequest, exchange};
 use wire::{AuditEntry, Body, ConfigAnswer, MoveStatus, ProposalAnswer, Record, Status};
 
 use crate::{
--- a/crates/node/src/control/appender.rs
+++ b/crates/node/src/control/appender.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::{channel::Receiver, task};
-use platform::LogClient;
+use store::LogClient;
 use tracing::warn;
 use wire::Record;
 
--- a/crates/node/src/control/list_reader.rs
+++ b/crates/node/src/control/list_reader.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::task;
-use platform::ListClient;
+use store::ListClient;
 use tracing::warn;
 use wire::ListAnswer;
 
--- a/crates/node/src/control/log_reader.rs
+++ b/crates/node/src/control/log_reader.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use async_std::{channel::bounded, task};
-use platform::{LogClient, PlatformError};
+use store::{LogClient, StoreError};
 use tracing::warn;
 
 use crate::{Token, context::Context, control::ControlEvent};
@@ -48,7 +48,7 @@
                 from = next;
             }
             // Other writers may have appended larger records than this system does.
-            Err(PlatformError::TooLarge { .. }) if limit > 1 => limit /= 2,
+            Err(StoreError::TooLarge { .. }) if limit > 1 => limit /= 2,
             Err(error) => {
                 if !failing {
                     warn!(event = "log_read_failed", instance = %ctx.settings.instance, %error);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,7 +1,8 @@
 //! `hibiscusway`: one instance of the load balancer.
 
 use std::{
-    fs,
+    env, fs,
+    path::Path,
     process::{ExitCode, exit},
     thread::{self, available_parallelism},
 };
@@ -33,6 +34,15 @@
     #[argh(option, short = 's', default = "String::from(\"hibiscusway.toml\")")]
     settings: String,
 
+    /// read the name of the settings file from this environment variable
+    #[argh(option)]
+    settings_var: Option<String>,
+
+    /// run as a gateway on a platform that registers targets in its store; the settings are those of
+    /// docs/platform.md
+    #[argh(switch)]
+    gateway: bool,
+
     /// check the settings file and exit
     #[argh(switch)]
     check_config: bool,
@@ -52,25 +62,76 @@
         println!("hibiscusway {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    let Some(settings) = read_settings(&args.settings) else {
+    let Some(file) = settings_file(&args) else {
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    if args.gateway {
+        return run_gateway(&args, &file);
+    }
+    let Some(settings) = read_settings(&file) else {
         return ExitCode::from(EXIT_SETTINGS);
     };
     if args.check_config {
-        println!("{}: no errors", args.settings);
+        println!("{file}: no errors");
         return ExitCode::SUCCESS;
     }
     init_logging(&args.log);
     run(settings)
 }
 
-fn read_settings(path: &str) -> Option<Settings> {
-    let text = match fs::read_to_string(path) {
-        Ok(text) => text,
+/// Name of the settings file.
+fn settings_file(args: &Args) -> Option<String> {
+    let Some(name) = &args.settings_var else {
+        return Some(args.settings.clone());
+    };
+    match env::var(name) {
+        Ok(file) => Some(file),
         Err(error) => {
-            eprintln!("{path}: cannot be read: {error}");
-            return None;
+            eprintln!("environment variable {name}: {error}");
+            None
+        }
+    }
+}
+
+fn run_gateway(args: &Args, file: &str) -> ExitCode {
+    let Some(text) = read_file(file) else {
+        return ExitCode::from(EXIT_SETTINGS);
+    };
+    let settings = match gateway::Settings::parse(file, &text) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitCode::from(EXIT_SETTINGS);
         }
     };
+    if args.check_config {
+        println!("{file}: no errors");
+        return ExitCode::SUCCESS;
+    }
+    gateway::init_logging(&args.log, settings.log_lines);
+    start_threads(1);
+    match gateway::run(settings, Path::new(file)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            error!(event = "start_failed", %error);
+            eprintln!("{error}");
+            ExitCode::from(EXIT_START)
+        }
+    }
+}
+
+fn read_file(path: &str) -> Option<String> {
+    match fs::read_to_string(path) {
+        Ok(text) => Some(text),
+        Err(error) => {
+            eprintln!("{path}: cannot be read: {error}");
+            None
+        }
+    }
+}
+
+fn read_settings(path: &str) -> Option<Settings> {
+    let text = read_file(path)?;
     match Settings::parse(path, &text) {
         Ok(settings) => Some(settings),
         Err(errors) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,7 @@
     task,
 };
 use model::Settings;
-use platform::{ListClient, PlatformError};
+use store::{ListClient, StoreError};
 use thiserror::Error;
 use tracing::info;
 use wire::{EntryKind, EntryState, ListEntry};
@@ -50,7 +50,7 @@
     Thread(io::Error),
     /// The instance list could not be told of this instance.
     #[error("cannot register in the instance list: {0}")]
-    Register(#[from] PlatformError),
+    Register(#[from] StoreError),
 }
 
 /// A running instance.
@@ -150,7 +150,7 @@
 }
 
 /// Announces this instance in the platform's list.
-pub async fn register(ctx: &Context, state: EntryState) -> Result<(), PlatformError> {
+pub async fn register(ctx: &Context, state: EntryState) -> Result<(), StoreError> {
     ListClient::new(ctx.settings.list)
         .register(&own_entry(ctx, state))
         .await
--- a/crates/node/tests/admin_api.rs
+++ b/crates/node/tests/admin_api.rs
@@ -7,9 +7,9 @@
 use http_types::Method;
 use model::Settings;
 use node::{Node, Token};
-use platform::{HttpRequest, exchange};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
+use store::{HttpRequest, exchange};
 use testkit::{ListServer, LogFaults, LogServer};
 
 const ORDERS: &str = include_str!("../../../docs/ops/examples/lemovka.toml");
--- a/crates/node/tests/admin_log.rs
+++ b/crates/node/tests/admin_log.rs
@@ -9,7 +9,7 @@
 
 use async_std::task;
 use http_types::Method;
-use platform::{HttpRequest, exchange};
+use store::{HttpRequest, exchange};
 use testkit::{ListServer, LogServer};
 
 const RIGHT: &str = "right-token-4711";
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use http_types::Method;
 use model::{OperatorName, Settings, Tenant, Wall};
 use node::{Node, Token};
-use platform::{HttpRequest, LogClient, exchange};
+use store::{HttpRequest, LogClient, exchange};
 use testkit::{ListServer, LogServer};
 use wire::{Body, EntryKind, EntryState, ListEntry, Record};
 
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -14,9 +14,9 @@
 use http_types::Method;
 use model::Settings;
 use node::{Node, NodeError, Token};
-use platform::{HttpRequest, exchange};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
+use store::{HttpRequest, exchange};
 use testkit::{
     CallAnswer, CallSpec, ListServer, LogFaults, LogServer, Upstream, UpstreamSpec, ask_addresses,
     send_call,
--- a/crates/platform/src/error.rs
+++ b/crates/store/src/error.rs
@@ -5,9 +5,9 @@
 use thiserror::Error;
 
 /// Why an exchange gave no usable answer. A change that was asked for may have taken effect all the
-/// same, unless [`PlatformError::is_unsent`].
+/// same, unless [`StoreError::is_unsent`].
 #[derive(Debug, Error)]
-pub enum PlatformError {
+pub enum StoreError {
     /// The connection could not be opened, so nothing was sent.
     #[error("{addr}: cannot connect: {detail}")]
     Connect {
@@ -76,7 +76,7 @@
     },
 }
 
-impl PlatformError {
+impl StoreError {
     /// Whether nothing was sent, so that a change certainly did not take effect.
     #[must_use]
     pub const fn is_unsent(&self) -> bool {
--- a/crates/platform/src/http.rs
+++ b/crates/store/src/http.rs
@@ -9,7 +9,7 @@
 };
 use http_types::{Method, Request, Url};
 
-use crate::PlatformError;
+use crate::StoreError;
 
 /// Largest answer body accepted, in bytes. A read of 256 records of 64 KiB fits.
 const MAX_ANSWER_BYTES: u64 = 20 * 1024 * 1024;
@@ -46,8 +46,8 @@
         format!("{} {}", self.method, self.path)
     }
 
-    fn broken(&self, detail: &impl ToString) -> PlatformError {
-        PlatformError::Broken {
+    fn broken(&self, detail: &impl ToString) -> StoreError {
+        StoreError::Broken {
             addr: self.addr,
             request: self.name(),
             detail: detail.to_string(),
@@ -59,12 +59,12 @@
 ///
 /// # Errors
 ///
-/// Any [`PlatformError`] but `Status`; the caller judges the status.
-pub async fn exchange(request: &HttpRequest<'_>) -> Result<HttpAnswer, PlatformError> {
+/// Any [`StoreError`] but `Status`; the caller judges the status.
+pub async fn exchange(request: &HttpRequest<'_>) -> Result<HttpAnswer, StoreError> {
     let limit = Duration::from_millis(request.limit_ms);
     let exchanged = timeout(limit, Box::pin(exchange_unlimited(request))).await;
     exchanged.unwrap_or_else(|_| {
-        Err(PlatformError::Timeout {
+        Err(StoreError::Timeout {
             addr: request.addr,
             request: request.name(),
             limit_ms: request.limit_ms,
@@ -72,7 +72,7 @@
     })
 }
 
-async fn exchange_unlimited(request: &HttpRequest<'_>) -> Result<HttpAnswer, PlatformError> {
+async fn exchange_unlimited(request: &HttpRequest<'_>) -> Result<HttpAnswer, StoreError> {
     let message = build(request).map_err(|e| request.broken(&e))?;
     let stream = connect(request.addr).await?;
     let mut answer = async_h1::connect(stream, message)
@@ -88,8 +88,8 @@
     Ok(HttpAnswer { status, body })
 }
 
-async fn connect(addr: SocketAddr) -> Result<TcpStream, PlatformError> {
-    let failed = |e: io::Error| PlatformError::Connect {
+async fn connect(addr: SocketAddr) -> Result<TcpStream, StoreError> {
+    let failed = |e: io::Error| StoreError::Connect {
         addr,
         detail: e.to_string(),
     };
@@ -102,17 +102,17 @@
     request: &HttpRequest<'_>,
     announced: Option<usize>,
     got: usize,
-) -> Result<(), PlatformError> {
+) -> Result<(), StoreError> {
     let addr = request.addr;
     if got as u64 > MAX_ANSWER_BYTES {
-        return Err(PlatformError::TooLarge {
+        return Err(StoreError::TooLarge {
             addr,
             request: request.name(),
             limit: MAX_ANSWER_BYTES,
         });
     }
     match announced {
-        Some(len) if len != got => Err(PlatformError::Body {
+        Some(len) if len != got => Err(StoreError::Body {
             addr,
             request: request.name(),
             detail: format!("got {got} of {len} bytes"),
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,4 +1,4 @@
-//! Clients of the platform: log service and instance list. Thin edges that turn HTTP exchanges into
+//! Clients of the log service and instance list. Thin edges that turn HTTP exchanges into
 //! typed answers; nothing is decided or retried here.
 
 mod error;
@@ -7,7 +7,7 @@
 mod log_client;
 
 pub use crate::{
-    error::PlatformError,
+    error::StoreError,
     http::{HttpAnswer, HttpRequest, exchange},
     list_client::ListClient,
     log_client::LogClient,
--- a/crates/platform/src/list_client.rs
+++ b/crates/store/src/list_client.rs
@@ -7,7 +7,7 @@
 use wire::{ListAnswer, ListEntry};
 
 use crate::{
-    HttpRequest, PlatformError, exchange,
+    HttpRequest, StoreError, exchange,
     log_client::{json_exchange, parse_answer, to_json},
 };
 
@@ -33,8 +33,8 @@
     ///
     /// # Errors
     ///
-    /// Any [`PlatformError`].
-    pub async fn entries(&self) -> Result<ListAnswer, PlatformError> {
+    /// Any [`StoreError`].
+    pub async fn entries(&self) -> Result<ListAnswer, StoreError> {
         json_exchange(&self.request(Method::Get, "/v1/instances", &[])).await
     }
 
@@ -43,8 +43,8 @@
     ///
     /// # Errors
     ///
-    /// Any [`PlatformError`].
-    pub async fn changes(&self, version: u64) -> Result<Option<ListAnswer>, PlatformError> {
+    /// Any [`StoreError`].
+    pub async fn changes(&self, version: u64) -> Result<Option<ListAnswer>, StoreError> {
         let path = format!("/v1/instances?after={version}");
         let request = self.request(Method::Get, &path, &[]);
         let answer = exchange(&request).await?;
@@ -58,8 +58,8 @@
     ///
     /// # Errors
     ///
-    /// Any [`PlatformError`]; the change may have taken effect all the same.
-    pub async fn register(&self, entry: &ListEntry) -> Result<(), PlatformError> {
+    /// Any [`StoreError`]; the change may have taken effect all the same.
+    pub async fn register(&self, entry: &ListEntry) -> Result<(), StoreError> {
         let body = to_json(self.addr, entry)?;
         let path = format!("/v1/instances/{}", entry.id);
         json_exchange::<Value>(&self.request(Method::Put, &path, &body)).await?;
@@ -70,8 +70,8 @@
     ///
     /// # Errors
     ///
-    /// Any [`PlatformError`]; the change may have taken effect all the same.
-    pub async fn remove(&self, id: &str) -> Result<(), PlatformError> {
+    /// Any [`StoreError`]; the change may have taken effect all the same.
+    pub async fn remove(&self, id: &str) -> Result<(), StoreError> {
         let path = format!("/v1/instances/{id}");
         json_exchange::<Value>(&self.request(Method::Delete, &path, &[])).await?;
         Ok(())
--- a/crates/platform/src/log_client.rs
+++ b/crates/store/src/log_client.rs
@@ -6,7 +6,7 @@
 use serde::de::DeserializeOwned;
 use wire::{AppendAnswer, AppendRequest, ReadAnswer};
 
-use crate::{HttpAnswer, HttpRequest, PlatformError, exchange};
+use crate::{HttpAnswer, HttpRequest, StoreError, exchange};
 
 /// Time limit of an append, in milliseconds.
 const APPEND_LIMIT_MS: u64 = 2_000;
@@ -34,13 +34,13 @@
     ///
     /// # Errors
     ///
-    /// Any [`PlatformError`].
+    /// Any [`StoreError`].
     pub async fn read(
         &self,
         from: u64,
         limit: u32,
         wait_ms: u64,
-    ) -> Result<ReadAnswer, PlatformError> {
+    ) -> Result<ReadAnswer, StoreError> {
         let stream = &self.stream;
         let path =
             format!("/v1/streams/{stream}/records?from={from}&limit={limit}&wait_ms={wait_ms}");
@@ -52,9 +52,9 @@
     ///
     /// # Errors
     ///
-    /// Any [`PlatformError`]; the records may have been appended all the same, unless
-    /// [`PlatformError::is_unsent`].
-    pub async fn append(&self, records: Vec<String>) -> Result<u64, PlatformError> {
+    /// Any [`StoreError`]; the records may have been appended all the same, unless
+    /// [`StoreError::is_unsent`].
+    pub async fn append(&self, records: Vec<String>) -> Result<u64, StoreError> {
         let path = format!("/v1/streams/{}/records", self.stream);
         let body = to_json(self.addr, &AppendRequest { records })?;
         let answer: AppendAnswer = self
@@ -69,7 +69,7 @@
         path: &str,
         body: &[u8],
         limit_ms: u64,
-    ) -> Result<T, PlatformError> {
+    ) -> Result<T, StoreError> {
         let request = HttpRequest {
             addr: self.addr,
             method,
@@ -85,8 +85,8 @@
 pub(crate) fn to_json<T: serde::Serialize>(
     addr: SocketAddr,
     value: &T,
-) -> Result<Vec<u8>, PlatformError> {
-    serde_json::to_vec(value).map_err(|e| PlatformError::Encode {
+) -> Result<Vec<u8>, StoreError> {
+    serde_json::to_vec(value).map_err(|e| StoreError::Encode {
         addr,
         detail: e.to_string(),
     })
@@ -95,7 +95,7 @@
 /// An exchange whose answer must have status 200 and a JSON body.
 pub(crate) async fn json_exchange<T: DeserializeOwned>(
     request: &HttpRequest<'_>,
-) -> Result<T, PlatformError> {
+) -> Result<T, StoreError> {
     let answer = exchange(request).await?;
     parse_answer(request, &answer)
 }
@@ -104,15 +104,15 @@
 pub(crate) fn parse_answer<T: DeserializeOwned>(
     request: &HttpRequest<'_>,
     answer: &HttpAnswer,
-) -> Result<T, PlatformError> {
+) -> Result<T, StoreError> {
     if answer.status != 200 {
-        return Err(PlatformError::Status {
+        return Err(StoreError::Status {
             addr: request.addr,
             request: request.name(),
             status: answer.status,
         });
     }
-    serde_json::from_slice(&answer.body).map_err(|e| PlatformError::Body {
+    serde_json::from_slice(&answer.body).map_err(|e| StoreError::Body {
         addr: request.addr,
         request: request.name(),
         detail: e.to_string(),
--- a/crates/testkit/examples/overhead.rs
+++ b/crates/testkit/examples/overhead.rs
@@ -22,10 +22,10 @@
 use futures::future::join_all;
 use hdrhistogram::Histogram;
 use model::{OperatorName, Tenant, Wall};
-use platform::LogClient;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use rand_distr::{Distribution, Exp};
 use serde_json::json;
+use store::LogClient;
 use testkit::{
     CallSpec, ChildInstance, ListServer, LogServer, Upstream, UpstreamSpec, ask_addresses,
     built_binary, options::parse_within, send_call,
--- a/crates/testkit/src/cluster/cluster_error.rs
+++ b/crates/testkit/src/cluster/cluster_error.rs
@@ -1,7 +1,7 @@
 //! Why a cluster could not do what was asked.
 
 use node::NodeError;
-use platform::PlatformError;
+use store::StoreError;
 use thiserror::Error;
 
 /// Why a cluster could not do what was asked.
@@ -23,7 +23,7 @@
     Record(#[from] wire::WireError),
     /// The log service did not take a record.
     #[error("log service: {0}")]
-    Log(#[from] PlatformError),
+    Log(#[from] StoreError),
     /// No free port was left.
     #[error("no free loopback port: {0}")]
     Port(#[from] std::io::Error),
--- a/crates/testkit/src/cluster/publish.rs
+++ b/crates/testkit/src/cluster/publish.rs
@@ -3,7 +3,7 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use model::{OperatorName, Wall};
-use platform::LogClient;
+use store::LogClient;
 use wire::{Body, Record};
 
 use super::ClusterError;
--- a/crates/testkit/src/cluster/running.rs
+++ b/crates/testkit/src/cluster/running.rs
@@ -11,7 +11,7 @@
 use futures::future::join_all;
 use model::{Tenant, Zone};
 use node::Token;
-use platform::LogClient;
+use store::LogClient;
 use wire::{Body, EntryState};
 
 use super::{ClusterError, Instance, Target, publish::append};
--- a/crates/testkit/tests/platform.rs
+++ b/crates/testkit/tests/platform.rs
@@ -8,7 +8,7 @@
 };
 
 use async_std::task;
-use platform::{LogClient, PlatformError};
+use store::{LogClient, StoreError};
 use testkit::{LogFaults, LogServer};
 
 /// A server that answers one request with these bytes and closes.
@@ -23,7 +23,7 @@
     addr
 }
 
-fn read_from(addr: SocketAddr) -> PlatformError {
+fn read_from(addr: SocketAddr) -> StoreError {
     task::block_on(LogClient::new(addr, "s").read(1, 10, 0)).unwrap_err()
 }
 
@@ -50,7 +50,7 @@
 fn read_short_body() {
     let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{\"first\":1";
     let error = read_from(raw_server(answer.to_vec()));
-    assert!(matches!(error, PlatformError::Body { .. }), "{error}");
+    assert!(matches!(error, StoreError::Body { .. }), "{error}");
 }
 
 #[test]
@@ -58,7 +58,7 @@
     let mut answer = b"HTTP/1.1 200 OK\r\ncontent-length: 99999999\r\n\r\n".to_vec();
     answer.resize(25 * 1024 * 1024, b' ');
     let error = read_from(raw_server(answer));
-    assert!(matches!(error, PlatformError::TooLarge { .. }), "{error}");
+    assert!(matches!(error, StoreError::TooLarge { .. }), "{error}");
 }
 
 #[test]
--- a/crates/testkit/tests/stand_ins.rs
+++ b/crates/testkit/tests/stand_ins.rs
@@ -7,7 +7,7 @@
 };
 
 use async_std::{future::timeout, net::TcpStream, task};
-use platform::{ListClient, LogClient};
+use store::{ListClient, LogClient};
 use testkit::{
     AnswerFault, CALL_ID_HEADER, CallAnswer, CallSpec, ColdStart, ListServer, LogFaults, LogServer,
     Upstream, UpstreamFaults, UpstreamSpec, send_call,
