Requests that would be late are refused early; planned stop takes none after half its time

Change: a request queues at a busy target only if it is expected in time (urgent: objective, others: 0.7 of it), else it waits for at most 0.12 of the objective and is refused. The listener closes at half of the time for a stop.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -2,6 +2,7 @@
 //! to, how many second sends the system may make, how a new version is taken in, and which instances
 //! callers are told of.
 
+mod admission;
 mod budget;
 mod caller_limits;
 mod cold_gate;
@@ -20,6 +21,7 @@
 mod work;
 
 pub use crate::{
+    admission::AdmitLimits,
     budget::RetryBudget,
     caller_limits::CallerLimits,
     cold_gate::ColdGate,
--- a/crates/balance/src/manifest.rs
+++ b/crates/balance/src/manifest.rs
@@ -13,6 +13,7 @@
     pub version: u64,
     /// Limits on what callers may send.
     pub limits: CallerLimits,
+    top_priority: u32,
     services: HashMap<ServiceName, ServiceSpec>,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
 }
@@ -27,13 +28,16 @@
         routes: impl IntoIterator<Item = Route>,
     ) -> Self {
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
+        let mut top_priority = u32::MAX;
         for route in routes {
+            top_priority = top_priority.min(route.priority);
             let by_prefix = hosts.entry(Arc::clone(&route.host)).or_default();
             by_prefix.insert(Arc::clone(&route.prefix), Arc::new(route));
         }
         Self {
             version,
             limits,
+            top_priority,
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             hosts,
         }
@@ -48,6 +52,12 @@
         ends.filter_map(|end| by_prefix.get(&path[..end])).next()
     }
 
+    /// Whether no other route is more urgent.
+    #[must_use]
+    pub fn is_urgent(&self, route: &Route) -> bool {
+        route.priority <= self.top_priority
+    }
+
     /// What the configuration says of a service.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,8 +1,9 @@
 //! One request of a caller: its route, its targets, and what is answered.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
-use balance::{Manifest, RetryBudget, Route, Verdict, pick_part};
+use async_std::task;
+use balance::{AdmitLimits, Manifest, RetryBudget, Route, Verdict, pick_part};
 use h1::{Request, Response, write_headers};
 use model::{ServiceName, TargetId, Time};
 use platform::{cold_ms, headers, load_report};
@@ -23,6 +24,10 @@
 /// Shortest time that is worth another attempt, as a part of the route's work time.
 const MIN_LEFT: f64 = 0.8;
 
+/// Pause before another look for a target while all that were asked are busy, in milliseconds. A slot
+/// of two dozen targets becomes free every few milliseconds.
+const RETRY_PICK_MS: f64 = 7.0;
+
 /// What became of a request, for the log.
 #[derive(Debug, Default)]
 struct Story {
@@ -137,6 +142,8 @@
         route: &route,
         service: &part.service,
         deadline,
+        arrived,
+        is_urgent: manifest.is_urgent(&route),
         is_new,
         tried: Vec::new(),
         may_have_run: false,
@@ -188,6 +195,8 @@
     route: &'a Arc<Route>,
     service: &'a ServiceName,
     deadline: Time,
+    arrived: Time,
+    is_urgent: bool,
     is_new: bool,
     tried: Vec<TargetId>,
     may_have_run: bool,
@@ -197,7 +206,7 @@
 impl Job<'_> {
     async fn run(&mut self) -> Result<Response, Refusal> {
         loop {
-            let pick = self.pick().await?;
+            let pick = self.admit().await?;
             let started = self.state.now();
             if started >= self.deadline {
                 return Err(self.give_up(Refusal::Expired, Refusal::Late));
@@ -219,13 +228,31 @@
         let Some(pick) = pick else {
             return Err(self.give_up(Refusal::NoTarget, Refusal::Unknown));
         };
-        let left_ms = self.left_ms();
-        if pick.outlook.ms > left_ms && !pick.outlook.is_free {
-            return Err(self.give_up(Refusal::TooBusy, Refusal::Unknown));
-        }
         Ok(pick)
     }
 
+    /// A target that is expected to respond in time, or a refusal early enough for the caller to come
+    /// back. Requests that are sure to be late would only make others late.
+    async fn admit(&mut self) -> Result<Pick, Refusal> {
+        loop {
+            let pick = self.pick().await?;
+            let waited_ms = self.waited_ms();
+            let limits = AdmitLimits::of(self.route, self.is_urgent);
+            if limits.admits(waited_ms, &pick.outlook) || self.may_have_run {
+                return Ok(pick);
+            }
+            if waited_ms + RETRY_PICK_MS > limits.hold_ms {
+                return Err(self.give_up(Refusal::TooBusy, Refusal::Unknown));
+            }
+            let pause_us = (RETRY_PICK_MS * 1_000.0) as u64;
+            task::sleep(Duration::from_micros(pause_us)).await;
+        }
+    }
+
+    fn waited_ms(&self) -> f64 {
+        self.state.now().since_us(self.arrived) as f64 / 1_000.0
+    }
+
     fn wish(&self, is_new: bool) -> Wish<'_> {
         Wish {
             service: self.service,
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -109,7 +109,7 @@
 
     /// Starts the requests that have arrived; `false` if the caller cannot be written to.
     async fn take_requests(&mut self) -> bool {
-        while self.failure.is_none() && self.replies.len() < MAX_PIPELINED {
+        while self.may_take() {
             let limits = self.limits();
             match self.decoder.step(&mut self.input, limits) {
                 Ok(Step::Whole(request)) => {
@@ -132,6 +132,12 @@
         true
     }
 
+    /// Whether further requests may be started. None are near the end of a planned stop; a response
+    /// with a close then tells the caller to send them elsewhere.
+    fn may_take(&self) -> bool {
+        self.failure.is_none() && self.replies.len() < MAX_PIPELINED && !self.state.is_closing()
+    }
+
     fn limits(&self) -> RequestLimits {
         let limits = self.state.manifest().map(|m| m.limits).unwrap_or_default();
         RequestLimits {
@@ -148,7 +154,7 @@
         } else {
             limits.head_ms.max(1)
         };
-        let may_read = self.failure.is_none() && self.replies.len() < MAX_PIPELINED;
+        let may_read = self.may_take();
         let waits_reply = !self.replies.is_empty();
         let idle_end = self.state.idle_end.clone();
         let mut stream = &self.stream;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -31,9 +31,9 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between two looks at whether the instance may take callers or may end.
 const PHASE_PACE: Duration = Duration::from_millis(50);
-/// Part of the time for a planned stop after which idle connections are closed. Callers have a new
-/// address answer by then.
-const IDLE_END_PART: f64 = 0.6;
+/// Part of the time for a planned stop after which no further requests are taken. Callers have a new
+/// address answer by then, and requests that were taken have the other half to finish.
+const IDLE_END_PART: f64 = 0.5;
 /// Time before the end of a planned stop at which the process ends in any case.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two tries to announce the instance in the store.
@@ -90,10 +90,9 @@
         let state = Rc::clone(&state);
         task::spawn_local(accept(listener, move |s| serve_small(Rc::clone(&state), s)));
     }
-    {
-        let state = Rc::clone(&state);
-        task::spawn_local(accept(callers, move |s| serve_caller(Rc::clone(&state), s)));
-    }
+    let for_callers = Rc::clone(&state);
+    let accepting =
+        task::spawn_local(accept(callers, move |s| serve_caller(Rc::clone(&for_callers), s)));
     let (tell_behind, behind) = bounded(1);
     task::spawn_local(follow_orders(Rc::clone(&state), behind));
     task::spawn_local(follow_entries(Rc::clone(&state)));
@@ -107,7 +106,7 @@
     task::spawn_local(lead_rollouts(Rc::clone(&state)));
     task::spawn_local(become_ready(Rc::clone(&state), Rc::clone(&socket)));
     wait_for_stop(&state, file, &signals).await;
-    stop(&state, &socket).await;
+    stop(&state, &socket, accepting).await;
     Ok(())
 }
 
@@ -228,7 +227,7 @@
 }
 
 /// Finishes what callers still send, within the time for a planned stop.
-async fn stop(state: &Rc<State>, socket: &UdpSocket) {
+async fn stop(state: &Rc<State>, socket: &UdpSocket, accepting: task::JoinHandle<()>) {
     state.phase.set(Phase::Leaving);
     let total = Duration::from_secs_f64(state.settings.stop_s);
     info!(
@@ -243,7 +242,9 @@
     while passed() < total.mul_f64(IDLE_END_PART) {
         task::sleep(PHASE_PACE).await;
     }
+    drop(accepting.cancel().await);
     state.end_idle();
+    info!(event = "callers_closed", callers = state.callers.get(), busy = state.busy.get());
     while passed() < total.saturating_sub(STOP_MARGIN) {
         if state.callers.get() == 0 {
             break;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -143,7 +143,12 @@
         may
     }
 
-    /// Ends idle connections of callers.
+    /// Whether no further requests are taken.
+    pub fn is_closing(&self) -> bool {
+        self.idle_end.is_closed()
+    }
+
+    /// Ends idle connections of callers and takes no further requests.
     pub fn end_idle(&self) {
         self.idle_open.borrow_mut().take();
     }
