Stale load reports fall back to the mean of the service

Cause: a report older than 300 ms counted as an idle target at the usual pace. Under overload probes run out of budget, so requests went to full targets of which nothing was known (log: load_age 150 to 290 ms, 4x pace). Change: the older a report, the more the mean of the recent reports counts; unused probes are saved for 3 s.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -13,6 +13,7 @@
 mod members;
 mod order;
 mod part;
+mod prior;
 mod rollout;
 mod route;
 mod service_spec;
@@ -32,6 +33,7 @@
     members::{Member, Members, Presence},
     order::{Order, Verdict},
     part::{Part, pick_part},
+    prior::Prior,
     rollout::{Rollout, Stage},
     route::Route,
     service_spec::ServiceSpec,
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -2,6 +2,8 @@
 
 use model::Time;
 
+use crate::Prior;
+
 /// Age from which a report says nothing, in microseconds. Neighbours' load shifts within 300 ms.
 const STALE_US: u64 = 300_000;
 /// Share of busy slots from which targets are assumed to slow each other down.
@@ -40,24 +42,36 @@
         now.since_us(self.at) <= age_us
     }
 
-    /// What a request of `work_ms` would meet, if the report still holds and `unseen` requests came
-    /// after it.
+    /// What a request of `work_ms` would meet. The older the report, the more `prior` counts instead;
+    /// `unseen` requests came after the report.
     #[must_use]
-    pub fn outlook(&self, now: Time, work_ms: f64, unseen: u32) -> Outlook {
-        let trust = 1.0 - (now.since_us(self.at).min(STALE_US) as f64 / STALE_US as f64);
-        let pace = 1.0 + (f64::from(self.pace.max(1)) / 100.0 - 1.0) * trust;
+    pub fn outlook(&self, now: Time, work_ms: f64, unseen: u32, prior: &Prior) -> Outlook {
+        let age = now.since_us(self.at).min(STALE_US) as f64 / STALE_US as f64;
+        let blend = |own: f64, mean: f64| own * (1.0 - age) + mean * age;
         let slots = f64::from(self.slots.max(1));
-        let ahead = f64::from(self.running + self.waiting) * trust.max(0.3) + f64::from(unseen);
-        let queued = (ahead + 1.0 - slots).max(0.0);
-        let knee = if (ahead + 1.0) / slots > KNEE {
-            KNEE_SLOWDOWN
-        } else {
-            1.0
-        };
-        Outlook {
-            ms: work_ms * pace * knee * (1.0 + queued / slots),
-            is_free: queued < 1.0,
-        }
+        let reported = f64::from(self.running + self.waiting);
+        let ahead = blend(reported, prior.per_slot * slots) + f64::from(unseen);
+        let pace = blend(f64::from(self.pace.max(1)), prior.pace) / 100.0;
+        expect(work_ms, pace, ahead, slots)
+    }
+}
+
+impl Prior {
+    /// What a request would meet at a target of which nothing but `unseen` requests is known.
+    #[must_use]
+    pub fn outlook(&self, work_ms: f64, unseen: u32, slots: u32) -> Outlook {
+        let slots = f64::from(slots.max(1));
+        let ahead = self.per_slot * slots + f64::from(unseen);
+        expect(work_ms, self.pace / 100.0, ahead, slots)
+    }
+}
+
+fn expect(work_ms: f64, pace: f64, ahead: f64, slots: f64) -> Outlook {
+    let queued = (ahead + 1.0 - slots).max(0.0);
+    let knee = if (ahead + 1.0) / slots > KNEE { KNEE_SLOWDOWN } else { 1.0 };
+    Outlook {
+        ms: work_ms * pace * knee * (1.0 + queued / slots),
+        is_free: queued < 0.5,
     }
 }
 
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use balance::{Outlook, Target, Verdict};
+use balance::{Outlook, Prior, Target, Verdict};
 use model::{ServiceName, TargetId, Time, Version};
 use rand::Rng;
 
@@ -92,6 +92,7 @@
     let rule = VersionRule::of(state, wish.service);
     let instances = state.instances();
     let targets = state.targets.borrow();
+    let prior = Prior::of(targets.of(wish.service), now);
     let usable: Vec<&Target> = targets
         .of(wish.service)
         .filter(|t| is_usable(state, t) && rule.allows(t, wish.is_new, now))
@@ -116,7 +117,7 @@
         .into_iter()
         .map(|t| {
             (
-                cost(state, t, now, work_ms) * (1.0 + JITTER * rng.random::<f64>()),
+                cost(state, t, now, work_ms, &prior) * (1.0 + JITTER * rng.random::<f64>()),
                 t,
             )
         })
@@ -141,24 +142,21 @@
 }
 
 /// Expected time at a target, with what speaks against it, in milliseconds.
-fn cost(state: &State, target: &Target, now: Time, work_ms: f64) -> f64 {
+fn cost(state: &State, target: &Target, now: Time, work_ms: f64, prior: &Prior) -> f64 {
     let zone_ms = if target.entry.zone == state.settings.zone {
         0.0
     } else {
         ZONE_MS
     };
-    let expected = outlook(target, now, work_ms).ms;
+    let expected = outlook(target, now, work_ms, prior).ms;
     // A failure costs about another attempt.
     expected * (1.0 + 2.0 * target.health.bad_share(now)) + zone_ms
 }
 
-fn outlook(target: &Target, now: Time, work_ms: f64) -> Outlook {
+fn outlook(target: &Target, now: Time, work_ms: f64, prior: &Prior) -> Outlook {
     match target.load {
-        Some(load) => load.outlook(now, work_ms, target.unseen),
-        None => Outlook {
-            ms: work_ms * (1.0 + f64::from(target.inflight)),
-            is_free: target.inflight < target.entry.slots,
-        },
+        Some(load) => load.outlook(now, work_ms, target.unseen, prior),
+        None => prior.outlook(work_ms, target.inflight, target.entry.slots),
     }
 }
 
@@ -173,16 +171,17 @@
     }
     let work_ms = work_ms(state, wish.route);
     let load = target.load;
+    let prior = Prior::of(targets.of(wish.service), now);
     let silent = if is_stale(state, id) { 2.0 } else { 1.0 };
     let pick = Pick {
         id: id.clone(),
         addr: target.entry.addr,
         pace: load.map_or(100, |load| load.pace),
         age_us: load.map_or(u64::MAX, |load| now.since_us(load.at)),
-        outlook: outlook(target, now, work_ms),
+        outlook: outlook(target, now, work_ms, &prior),
         is_new: VersionRule::of(state, wish.service).is_new(target),
     };
-    Some((cost(state, target, now, work_ms) * silent, pick))
+    Some((cost(state, target, now, work_ms, &prior) * silent, pick))
 }
 
 /// Work time of a route at the usual pace, in milliseconds.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -130,13 +130,15 @@
     /// Takes leave for one probe from the budget of this instance.
     pub fn may_probe(&self) -> bool {
         /// Part of the allowed probes that is used; the rest covers views that differ.
-        const USED: f64 = 0.7;
+        const USED: f64 = 0.8;
+        /// Time whose probes may be made at once, in seconds; the limit holds over a whole day.
+        const SAVED_S: f64 = 3.0;
         let now = self.now();
         let (noted, tokens) = self.probes.get();
         let live = self.members.borrow().live(now).count() + 1;
         let targets = self.targets.borrow().len();
         let rate = self.settings.probes_per_s * USED * targets as f64 / live as f64;
-        let tokens = (tokens + rate * now.since_us(noted) as f64 / 1e6).min(rate);
+        let tokens = (tokens + rate * now.since_us(noted) as f64 / 1e6).min(rate * SAVED_S);
         let may = tokens >= 1.0;
         self.probes
             .set((now, if may { tokens - 1.0 } else { tokens }));
