--- a/crates/balance/src/admission.rs
+++ b/crates/balance/src/admission.rs
@@ -39,7 +39,12 @@
     #[must_use]
     pub fn admits(&self, waited_ms: f64, outlook: &Outlook) -> bool {
         let total = waited_ms + outlook.ms;
-        total <= if outlook.is_free { self.total_ms } else { self.queue_ms }
+        total
+            <= if outlook.is_free {
+                self.total_ms
+            } else {
+                self.queue_ms
+            }
     }
 }
 
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -68,7 +68,11 @@
 
 fn expect(work_ms: f64, pace: f64, ahead: f64, slots: f64) -> Outlook {
     let queued = (ahead + 1.0 - slots).max(0.0);
-    let knee = if (ahead + 1.0) / slots > KNEE { KNEE_SLOWDOWN } else { 1.0 };
+    let knee = if (ahead + 1.0) / slots > KNEE {
+        KNEE_SLOWDOWN
+    } else {
+        1.0
+    };
     Outlook {
         ms: work_ms * pace * knee * (1.0 + queued / slots),
         is_free: queued < 0.5,
--- a/crates/balance/src/load/tests.rs
+++ b/crates/balance/src/load/tests.rs
@@ -30,14 +30,27 @@
 
 #[test]
 fn outlook_unseen_sends_fill_slots() {
-    assert!(load(1, 0, 100).outlook(NOW, 90.0, 1, &Prior::default()).is_free);
-    assert!(!load(1, 0, 100).outlook(NOW, 90.0, 2, &Prior::default()).is_free);
+    assert!(
+        load(1, 0, 100)
+            .outlook(NOW, 90.0, 1, &Prior::default())
+            .is_free
+    );
+    assert!(
+        !load(1, 0, 100)
+            .outlook(NOW, 90.0, 2, &Prior::default())
+            .is_free
+    );
 }
 
 #[test]
 fn outlook_stale_pace_fades() {
     let later = NOW.plus_ms(400);
-    assert!(load(0, 0, 400).outlook(later, 90.0, 0, &Prior::default()).ms < 91.0);
+    assert!(
+        load(0, 0, 400)
+            .outlook(later, 90.0, 0, &Prior::default())
+            .ms
+            < 91.0
+    );
 }
 
 /// Guards against old reports that make a target look idle while all others are full.
--- a/crates/balance/src/members.rs
+++ b/crates/balance/src/members.rs
@@ -4,10 +4,17 @@
 
 use model::{InstanceId, Time, Zone};
 
-/// Time without a word after which an instance is not named to callers, in microseconds. Beats come
-/// every 0.4 s; three lost ones in a row are rare, and callers must not be sent to a dead instance
-/// for more than a few seconds.
-const QUIET_US: u64 = 2_000_000;
+/// Time between two beats in a small system, in milliseconds. At 16 instances this is 38 datagrams a
+/// second each way.
+const BEAT_MS: u64 = 400;
+/// Instances up to which beats come at that pace. With more, they come more slowly, so that their cost
+/// does not grow with the square of the number.
+const FEW: usize = 24;
+/// Longest time between two beats, in milliseconds.
+const MAX_BEAT_MS: u64 = 1_000;
+/// Beats without which an instance is not named to callers. Three lost ones in a row are rare, and
+/// callers must not be sent to a dead instance for more than 6 s.
+const QUIET_BEATS: u64 = 5;
 /// Time without a word after which an instance is forgotten, in microseconds.
 const FORGET_US: u64 = 60_000_000;
 
@@ -77,11 +84,19 @@
         self.known.values()
     }
 
+    /// Time between two beats, in milliseconds.
+    #[must_use]
+    pub fn beat_ms(&self) -> u64 {
+        (BEAT_MS * self.known.len() as u64 / FEW as u64).clamp(BEAT_MS, MAX_BEAT_MS)
+    }
+
     /// Instances heard of recently.
     pub fn live(&self, now: Time) -> impl Iterator<Item = &Member> {
+        let quiet_us = self.beat_ms() * QUIET_BEATS * 1_000;
+        let is_live = move |heard| now.since_us(heard) < quiet_us;
         self.known
             .values()
-            .filter(move |m| m.heard.is_some_and(|heard| now.since_us(heard) < QUIET_US))
+            .filter(move |m| m.heard.is_some_and(is_live))
     }
 
     /// Instances that callers of `zone` may be told of: those of their zone, or all if it has none.
--- a/crates/balance/src/target_entry.rs
+++ b/crates/balance/src/target_entry.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 
 use model::{ServiceName, TargetId, Version, Zone};
+use serde::{Deserialize, Serialize};
 
 /// A registered target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Identity; a restart mostly brings a new one.
     pub id: TargetId,
--- a/crates/balance/src/targets.rs
+++ b/crates/balance/src/targets.rs
@@ -141,12 +141,17 @@
         self.returned = Some(now);
     }
 
+    /// Whether targets are kept although their entries are missing.
+    #[must_use]
+    pub fn has_lapsed(&self) -> bool {
+        self.all().any(|t| t.lapsed.is_some())
+    }
+
     /// Drops targets whose entries did not come back in time.
     pub fn sweep(&mut self, now: Time) -> bool {
-        let over = |t: &Target| t.lapsed.is_some_and(|until| now >= until);
         let gone: Vec<TargetId> = self
             .all()
-            .filter(|t| over(t))
+            .filter(|t| t.lapsed.is_some_and(|until| now >= until))
             .map(|t| t.entry.id.clone())
             .collect();
         for id in &gone {
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -1,138 +1,230 @@
-//! Reads the entries of targets.
+//! Follows the entries of targets. Two instances read them from the store and tell the others, since
+//! every read is paid for; an instance that hears nothing, or misses a part, reads by itself.
 
 use std::{rc::Rc, time::Duration};
 
-use async_std::task;
+use async_std::{net::UdpSocket, task};
 use balance::TargetEntry;
+use model::{TargetId, Time};
 use platform::{Change, Listing, PlatformError, Store, Topic};
 use tracing::{info, warn};
 
-use crate::state::State;
+use crate::{
+    backoff::Backoff,
+    entries_part::{EntriesPart, EntryChange},
+    peers::tell_all,
+    state::State,
+};
 
-/// Time between two reads. A target that is leaving must get nothing 2 s after the store knows.
-const PACE: Duration = Duration::from_millis(700);
-/// Pause after a failed read.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Time without an answer from which the store counts as having been away, in microseconds. Targets
-/// write every 1.5 s and lapse after three missed writes.
+/// Instances that read for all. With two, the end of one is not noticed.
+const READERS: usize = 2;
+/// Time between two reads of one reader. A target that is leaving must get nothing 2 s after the store
+/// knows.
+const PACE: Duration = Duration::from_millis(900);
+/// Age of the entries from which an instance reads by itself, in microseconds. The first read after
+/// both readers ended then still comes in time.
+const FOLLOW_US: u64 = 1_300_000;
+/// Time between two looks at whether to read.
+const LOOK: Duration = Duration::from_millis(150);
+/// Time between two reads while entries are awaited that lapsed with the store.
+const LAPSED_PACE: Duration = Duration::from_millis(450);
+/// Age of the entries from which a store that failed counts as having been away, in microseconds.
+/// Targets write every 1.5 s and lapse after three missed writes.
 const AWAY_US: u64 = 1_200_000;
 
 /// Follows the entries of targets until the process ends.
-pub async fn follow_entries(state: Rc<State>) {
+pub async fn follow_entries(state: Rc<State>, socket: Rc<UdpSocket>) {
     let mut store = Store::new(state.settings.store);
-    let mut next = None;
-    let mut is_lost = false;
+    let mut last_read = Time(0);
+    let mut backoff = Backoff::default();
     loop {
+        sweep(&state);
+        let is_reader = state.duty_rank("entries") < READERS;
+        let rested = Duration::from_micros(state.now().since_us(last_read));
+        if !(is_reader && rested >= PACE) && !needs_read(&state, rested) {
+            task::sleep(LOOK).await;
+            continue;
+        }
+        last_read = state.now();
         state.metrics.count("store_calls", 1);
-        let done = step(&state, &mut store, next).await;
-        let now = state.now();
-        match done {
-            Ok(at) => {
-                if is_lost {
-                    info!(event = "store_regained", reader = "entries");
+        match read(&state, &mut store).await {
+            Ok(datagrams) if is_reader => {
+                backoff.reset();
+                for bytes in datagrams {
+                    tell_all(&state, &socket, &bytes).await;
                 }
-                is_lost = false;
-                next = Some(at);
-                state.targets_read.set(Some(now));
-                task::sleep(PACE).await;
-            }
-            Err(PlatformError::Dropped { first }) => {
-                info!(event = "entries_dropped", first);
-                next = None;
             }
+            Ok(_) => backoff.reset(),
             Err(error) => {
-                if !is_lost {
-                    let age_ms = state
-                        .targets_read
-                        .get()
-                        .map_or(0, |t| now.since_us(t) / 1_000);
-                    warn!(event = "store_lost", reader = "entries", %error, age_ms);
-                }
-                is_lost = true;
-                task::sleep(RETRY_PAUSE).await;
+                note_failure(&state, &error);
+                task::sleep(backoff.pause()).await;
             }
         }
     }
 }
 
-async fn step(
-    state: &Rc<State>,
-    store: &mut Store,
-    next: Option<u64>,
-) -> Result<u64, PlatformError> {
-    let (at, listing, is_whole) = match next {
-        Some(from) => {
-            let page = store.read(Topic::Targets, from, 0).await?;
-            (page.next, page.listing, false)
-        }
-        None => {
-            let newest = store.newest(Topic::Targets).await?;
-            (newest.end, newest.listing, true)
-        }
-    };
+/// Whether this instance must read by itself.
+fn needs_read(state: &State, rested: Duration) -> bool {
     let now = state.now();
-    let last = state.targets_read.get();
-    if last.is_some_and(|last| now.since_us(last) > AWAY_US) {
-        state.targets.borrow_mut().note_return(now);
+    let age = state.targets_read.get().map(|at| now.since_us(at));
+    state.entries_next.get().is_none()
+        || state.entries_gap.get()
+        || age.is_none_or(|age| age >= FOLLOW_US)
+        || (rested >= LAPSED_PACE && state.targets.borrow().has_lapsed())
+}
+
+fn note_failure(state: &State, error: &PlatformError) {
+    if let PlatformError::Dropped { first } = error {
+        info!(event = "entries_dropped", first);
+        state.entries_next.set(None);
+        return;
+    }
+    if !state.store_lost.replace(true) {
+        let now = state.now();
+        let age_ms = state
+            .targets_read
+            .get()
+            .map_or(0, |t| now.since_us(t) / 1_000);
+        warn!(event = "store_lost", reader = "entries", %error, age_ms);
     }
-    apply(state, listing, is_whole);
-    Ok(at)
 }
 
-fn apply(state: &State, listing: Listing, is_whole: bool) {
+/// Reads once; returns what the other instances are to be told.
+async fn read(state: &Rc<State>, store: &mut Store) -> Result<Vec<Vec<u8>>, PlatformError> {
+    let Some(from) = state.entries_next.get() else {
+        let newest = store.newest(Topic::Targets).await?;
+        note_current(state, newest.end);
+        apply_whole(state, newest.listing);
+        return Ok(Vec::new());
+    };
+    let page = store.read(Topic::Targets, from, 0).await?;
+    // Parts that arrived meanwhile may have gone further.
+    let is_behind = state
+        .entries_next
+        .get()
+        .is_some_and(|next| next > page.next);
+    if is_behind {
+        return Ok(Vec::new());
+    }
+    note_current(state, page.next);
+    log_malformed(&page.listing);
+    let changes = page
+        .listing
+        .changes
+        .into_iter()
+        .filter_map(|(at, c)| Some((at, known(c)?)));
+    let news: Vec<(u64, EntryChange)> = changes
+        .filter(|(offset, change)| apply(state, *offset, change))
+        .collect();
+    Ok(EntriesPart::datagrams(from, page.next, news))
+}
+
+fn known(change: Change) -> Option<EntryChange> {
+    match change {
+        Change::Target(entry) => Some(EntryChange::Put(entry)),
+        Change::TargetGone(id) => Some(EntryChange::Gone(id)),
+        _ => None,
+    }
+}
+
+/// Takes in what a reader told.
+pub fn take_part(state: &State, part: EntriesPart) {
+    let Some(own) = state.entries_next.get() else {
+        return;
+    };
+    if part.from > own {
+        // A part was lost on the way.
+        state.entries_gap.set(true);
+        return;
+    }
+    if part.next < own {
+        return;
+    }
+    note_current(state, part.next);
+    for (offset, change) in part.changes {
+        if offset >= own {
+            apply(state, offset, &change);
+        }
+    }
+}
+
+/// Notes that the entries are known up to `next`.
+fn note_current(state: &State, next: u64) {
     let now = state.now();
+    let age = state.targets_read.get().map(|at| now.since_us(at));
+    if state.store_lost.replace(false) {
+        info!(
+            event = "store_regained",
+            reader = "entries",
+            age_ms = age.unwrap_or(0) / 1_000
+        );
+        if age.is_some_and(|age| age > AWAY_US) {
+            state.targets.borrow_mut().note_return(now);
+        }
+    }
+    state.entries_gap.set(false);
+    state.entries_next.set(Some(next));
+    state.targets_read.set(Some(now));
+}
+
+fn log_malformed(listing: &Listing) {
     for (key, error) in &listing.malformed {
         warn!(event = "entry_malformed", key, %error);
     }
-    let mut whole: Vec<TargetEntry> = Vec::new();
-    for (offset, change) in listing.changes {
-        match change {
-            Change::Target(entry) => {
-                note_version(state, &entry);
-                if is_whole {
-                    whole.push(entry);
-                } else {
-                    put(state, entry, offset);
-                }
-            }
-            Change::TargetGone(id) => {
-                if state.targets.borrow_mut().lose(&id, now) {
-                    info!(event = "target_gone", target_id = %id, offset);
-                }
-            }
-            _ => (),
+}
+
+fn apply_whole(state: &State, listing: Listing) {
+    log_malformed(&listing);
+    let mut entries: Vec<TargetEntry> = Vec::new();
+    for (_, change) in listing.changes {
+        if let Change::Target(entry) = change {
+            note_version(state, &entry);
+            entries.push(entry);
         }
     }
-    let mut targets = state.targets.borrow_mut();
-    if is_whole {
-        info!(event = "targets", count = whole.len());
-        targets.replace(whole, now);
-    }
-    if targets.sweep(now) {
-        info!(event = "targets_lapsed", left = targets.len());
+    info!(event = "targets", count = entries.len());
+    state.targets.borrow_mut().replace(entries, state.now());
+}
+
+/// Applies one change; whether it is news.
+fn apply(state: &State, offset: u64, change: &EntryChange) -> bool {
+    match change {
+        EntryChange::Put(entry) => put(state, entry, offset),
+        EntryChange::Gone(id) => lose(state, id, offset),
     }
-    drop(targets);
-    let targets = state.targets.borrow();
-    state.pool.sweep(now, |addr| targets.has_address(addr));
 }
 
-fn put(state: &State, entry: TargetEntry, offset: u64) {
+fn lose(state: &State, id: &TargetId, offset: u64) -> bool {
     let mut targets = state.targets.borrow_mut();
-    let now = state.now();
-    let (id, service) = (entry.id.clone(), entry.service.clone());
-    let (zone, version) = (entry.zone.clone(), entry.version.clone());
-    let (draining, cold_ms) = (entry.draining, entry.cold_ms);
-    if targets.put(entry, now) {
-        info!(event = "target", target_id = %id, service = %service, zone = %zone,
-            version = %version, draining, cold_ms, offset);
+    let is_known = targets.get(id).is_some();
+    if targets.lose(id, state.now()) {
+        info!(event = "target_gone", target_id = %id, offset);
     }
+    is_known
+}
+
+fn put(state: &State, entry: &TargetEntry, offset: u64) -> bool {
+    note_version(state, entry);
+    let is_news = state.targets.borrow_mut().put(entry.clone(), state.now());
+    if is_news {
+        info!(event = "target", target_id = %entry.id, service = %entry.service, zone = %entry.zone,
+            version = %entry.version, draining = entry.draining, cold_ms = entry.cold_ms, offset);
+    }
+    is_news
 }
 
 fn note_version(state: &State, entry: &TargetEntry) {
     let key = (entry.service.clone(), entry.version.clone());
-    state
-        .versions
-        .borrow_mut()
-        .entry(key)
-        .or_insert_with(|| state.now());
+    let mut versions = state.versions.borrow_mut();
+    versions.entry(key).or_insert_with(|| state.now());
+}
+
+/// Drops targets whose entries did not come back, and connections to addresses without a target.
+fn sweep(state: &State) {
+    let now = state.now();
+    let mut targets = state.targets.borrow_mut();
+    if targets.sweep(now) {
+        info!(event = "targets_lapsed", left = targets.len());
+    }
+    state.pool.sweep(now, |addr| targets.has_address(addr));
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,12 +2,14 @@
 //! registered in the platform's store. All tasks of an instance run on one thread; what they decide is
 //! in `balance`.
 
+mod backoff;
 mod beat;
 mod call;
 mod caller;
 mod choose;
 mod clock;
 mod entries;
+mod entries_part;
 mod exchange;
 mod logs;
 mod metrics;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -7,13 +7,11 @@
 use platform::{Change, Listing, OperatorChange, PlatformError, RecordedVerdict, Store, Topic};
 use tracing::{error, info, warn};
 
-use crate::state::State;
+use crate::{backoff::Backoff, state::State};
 
 /// Longest wait for a new record in one read, in milliseconds. Each read is paid for; a connection
 /// that went silent is found by its keep-alive, and by instances that have read further.
 const WAIT_MS: u64 = 20_000;
-/// Pause after a failed read. The store's records must be in force 2 s after it answers again.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Shortest time between two extra reads that were caused by other instances.
 const EXTRA_PAUSE: Duration = Duration::from_millis(100);
 
@@ -22,6 +20,7 @@
     let mut store = Store::new(state.settings.store);
     let mut next = None;
     let mut is_lost = false;
+    let mut backoff = Backoff::default();
     loop {
         let step = step(&state, &mut store, next);
         let done = match async_std::prelude::FutureExt::race(async { Some(step.await) }, async {
@@ -45,6 +44,7 @@
                     info!(event = "store_regained", reader = "orders");
                 }
                 is_lost = false;
+                backoff.reset();
                 next = Some(at);
                 state.orders_next.set(at);
                 state.orders_read.set(state.now());
@@ -58,7 +58,7 @@
                     warn!(event = "store_lost", reader = "orders", %error);
                 }
                 is_lost = true;
-                task::sleep(RETRY_PAUSE).await;
+                task::sleep(backoff.pause()).await;
             }
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,13 +13,14 @@
 
 use crate::{
     beat::{Beat, RolloutReport},
+    entries::take_part,
+    entries_part::EntriesPart,
     phase::Phase,
     state::State,
 };
 
-/// Time between two beats, in milliseconds. Five fit into the time after which an instance counts as
-/// gone; at 16 instances this is 38 datagrams a second each way.
-const BEAT_MS: u64 = 400;
+/// Pause after a failed read from the socket, in milliseconds.
+const ERROR_PAUSE_MS: u64 = 400;
 /// Time between two beats while a rollout runs, in milliseconds: a fault is to stop it within seconds.
 const ROLLOUT_BEAT_MS: u64 = 200;
 
@@ -28,7 +29,12 @@
     loop {
         send_beat(&state, &socket).await;
         let runs = state.rollouts.borrow().values().any(is_open);
-        let pause = if runs { ROLLOUT_BEAT_MS } else { BEAT_MS };
+        let usual = state.members.borrow().beat_ms();
+        let pause = if runs {
+            usual.min(ROLLOUT_BEAT_MS * usual / 400)
+        } else {
+            usual
+        };
         task::sleep(Duration::from_millis(pause)).await;
     }
 }
@@ -47,6 +53,17 @@
     }
 }
 
+/// Sends a datagram to all live instances.
+pub async fn tell_all(state: &State, socket: &UdpSocket, bytes: &[u8]) {
+    let now = state.now();
+    let addrs: Vec<SocketAddr> = state.members.borrow().live(now).map(|m| m.peer).collect();
+    for addr in addrs {
+        if let Err(error) = socket.send_to(bytes, addr).await {
+            debug!(event = "datagram_unsent", peer = %addr, %error);
+        }
+    }
+}
+
 fn recipients(state: &State) -> Vec<SocketAddr> {
     let mut members = state.members.borrow_mut();
     members.sweep(state.now());
@@ -103,17 +120,20 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((count, from)) => {
-                let Some(beat) = Beat::decode(&buffer[..count]) else {
-                    debug!(event = "beat_foreign", %from);
-                    continue;
-                };
-                if let SocketAddr::V4(from) = from {
-                    hear(&state, beat, from, &behind);
+                let bytes = &buffer[..count];
+                if let Some(beat) = Beat::decode(bytes) {
+                    if let SocketAddr::V4(from) = from {
+                        hear(&state, beat, from, &behind);
+                    }
+                } else if let Some(part) = EntriesPart::decode(bytes) {
+                    take_part(&state, part);
+                } else {
+                    debug!(event = "datagram_foreign", %from);
                 }
             }
             Err(error) => {
                 warn!(event = "beats_failed", %error);
-                task::sleep(Duration::from_millis(BEAT_MS)).await;
+                task::sleep(Duration::from_millis(ERROR_PAUSE_MS)).await;
             }
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -91,11 +91,12 @@
         task::spawn_local(accept(listener, move |s| serve_small(Rc::clone(&state), s)));
     }
     let for_callers = Rc::clone(&state);
-    let accepting =
-        task::spawn_local(accept(callers, move |s| serve_caller(Rc::clone(&for_callers), s)));
+    let accepting = task::spawn_local(accept(callers, move |s| {
+        serve_caller(Rc::clone(&for_callers), s)
+    }));
     let (tell_behind, behind) = bounded(1);
     task::spawn_local(follow_orders(Rc::clone(&state), behind));
-    task::spawn_local(follow_entries(Rc::clone(&state)));
+    task::spawn_local(follow_entries(Rc::clone(&state), Rc::clone(&socket)));
     task::spawn_local(announce(Rc::clone(&state)));
     task::spawn_local(send_beats(Rc::clone(&state), Rc::clone(&socket)));
     let tell = move || {
@@ -244,7 +245,11 @@
     }
     drop(accepting.cancel().await);
     state.end_idle();
-    info!(event = "callers_closed", callers = state.callers.get(), busy = state.busy.get());
+    info!(
+        event = "callers_closed",
+        callers = state.callers.get(),
+        busy = state.busy.get()
+    );
     while passed() < total.saturating_sub(STOP_MARGIN) {
         if state.callers.get() == 0 {
             break;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -55,6 +55,12 @@
     pub orders_next: Cell<u64>,
     /// When the targets were last known to be current.
     pub targets_read: Cell<Option<Time>>,
+    /// Where reading the entries of targets goes on; `None` if it starts anew.
+    pub entries_next: Cell<Option<u64>>,
+    /// Whether a part of the entries was missed.
+    pub entries_gap: Cell<bool>,
+    /// Whether the last read of the entries failed.
+    pub store_lost: Cell<bool>,
     /// Outcomes by target since the last beat.
     pub outcomes: RefCell<HashMap<model::TargetId, (u32, u32)>>,
     /// Closed when idle connections of callers are to end.
@@ -87,6 +93,9 @@
             orders_read: Cell::new(Time(0)),
             orders_next: Cell::new(0),
             targets_read: Cell::new(None),
+            entries_next: Cell::new(None),
+            entries_gap: Cell::new(false),
+            store_lost: Cell::new(false),
             outcomes: RefCell::default(),
             idle_end,
             idle_open: RefCell::new(Some(idle_open)),
@@ -117,14 +126,19 @@
         names
     }
 
+    /// Number of live instances that come before this one for `duty`.
+    pub fn duty_rank(&self, duty: &str) -> usize {
+        let own = model::rendezvous(duty, self.own().as_str());
+        let names = self.members.borrow().names(self.now());
+        let before = |name: &&InstanceId| {
+            (model::rendezvous(duty, name.as_str()), *name) > (own, self.own())
+        };
+        names.iter().filter(before).count()
+    }
+
     /// Whether this instance is the first choice among the live ones for `duty`.
     pub fn has_duty(&self, duty: &str) -> bool {
-        let own = model::rendezvous(duty, self.own().as_str());
-        let members = self.members.borrow();
-        let others = members.names(self.now());
-        others
-            .iter()
-            .all(|name| (model::rendezvous(duty, name.as_str()), name) < (own, self.own()))
+        self.duty_rank(duty) == 0
     }
 
     /// Takes leave for one probe from the budget of this instance.
