Second send for slow requests; slow and silent targets are left out

Cause: requests at crashed, silent and slow targets waited until their deadline; slow targets kept getting requests. Change: a repeatable request that takes 1.8 times as long as expected goes to a second target with a free slot, within the budget of second sends; responses of 3 times the expected time and unanswered probes count against a target.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,8 +2,12 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use balance::{AdmitLimits, Manifest, RetryBudget, Route, Verdict, pick_part};
+use futures::{
+    FutureExt,
+    future::{Either, LocalBoxFuture, select},
+};
 use h1::{Request, Response, write_headers};
 use model::{ServiceName, TargetId, Time};
 use platform::{cold_ms, headers, load_report};
@@ -19,8 +23,13 @@
 
 /// Connections that a request may fail to open before it is refused. Such tries reach no target.
 const MAX_UNSENT: u32 = 3;
-/// Times the usual work from which a response counts as slow in a rollout.
-const SLOW_FACTOR: f64 = 4.0;
+/// Times the expected time from which a response counts as slow. A neighbour that gets noisy after the
+/// choice makes a target up to 4 times slower, but rarely for a whole request.
+const SLOW_FACTOR: f64 = 3.0;
+/// Times the expected time after which a request that may be repeated is sent to a second target.
+const HEDGE_FACTOR: f64 = 1.8;
+/// Shortest wait for a response before a second target is tried, in milliseconds.
+const HEDGE_MIN_MS: f64 = 25.0;
 /// Shortest time that is worth another attempt, as a part of the route's work time.
 const MIN_LEFT: f64 = 0.8;
 
@@ -211,14 +220,98 @@
             if started >= self.deadline {
                 return Err(self.give_up(Refusal::Expired, Refusal::Late));
             }
-            let sent = self.send(&pick).await;
-            let took_us = self.state.now().since_us(started);
-            if let Some(done) = self.conclude(&pick, sent, took_us) {
+            let (flight, sent) = self.fly(pick).await;
+            let took_us = self.state.now().since_us(flight.started);
+            if let Some(done) = self.conclude(&flight.pick, sent, took_us) {
                 return done;
             }
         }
     }
 
+    /// Sends the request and waits for a result. One that may be repeated and takes too long is sent to
+    /// a second target as well; the first good result counts, and the other send is cancelled.
+    async fn fly(&mut self, pick: Pick) -> (Flight, Sent) {
+        let patience_ms = (pick.outlook.ms * HEDGE_FACTOR).max(HEDGE_MIN_MS);
+        let mut first = self.launch(pick);
+        if !self.route.repeatable {
+            let sent = first.result().await;
+            return (first, sent);
+        }
+        let patience = Duration::from_secs_f64(patience_ms / 1_000.0);
+        if let Ok(sent) = timeout(patience, first.result()).await {
+            return (first, sent);
+        }
+        let Some(second) = self.pick_second().await else {
+            let sent = first.result().await;
+            return (first, sent);
+        };
+        self.state.metrics.count("hedges", 1);
+        let second = self.launch(second);
+        self.first_good(first, second).await
+    }
+
+    /// A second target that can start at once, if the budget allows one.
+    async fn pick_second(&mut self) -> Option<Pick> {
+        if !self.may_retry() {
+            return None;
+        }
+        let pick = choose(self.state, &self.wish(self.is_new)).await?;
+        let fits = pick.outlook.is_free && pick.outlook.ms < self.left_ms();
+        (fits && self.may_retry()).then_some(pick)
+    }
+
+    async fn first_good(&mut self, mut first: Flight, mut second: Flight) -> (Flight, Sent) {
+        let winner = select(first.result(), second.result()).await;
+        let (mut done, sent, mut other) = match winner {
+            Either::Left((sent, rest)) => {
+                drop(rest);
+                (first, sent, second)
+            }
+            Either::Right((sent, rest)) => {
+                drop(rest);
+                (second, sent, first)
+            }
+        };
+        if is_good(&sent) {
+            let took_us = self.state.now().since_us(other.started);
+            self.note(&other.pick, "overtaken", took_us);
+            if is_slow(&other.pick, took_us) {
+                self.judge(&other.pick, false);
+            }
+            return (done, sent);
+        }
+        let took_us = self.state.now().since_us(done.started);
+        self.note(&done.pick, "failed", took_us);
+        self.may_have_run |= !matches!(sent, Sent::Unsent(_)) && !is_unrun(&sent);
+        std::mem::swap(&mut done, &mut other);
+        let sent = done.result().await;
+        (done, sent)
+    }
+
+    fn launch(&mut self, pick: Pick) -> Flight {
+        let now = self.state.now();
+        let bytes = self.encode(&pick, now);
+        let inflight = InFlight::start(self.state, &pick, self.service);
+        self.sent_to(&pick);
+        let state = Rc::clone(self.state);
+        let (method, id) = (self.request.method.clone(), self.id.map(str::to_owned));
+        let (addr, deadline) = (pick.addr, self.deadline);
+        let future = async move {
+            let _inflight = inflight;
+            let message = Message {
+                method: &method,
+                id: id.as_deref(),
+                bytes: &bytes,
+            };
+            exchange(&state, addr, message, deadline).await
+        };
+        Flight {
+            pick,
+            started: now,
+            future: future.boxed_local(),
+        }
+    }
+
     async fn pick(&mut self) -> Result<Pick, Refusal> {
         let mut pick = choose(self.state, &self.wish(self.is_new)).await;
         if pick.is_none() && self.is_new && !self.must_be_new() {
@@ -279,33 +372,6 @@
         if self.may_have_run { unknown } else { unrun }
     }
 
-    async fn send(&mut self, pick: &Pick) -> Sent {
-        let now = self.state.now();
-        let bytes = self.encode(pick, now);
-        let instances = self.state.instances().len();
-        if let Some(target) = self.state.targets.borrow_mut().get_mut(&pick.id) {
-            target.inflight += 1;
-            target.unseen += 1;
-            if target.is_cold(now) {
-                let manifest = self.state.manifest();
-                let spec = manifest.as_ref().and_then(|m| m.service(self.service));
-                target
-                    .gate
-                    .note(now, spec.map_or(1.0, |s| s.cold_rate), instances);
-            }
-        }
-        let _inflight = InFlight {
-            state: Rc::clone(self.state),
-            id: pick.id.clone(),
-        };
-        let message = Message {
-            method: &self.request.method,
-            id: self.id,
-            bytes: &bytes,
-        };
-        exchange(self.state, pick.addr, message, self.deadline).await
-    }
-
     /// The request as it goes to a target.
     fn encode(&self, pick: &Pick, now: Time) -> Vec<u8> {
         let request = self.request;
@@ -351,7 +417,7 @@
                 self.note(pick, "unsent", took_us);
                 info!(event = "target_unreachable", target_id = %pick.id, %error);
                 self.state.note_down(&pick.id);
-                self.tried.push(pick.id.clone());
+                self.story.attempts -= 1;
                 self.story.unsent += 1;
                 if self.story.unsent >= MAX_UNSENT {
                     return Some(Err(self.give_up(Refusal::NoTarget, Refusal::Unknown)));
@@ -369,7 +435,6 @@
                     },
                     took_us,
                 );
-                self.sent_to(pick);
                 self.may_have_run = true;
                 self.judge(pick, false);
                 if loss == Loss::Timeout {
@@ -390,7 +455,6 @@
         took_us: u64,
     ) -> Option<Result<Response, Refusal>> {
         self.learn(pick, &response);
-        self.sent_to(pick);
         if response.headers.has(headers::NOT_RUN) || response.status == 421 {
             self.note(pick, "shed", took_us);
             self.state.metrics.count("sheds", 1);
@@ -459,17 +523,12 @@
     }
 
     fn note_work(&self, pick: &Pick, took_us: u64) {
-        let took_ms = took_us as f64 / 1_000.0;
-        let expected =
-            work_ms(self.state, &self.route.name) * f64::from(pick.pace.max(100)) / 100.0;
-        let mut work = self.state.work.borrow_mut();
-        let work = work.entry(Arc::clone(&self.route.name)).or_default();
-        let is_slow = work.is_known() && took_ms > expected * SLOW_FACTOR;
         if !pick.is_new {
-            work.note(took_ms, pick.pace);
+            let mut work = self.state.work.borrow_mut();
+            let work = work.entry(Arc::clone(&self.route.name)).or_default();
+            work.note(took_us as f64 / 1_000.0, pick.pace);
         }
-        self.state.note_outcome(&pick.id, true);
-        self.note_evidence(pick, !is_slow);
+        self.judge(pick, !is_slow(pick, took_us));
     }
 
     fn judge(&self, pick: &Pick, is_good: bool) {
@@ -507,12 +566,61 @@
     }
 }
 
+/// A request on its way to one target.
+struct Flight {
+    pick: Pick,
+    started: Time,
+    future: LocalBoxFuture<'static, Sent>,
+}
+
+impl Flight {
+    /// The result; to be awaited only once to its end.
+    fn result(&mut self) -> &mut LocalBoxFuture<'static, Sent> {
+        &mut self.future
+    }
+}
+
+fn is_good(sent: &Sent) -> bool {
+    matches!(sent, Sent::Response(r) if r.status < 500 && !r.headers.has(headers::NOT_RUN))
+}
+
+/// Whether the target said that it did not run the request.
+fn is_unrun(sent: &Sent) -> bool {
+    matches!(sent, Sent::Response(r) if r.headers.has(headers::NOT_RUN) || r.status == 421)
+}
+
+fn is_slow(pick: &Pick, took_us: u64) -> bool {
+    took_us as f64 / 1_000.0 > pick.outlook.ms * SLOW_FACTOR
+}
+
 /// Counts a request at a target until dropped.
 struct InFlight {
     state: Rc<State>,
     id: TargetId,
 }
 
+impl InFlight {
+    fn start(state: &Rc<State>, pick: &Pick, service: &ServiceName) -> Self {
+        let now = state.now();
+        if let Some(target) = state.targets.borrow_mut().get_mut(&pick.id) {
+            target.inflight += 1;
+            target.unseen += 1;
+            if target.is_cold(now) {
+                let manifest = state.manifest();
+                let spec = manifest.as_ref().and_then(|m| m.service(service));
+                let instances = state.instances().len();
+                target
+                    .gate
+                    .note(now, spec.map_or(1.0, |s| s.cold_rate), instances);
+            }
+        }
+        Self {
+            state: Rc::clone(state),
+            id: pick.id.clone(),
+        }
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         if let Some(target) = self.state.targets.borrow_mut().get_mut(&self.id) {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -3,8 +3,9 @@
 use std::{rc::Rc, time::Duration};
 
 use async_std::future::timeout;
+use balance::Target;
 use futures::future::join_all;
-use model::TargetId;
+use model::{TargetId, Time};
 use platform::{cold_ms, headers, load_report};
 
 use crate::{
@@ -18,9 +19,32 @@
 
 /// Asks `targets` and notes their answers. Targets that do not answer in time keep their old report.
 pub async fn probe(state: &Rc<State>, targets: &[TargetId]) {
+    let start = state.now();
     let asked = targets.iter().map(|id| probe_one(state, id));
     // Late answers are dropped with their connections.
-    let _ = timeout(Duration::from_millis(ANSWER_MS), join_all(asked)).await;
+    if timeout(Duration::from_millis(ANSWER_MS), join_all(asked))
+        .await
+        .is_err()
+    {
+        note_silent(state, targets, start);
+    }
+}
+
+/// Notes targets that did not answer although others did, so that the delay is not this instance's.
+fn note_silent(state: &State, asked: &[TargetId], start: Time) {
+    let mut targets = state.targets.borrow_mut();
+    let has_answered = |t: &Target| t.load.is_some_and(|load| load.at >= start);
+    let (answered, silent): (Vec<&TargetId>, Vec<&TargetId>) = asked
+        .iter()
+        .partition(|id| targets.get(id).is_some_and(has_answered));
+    if answered.is_empty() {
+        return;
+    }
+    for id in silent {
+        if let Some(target) = targets.get_mut(id) {
+            target.health.note(start, 0, 1);
+        }
+    }
 }
 
 async fn probe_one(state: &Rc<State>, id: &TargetId) {
