--- a/crates/balance/src/cold_gate.rs
+++ b/crates/balance/src/cold_gate.rs
@@ -3,6 +3,8 @@
 //! A few instances, chosen by rendezvous hash, may send to a cold target, each at an equal part of the
 //! rate that the target bears. While views of the membership differ, at most twice as many may send.
 
+use std::time::Duration;
+
 use model::{InstanceId, TargetId, Time, rendezvous_rank};
 
 /// Instances that may send to one cold target. More of them start more requests at once, since each
@@ -36,8 +38,9 @@
     /// Notes a request to the target.
     pub fn note(&mut self, now: Time, rate: f64, instances: usize) {
         let own_rate = rate * RATE_USED / instances.clamp(1, SENDERS) as f64;
-        let gap = (1_000_000.0 / own_rate.max(0.01)).min(MAX_GAP_US);
-        self.next = now.plus_us(gap as u64);
+        let gap_us = (1_000_000.0 / own_rate.max(0.01)).min(MAX_GAP_US);
+        let gap = Duration::from_secs_f64(gap_us / 1_000_000.0);
+        self.next = now.plus_us(u64::try_from(gap.as_micros()).unwrap_or(u64::MAX));
     }
 }
 
--- a/crates/balance/src/evidence.rs
+++ b/crates/balance/src/evidence.rs
@@ -42,14 +42,14 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evidence {
     /// Of the new version.
-    pub new: BTreeMap<(u8, u32), Tally>,
+    pub new: BTreeMap<(u8, u64), Tally>,
     /// Of the old version, over all routes.
     pub old: Tally,
 }
 
 impl Evidence {
     /// Notes the outcome of one request.
-    pub fn note(&mut self, is_new: bool, stage: u8, route: u32, is_good: bool) {
+    pub fn note(&mut self, is_new: bool, stage: u8, route: u64, is_good: bool) {
         let tally = if is_new {
             self.new.entry((stage, route)).or_default()
         } else {
--- a/crates/balance/src/evidence/tests.rs
+++ b/crates/balance/src/evidence/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-fn evidence(new: &[(u8, u32, u32, u32)], old: (u32, u32)) -> Evidence {
+fn evidence(new: &[(u8, u64, u32, u32)], old: (u32, u32)) -> Evidence {
     let tallies = new.iter().map(|(stage, route, good, bad)| {
         let tally = Tally {
             good: *good,
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -2,6 +2,11 @@
 //! to, how many second sends the system may make, how a new version is taken in, and which instances
 //! callers are told of.
 
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "times in microseconds and counts stay far below 2^52"
+)]
+
 mod admission;
 mod budget;
 mod caller_limits;
--- a/crates/balance/src/manifest.rs
+++ b/crates/balance/src/manifest.rs
@@ -48,8 +48,8 @@
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let by_prefix = self.hosts.get(host)?;
         // Every prefix ends with a slash, so only these ends can match.
-        let ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
-        ends.filter_map(|end| by_prefix.get(&path[..end])).next()
+        let mut ends = path.rmatch_indices('/').map(|(at, _)| at + 1);
+        ends.find_map(|end| by_prefix.get(&path[..end]))
     }
 
     /// Whether no other route is more urgent.
--- a/crates/balance/src/rollout/tests.rs
+++ b/crates/balance/src/rollout/tests.rs
@@ -49,9 +49,12 @@
     assert!(ms < LIMIT_MS * 9 / 10, "{ms}");
 }
 
+/// Whether a request to the new version fails, by time in ms, stage and number of the request.
+type Faulty = fn(u64, Stage, u64) -> bool;
+
 #[test]
 fn lead_bad_version_is_undone_within_exposure() {
-    let cases: [(&str, fn(u64, Stage, u64) -> bool); 4] = [
+    let cases: [(&str, Faulty); 4] = [
         ("errors", |_, _, new| new % 2 == 0),
         ("late", |ms, _, new| ms > 3_500 && new % 2 == 0),
         ("under load", |_, stage, new| stage.0 >= 3 && new % 2 == 0),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -141,7 +141,7 @@
     let draw = rand::rng().random::<f64>();
     let part = pick_part(&route.parts, draw).ok_or(Refusal::NoTarget)?;
     with_budget(state, &part.service, |budget| {
-        budget.note_request(state.now())
+        budget.note_request(state.now());
     });
     let is_new = draw_version(state, &part.service);
     let mut job = Job {
@@ -263,14 +263,8 @@
     async fn first_good(&mut self, mut first: Flight, mut second: Flight) -> (Flight, Sent) {
         let winner = select(first.result(), second.result()).await;
         let (mut done, sent, mut other) = match winner {
-            Either::Left((sent, rest)) => {
-                drop(rest);
-                (first, sent, second)
-            }
-            Either::Right((sent, rest)) => {
-                drop(rest);
-                (second, sent, first)
-            }
+            Either::Left((sent, _)) => (first, sent, second),
+            Either::Right((sent, _)) => (second, sent, first),
         };
         if is_good(&sent) {
             let took_us = self.state.now().since_us(other.started);
@@ -337,8 +331,7 @@
             if waited_ms + RETRY_PICK_MS > limits.hold_ms {
                 return Err(self.give_up(Refusal::TooBusy, Refusal::Unknown));
             }
-            let pause_us = (RETRY_PICK_MS * 1_000.0) as u64;
-            task::sleep(Duration::from_micros(pause_us)).await;
+            task::sleep(Duration::from_secs_f64(RETRY_PICK_MS / 1_000.0)).await;
         }
     }
 
@@ -544,7 +537,7 @@
         if rollout.verdict != Verdict::Running {
             return;
         }
-        let route = model::rendezvous(&self.route.name, "") as u32;
+        let route = model::rendezvous(&self.route.name, "");
         let stage = rollout.stage.0;
         rollout.own.note(pick.is_new, stage, route, is_good);
         if rollout.judge() {
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -178,7 +178,7 @@
                 if is_idle {
                     let _ = idle_end.recv().await;
                 } else {
-                    std::future::pending().await
+                    std::future::pending::<()>().await;
                 }
             }
             .fuse();
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -61,13 +61,13 @@
         if round.is_empty() {
             break;
         }
-        let stale: Vec<TargetId> = round
+        let unsure: Vec<TargetId> = round
             .iter()
             .filter(|id| is_stale(state, id))
             .cloned()
             .collect();
-        if !stale.is_empty() {
-            probe(state, &stale).await;
+        if !unsure.is_empty() {
+            probe(state, &unsure).await;
         }
         for id in &round {
             let scored = score(state, wish, id);
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -41,7 +41,8 @@
         sweep(&state);
         let is_reader = state.duty_rank("entries") < READERS;
         let rested = Duration::from_micros(state.now().since_us(last_read));
-        if !(is_reader && rested >= PACE) && !needs_read(&state, rested) {
+        let is_due = is_reader && rested >= PACE;
+        if !is_due && !needs_read(&state, rested) {
             task::sleep(LOOK).await;
             continue;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,6 +2,11 @@
 //! registered in the platform's store. All tasks of an instance run on one thread; what they decide is
 //! in `balance`.
 
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "times in microseconds and counts stay far below 2^52"
+)]
+
 mod backoff;
 mod beat;
 mod call;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use async_std::{channel::Receiver, future::timeout, task};
+use async_std::{channel::Receiver, future::timeout, prelude::FutureExt, task};
 use balance::Rollout;
 use platform::{Change, Listing, OperatorChange, PlatformError, RecordedVerdict, Store, Topic};
 use tracing::{error, info, warn};
@@ -22,21 +22,20 @@
     let mut is_lost = false;
     let mut backoff = Backoff::default();
     loop {
-        let step = step(&state, &mut store, next);
-        let done = match async_std::prelude::FutureExt::race(async { Some(step.await) }, async {
+        let told = async {
+            // The sender ends with the process only.
             let _ = behind.recv().await;
             None
-        })
-        .await
-        {
-            Some(done) => done,
-            None => {
-                // Another instance has read further: the waiting read may hang on a dead connection.
-                store = Store::new(state.settings.store);
-                task::sleep(EXTRA_PAUSE).await;
-                while behind.try_recv().is_ok() {}
-                catch_up(&state, &mut store, next).await
-            }
+        };
+        let read = async { Some(step(&state, &mut store, next).await) };
+        let done = if let Some(done) = read.race(told).await {
+            done
+        } else {
+            // Another instance has read further: the waiting read may hang on a dead connection.
+            store = Store::new(state.settings.store);
+            task::sleep(EXTRA_PAUSE).await;
+            while behind.try_recv().is_ok() {}
+            catch_up(&state, &mut store, next).await
         };
         match done {
             Ok(at) => {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -164,9 +164,9 @@
                 source = %beat.name);
             rollout.verdict = report.verdict;
         }
-        let stage = Beat::stage(&report);
+        let heard = Beat::stage(&report);
         let was_stopped = rollout.is_stopped;
-        rollout.hear(sender.clone(), stage, report.stopped, report.evidence, now);
+        rollout.hear(sender.clone(), heard, report.stopped, report.evidence, now);
         if rollout.judge() || (rollout.is_stopped && !was_stopped) {
             warn!(event = "rollout_stopped", service = %report.service, source = %beat.name,
                 stage = rollout.stage.0);
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -17,7 +17,7 @@
 /// Time for a connection to be opened. Targets answer within a few milliseconds.
 const CONNECT_LIMIT: Duration = Duration::from_millis(250);
 /// Time for sent bytes to be acknowledged, and for a sign of life of an idle connection.
-const ACK_LIMIT: Duration = Duration::from_millis(1_000);
+const ACK_LIMIT: Duration = Duration::from_secs(1);
 
 #[derive(Debug)]
 struct Idle {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -87,14 +87,12 @@
     let body = format!("{{\"error\":\"{}\",\"code\":{}}}", reason, refusal.code());
     let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n");
     if let Some(id) = id {
-        head.push_str(&format!("{}: {id}\r\n", headers::REQUEST_ID));
+        let line = format!("{}: {id}\r\n", headers::REQUEST_ID);
+        head.push_str(&line);
     }
     if let Some(ms) = refusal.retry_ms() {
-        head.push_str(&format!(
-            "Retry-After: {}.{:03}\r\n",
-            ms / 1_000,
-            ms % 1_000
-        ));
+        let line = format!("Retry-After: {}.{:03}\r\n", ms / 1_000, ms % 1_000);
+        head.push_str(&line);
     }
     finish(head.into_bytes(), body.as_bytes(), close)
 }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -43,11 +43,11 @@
         if !rollout.is_recorded {
             due.push((rollout.order.clone(), Verdict::Running));
         }
-        let stage = rollout.stage;
+        let before = rollout.stage;
         if let Some(verdict) = rollout.lead(now, has_targets(state, rollout), &live) {
             due.push((rollout.order.clone(), verdict));
         }
-        if rollout.stage != stage {
+        if rollout.stage != before {
             info!(event = "rollout_stage", service = %rollout.order.service, stage = rollout.stage.0,
                 share = rollout.stage.share(), evidence = ?rollout.evidence());
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -243,7 +243,8 @@
     while passed() < total.mul_f64(IDLE_END_PART) {
         task::sleep(PHASE_PACE).await;
     }
-    drop(accepting.cancel().await);
+    // The listener ends with its task, which has no result.
+    accepting.cancel().await;
     state.end_idle();
     info!(
         event = "callers_closed",
--- a/crates/h1/src/headers.rs
+++ b/crates/h1/src/headers.rs
@@ -43,7 +43,7 @@
     }
 
     /// All lines.
-    pub fn iter<'a>(&'a self) -> impl Iterator<Item = (&'a str, &'a [u8])> + use<'a> {
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
         self.lines.iter().map(|(name, value)| {
             let name = str::from_utf8(&self.raw[name.clone()]).unwrap_or_default();
             (name, &self.raw[value.clone()])
--- a/crates/h1/src/request/tests.rs
+++ b/crates/h1/src/request/tests.rs
@@ -5,9 +5,9 @@
     body: 20,
 };
 
-fn whole(step: Step) -> Box<Request> {
+fn whole(step: Step) -> Request {
     match step {
-        Step::Whole(request) => request,
+        Step::Whole(request) => *request,
         other => panic!("not a whole request: {other:?}"),
     }
 }
