--- a/crates/balance/src/targets.rs
+++ b/crates/balance/src/targets.rs
@@ -87,11 +87,12 @@
             && target.entry.service == entry.service
             && target.entry.addr == entry.addr
         {
-            target.lapsed = None;
+            // Others that hold it as missing must hear of its return.
+            let is_back = target.lapsed.take().is_some();
             if entry.cold_ms > 0 {
                 target.note_cold(now, entry.cold_ms);
             }
-            let changed = !target.entry.is_same(&entry);
+            let changed = is_back || !target.entry.is_same(&entry);
             target.entry = entry;
             return changed;
         }
--- a/crates/balance/src/targets/tests.rs
+++ b/crates/balance/src/targets/tests.rs
@@ -46,7 +46,10 @@
     targets.put(entry("a", 1), NOW);
     targets.note_return(NOW);
     targets.lose(&TargetId::new("a"), NOW);
-    targets.put(entry("a", 1), NOW.plus_ms(500));
+    assert!(
+        targets.put(entry("a", 1), NOW.plus_ms(500)),
+        "a return is news"
+    );
     assert!(!targets.sweep(NOW.plus_ms(3_000)));
 }
 
--- /dev/null
+++ b/crates/testkit/src/fleet/http.rs
@@ -0,0 +1,51 @@
+//! Serves HTTP/1.1 requests of one connection, one after the other.
+
+use std::io;
+
+use async_std::{
+    io::{ReadExt, WriteExt},
+    net::TcpStream,
+};
+use h1::{Request, RequestDecoder, RequestLimits, Step};
+
+const LIMITS: RequestLimits = RequestLimits {
+    head: 64 * 1024,
+    body: 64 * 1024 * 1024,
+};
+
+/// The next request of a connection; `None` at its end.
+pub async fn next_request(
+    mut stream: &TcpStream,
+    decoder: &mut RequestDecoder,
+    input: &mut Vec<u8>,
+) -> io::Result<Option<Request>> {
+    let mut piece = vec![0; 16 * 1024];
+    loop {
+        match decoder.step(input, LIMITS) {
+            Ok(Step::Whole(request)) => return Ok(Some(*request)),
+            Ok(_) => (),
+            Err(error) => return Err(io::Error::other(error)),
+        }
+        let count = stream.read(&mut piece).await?;
+        if count == 0 {
+            return Ok(None);
+        }
+        input.extend_from_slice(&piece[..count]);
+    }
+}
+
+/// Sends a response with a length. `head` holds further header lines.
+pub async fn respond(
+    mut stream: &TcpStream,
+    status: u16,
+    head: &str,
+    body: &[u8],
+) -> io::Result<()> {
+    let mut bytes = format!(
+        "HTTP/1.1 {status} Status\r\n{head}Content-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes).await
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,6 +12,7 @@
 mod caller;
 mod child;
 mod cluster;
+pub mod fleet;
 mod http_server;
 mod list;
 pub mod load;
