--- a/crates/balance/src/members.rs
+++ b/crates/balance/src/members.rs
@@ -15,6 +15,10 @@
 /// Beats without which an instance is not named to callers. Three lost ones in a row are rare, and
 /// callers must not be sent to a dead instance for more than 6 s.
 const QUIET_BEATS: u64 = 5;
+/// Beats that are sent to an address that was only heard of.
+const HINT_BEATS: u32 = 3;
+/// Most addresses that were only heard of; bounds what a faulty instance can cause.
+const MAX_HINTS: usize = 1_024;
 /// Time without a word after which an instance is forgotten, in microseconds.
 const FORGET_US: u64 = 60_000_000;
 
@@ -52,6 +56,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     known: BTreeMap<SocketAddr, Member>,
+    hints: BTreeMap<SocketAddr, u32>,
 }
 
 impl Members {
@@ -72,6 +77,25 @@
         self.known.entry(member.peer).or_insert(member);
     }
 
+    /// Takes in addresses at which others know instances. They are sent beats a few times, and become
+    /// known when they answer with their own.
+    pub fn learn_addresses(&mut self, addrs: &[SocketAddr], own: SocketAddr) {
+        for addr in addrs {
+            if *addr != own && !self.known.contains_key(addr) && self.hints.len() < MAX_HINTS {
+                self.hints.entry(*addr).or_insert(HINT_BEATS);
+            }
+        }
+    }
+
+    /// Addresses to send a beat to although nothing was heard from there; each counts as one try.
+    pub fn hinted(&mut self) -> Vec<SocketAddr> {
+        let known = &self.known;
+        self.hints
+            .retain(|addr, left| *left > 0 && !known.contains_key(addr));
+        self.hints.values_mut().for_each(|left| *left -= 1);
+        self.hints.keys().copied().collect()
+    }
+
     /// Forgets instances that were quiet for long. Instances that were only read of stay: they cost
     /// one datagram a beat.
     pub fn sweep(&mut self, now: Time) {
--- a/crates/balance/src/members/tests.rs
+++ b/crates/balance/src/members/tests.rs
@@ -38,3 +38,19 @@
     members.hear(member(1, Presence::Leaving, Some(START)));
     assert_eq!(members.ready(START).len(), 1);
 }
+
+/// Guards against instances that never meet because they were told of by others only.
+#[test]
+fn hinted_addresses_are_tried_until_known() {
+    let mut members = Members::default();
+    let own = "10.0.0.9:7000".parse().unwrap();
+    let other = "10.0.0.1:7000".parse().unwrap();
+    members.learn_addresses(&[other, own], own);
+    assert_eq!(members.hinted(), [other]);
+    members.hear(member(1, Presence::Ready, Some(START)));
+    assert!(members.hinted().is_empty());
+    let mut silent = Members::default();
+    silent.learn_addresses(&[other], own);
+    let tries = (0..10).filter(|_| !silent.hinted().is_empty()).count();
+    assert_eq!(tries, 3, "an address that never answers is given up");
+}
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -30,6 +30,8 @@
     pub presence: u8,
     /// Where its reading of the operator's records goes on.
     pub orders_next: u64,
+    /// Peer addresses of some live instances that it knows.
+    pub known: Vec<SocketAddr>,
     /// Outcomes since its last beat, of targets that failed: good and bad ones.
     pub outcomes: Vec<(TargetId, u32, u32)>,
     /// What it knows of rollouts.
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -14,6 +14,11 @@
 const ROUNDS: usize = 2;
 /// Age up to which a load report is taken as current, in microseconds.
 const FRESH_US: u64 = 6_000;
+/// Targets of a service that an instance turns to first. With more, connections to each are used too
+/// rarely to be kept.
+const USUAL: usize = 24;
+/// Usable targets in the own zone from which the first choice is made among them only.
+const ENOUGH_NEAR: usize = 12;
 /// Cost of another zone, in milliseconds: traffic between zones is paid for, and takes 1 ms more.
 const ZONE_MS: f64 = 6.0;
 /// Random part of the ranking, so that instances with the same view do not all ask the same targets.
@@ -112,6 +117,11 @@
     } else {
         sound
     };
+    let pool = if asked.is_empty() {
+        usual(state, pool)
+    } else {
+        pool
+    };
     let mut rng = rand::rng();
     let mut ranked: Vec<(f64, &Target)> = pool
         .into_iter()
@@ -130,6 +140,22 @@
         .collect()
 }
 
+/// The targets that this instance turns to first: of its own zone if there are enough, and always the
+/// same ones.
+fn usual<'a>(state: &State, mut pool: Vec<&'a Target>) -> Vec<&'a Target> {
+    if pool.len() <= USUAL {
+        return pool;
+    }
+    let is_near = |t: &&Target| t.entry.zone == state.settings.zone;
+    if pool.iter().copied().filter(|t| is_near(t)).count() >= ENOUGH_NEAR {
+        pool.retain(is_near);
+    }
+    let own = state.own().as_str();
+    pool.sort_by_cached_key(|t| model::rendezvous(own, t.entry.id.as_str()));
+    pool.truncate(USUAL);
+    pool
+}
+
 fn is_usable(state: &State, target: &Target) -> bool {
     !target.entry.draining && !state.zones_out.borrow().contains(&target.entry.zone)
 }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,22 +1,31 @@
-//! Reads what the operator wrote: configurations, rollouts, zones taken out.
+//! Follows what the operator wrote: configurations, rollouts, zones taken out. Three instances wait for
+//! new records at the store and tell the others, who fetch them there.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use async_std::{channel::Receiver, future::timeout, prelude::FutureExt, task};
+use async_std::{channel::Receiver, future::timeout, net::UdpSocket, prelude::FutureExt};
 use balance::Rollout;
 use platform::{Change, Listing, OperatorChange, PlatformError, RecordedVerdict, Store, Topic};
 use tracing::{error, info, warn};
 
-use crate::{backoff::Backoff, state::State};
+use crate::{backoff::Backoff, peers::send_beat, state::State};
 
+/// Instances that wait at the store. One of them may be cut off from the store, and one more from the
+/// other instances, without a delay.
+const WAITERS: usize = 3;
 /// Longest wait for a new record in one read, in milliseconds. Each read is paid for; a connection
 /// that went silent is found by its keep-alive, and by instances that have read further.
 const WAIT_MS: u64 = 20_000;
-/// Shortest time between two extra reads that were caused by other instances.
-const EXTRA_PAUSE: Duration = Duration::from_millis(100);
+/// Time without news after which an instance that does not wait at the store reads there once.
+const CHECK: Duration = Duration::from_secs(25);
+/// Time for another instance to pass records on.
+const PASS_ON: Duration = Duration::from_millis(300);
+/// Time for one read without a wait.
+const READ: Duration = Duration::from_secs(1);
 
-/// Follows the operator's records until the process ends.
-pub async fn follow_orders(state: Rc<State>, behind: Receiver<()>) {
+/// Follows the operator's records until the process ends. `ahead` gives instances that have read
+/// further.
+pub async fn follow_orders(state: Rc<State>, socket: Rc<UdpSocket>, ahead: Receiver<SocketAddr>) {
     let mut store = Store::new(state.settings.store);
     let mut next = None;
     let mut is_lost = false;
@@ -24,18 +33,22 @@
     loop {
         let told = async {
             // The sender ends with the process only.
-            let _ = behind.recv().await;
-            None
+            ahead.recv().await.ok()
         };
-        let read = async { Some(step(&state, &mut store, next).await) };
-        let done = if let Some(done) = read.race(told).await {
-            done
-        } else {
-            // Another instance has read further: the waiting read may hang on a dead connection.
-            store = Store::new(state.settings.store);
-            task::sleep(EXTRA_PAUSE).await;
-            while behind.try_recv().is_ok() {}
-            catch_up(&state, &mut store, next).await
+        let read = async { Next::Read(step(&state, &mut store, next).await) };
+        let event = read
+            .race(async { told.await.map_or(Next::Nothing, Next::Told) })
+            .await;
+        let done = match event {
+            Next::Read(done) => done,
+            Next::Nothing => return,
+            Next::Told(peer) => {
+                // The waiting read may hang on a dead connection.
+                store = Store::new(state.settings.store);
+                let done = fetch(&state, &mut store, peer, next).await;
+                while ahead.try_recv().is_ok() {}
+                done
+            }
         };
         match done {
             Ok(at) => {
@@ -44,9 +57,13 @@
                 }
                 is_lost = false;
                 backoff.reset();
+                let is_news = next != Some(at);
                 next = Some(at);
                 state.orders_next.set(at);
                 state.orders_read.set(state.now());
+                if is_news && is_waiter(&state) {
+                    send_beat(&state, &socket).await;
+                }
             }
             Err(PlatformError::Dropped { first }) => {
                 info!(event = "orders_dropped", first);
@@ -57,25 +74,52 @@
                     warn!(event = "store_lost", reader = "orders", %error);
                 }
                 is_lost = true;
-                task::sleep(backoff.pause()).await;
+                async_std::task::sleep(backoff.pause()).await;
             }
         }
     }
 }
 
-async fn catch_up(
+/// What ends a wait for orders.
+enum Next {
+    Read(Result<u64, PlatformError>),
+    Told(SocketAddr),
+    Nothing,
+}
+
+fn is_waiter(state: &State) -> bool {
+    state.duty_rank("orders") < WAITERS
+}
+
+/// Fetches records from an instance that has them, or else from the store.
+async fn fetch(
     state: &Rc<State>,
     store: &mut Store,
+    peer: SocketAddr,
     next: Option<u64>,
 ) -> Result<u64, PlatformError> {
-    const LIMIT: Duration = Duration::from_secs(2);
     let Some(from) = next else {
         return step(state, store, None).await;
     };
-    let read = timeout(LIMIT, store.read(Topic::Operator, from, 0)).await;
-    let page = read.map_err(|_| PlatformError::Timeout { limit_ms: 2_000 })??;
+    let mut relay = Store::new(peer);
+    let passed = timeout(PASS_ON, relay.read(Topic::Operator, from, 0)).await;
+    if let Ok(Ok(page)) = passed
+        && page.next > from
+    {
+        info!(event = "orders_passed_on", %peer, from, next = page.next);
+        return Ok(take(state, page));
+    }
+    state.metrics.count("store_calls", 1);
+    let read = timeout(READ, store.read(Topic::Operator, from, 0)).await;
+    let page = read.map_err(|_| PlatformError::Timeout { limit_ms: 1_000 })??;
+    Ok(take(state, page))
+}
+
+/// Applies records and keeps them for others.
+fn take(state: &State, page: platform::Page) -> u64 {
+    state.relay.borrow_mut().keep(&page.records);
     apply(state, page.listing);
-    Ok(page.next)
+    page.next
 }
 
 async fn step(
@@ -83,17 +127,27 @@
     store: &mut Store,
     next: Option<u64>,
 ) -> Result<u64, PlatformError> {
-    state.metrics.count("store_calls", 1);
     if let Some(from) = next {
-        let page = store.read(Topic::Operator, from, WAIT_MS).await?;
-        apply(state, page.listing);
-        return Ok(page.next);
+        let wait_ms = if is_waiter(state) {
+            WAIT_MS
+        } else {
+            async_std::task::sleep(CHECK).await;
+            0
+        };
+        state.metrics.count("store_calls", 1);
+        let page = store.read(Topic::Operator, from, wait_ms).await?;
+        return Ok(take(state, page));
     }
+    state.metrics.count("store_calls", 1);
     let newest = store.newest(Topic::Operator).await?;
-    let verdicts = store.newest(Topic::Status).await?;
     let listed = newest.listing;
     forget_missing(state, &listed);
     apply(state, listed);
+    if state.rollouts.borrow().is_empty() {
+        return Ok(newest.end);
+    }
+    state.metrics.count("store_calls", 1);
+    let verdicts = store.newest(Topic::Status).await?;
     for (_, change) in verdicts.listing.changes {
         if let Change::Verdict(recorded) = change {
             note_verdict(state, &recorded, "store");
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use async_std::{net::UdpSocket, task};
 use balance::{Member, Presence, Rollout};
 use model::Time;
+use rand::seq::IndexedRandom;
 use tracing::{debug, info, warn};
 
 use crate::{
@@ -21,6 +22,8 @@
 
 /// Pause after a failed read from the socket, in milliseconds.
 const ERROR_PAUSE_MS: u64 = 400;
+/// Instances that a beat names. All of a hundred know each other after some beats.
+const KNOWN: usize = 6;
 /// Time between two beats while a rollout runs, in milliseconds: a fault is to stop it within seconds.
 const ROLLOUT_BEAT_MS: u64 = 200;
 
@@ -74,10 +77,20 @@
             addrs.push(addr);
         }
     }
+    addrs.extend(members.hinted());
     addrs.retain(|addr| *addr != SocketAddr::from(state.settings.peer));
     addrs
 }
 
+/// A few live instances, others each time.
+fn some_members(state: &State) -> Vec<SocketAddr> {
+    let now = state.now();
+    let live: Vec<SocketAddr> = state.members.borrow().live(now).map(|m| m.peer).collect();
+    live.choose_multiple(&mut rand::rng(), KNOWN)
+        .copied()
+        .collect()
+}
+
 fn own_beat(state: &State) -> Beat {
     let outcomes = state.outcomes.take();
     let rollouts = state.rollouts.borrow();
@@ -104,6 +117,7 @@
             Phase::Leaving => 2,
         },
         orders_next: state.orders_next.get(),
+        known: some_members(state),
         outcomes: outcomes
             .into_iter()
             .filter(|(_, (_, bad))| *bad > 0)
@@ -113,9 +127,9 @@
     }
 }
 
-/// Receives beats until the process ends. `behind` is told when a sender has read further in the
-/// operator's records than this instance.
-pub async fn receive_beats(state: Rc<State>, socket: Rc<UdpSocket>, behind: impl Fn()) {
+/// Receives beats until the process ends. `ahead` is told of a sender that has read
+/// further in the operator's records than this instance.
+pub async fn receive_beats(state: Rc<State>, socket: Rc<UdpSocket>, ahead: impl Fn(SocketAddr)) {
     let mut buffer = vec![0; crate::beat::MAX_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
@@ -123,7 +137,7 @@
                 let bytes = &buffer[..count];
                 if let Some(beat) = Beat::decode(bytes) {
                     if let SocketAddr::V4(from) = from {
-                        hear(&state, beat, from, &behind);
+                        hear(&state, beat, from, &ahead);
                     }
                 } else if let Some(part) = EntriesPart::decode(bytes) {
                     take_part(&state, part);
@@ -139,12 +153,16 @@
     }
 }
 
-fn hear(state: &State, beat: Beat, from: SocketAddrV4, behind: &impl Fn()) {
+fn hear(state: &State, beat: Beat, from: SocketAddrV4, ahead: &impl Fn(SocketAddr)) {
     let now = state.now();
     if beat.orders_next > state.orders_next.get() {
-        behind();
+        ahead(from.into());
     }
     note_member(state, &beat, from, now);
+    state
+        .members
+        .borrow_mut()
+        .learn_addresses(&beat.known, state.settings.peer.into());
     for (id, good, bad) in &beat.outcomes {
         if let Some(target) = state.targets.borrow_mut().get_mut(id) {
             target.health.note(now, *good, *bad);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -36,6 +36,8 @@
 const IDLE_END_PART: f64 = 0.5;
 /// Time before the end of a planned stop at which the process ends in any case.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time for an instance to meet others through the seeds.
+const MEET: Duration = Duration::from_millis(1_500);
 /// Pause between two tries to announce the instance in the store.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(500);
 
@@ -73,12 +75,13 @@
     let state = State::new(settings);
     let own = &state.settings;
     let callers = listen(own.callers).await?;
+    let peer_addr = SocketAddr::from(own.peer);
     let small = [
         listen(own.ready).await?,
         listen(own.directory).await?,
         listen(own.metrics).await?,
+        listen(peer_addr).await?,
     ];
-    let peer_addr = SocketAddr::from(own.peer);
     let socket = UdpSocket::bind(peer_addr).await;
     let socket = Rc::new(socket.map_err(|error| RunError::Listen {
         addr: peer_addr,
@@ -94,14 +97,14 @@
     let accepting = task::spawn_local(accept(callers, move |s| {
         serve_caller(Rc::clone(&for_callers), s)
     }));
-    let (tell_behind, behind) = bounded(1);
-    task::spawn_local(follow_orders(Rc::clone(&state), behind));
+    let (tell_ahead, ahead) = bounded(1);
+    task::spawn_local(follow_orders(Rc::clone(&state), Rc::clone(&socket), ahead));
     task::spawn_local(follow_entries(Rc::clone(&state), Rc::clone(&socket)));
     task::spawn_local(announce(Rc::clone(&state)));
     task::spawn_local(send_beats(Rc::clone(&state), Rc::clone(&socket)));
-    let tell = move || {
+    let tell = move |peer| {
         // A full channel means that it was told already.
-        let _ = Sender::try_send(&tell_behind, ());
+        let _ = Sender::try_send(&tell_ahead, peer);
     };
     task::spawn_local(receive_beats(Rc::clone(&state), Rc::clone(&socket), tell));
     task::spawn_local(lead_rollouts(Rc::clone(&state)));
@@ -148,8 +151,13 @@
     }
 }
 
-/// Writes this instance into the store and reads the others from there.
+/// Writes this instance into the store and reads the others from there, unless others were met through
+/// the seeds.
 async fn announce(state: Rc<State>) {
+    task::sleep(MEET).await;
+    if state.members.borrow().live(state.now()).next().is_some() {
+        return;
+    }
     let own = &state.settings;
     let entry = PeerEntry {
         name: own.instance.clone(),
--- a/crates/gateway/src/serving.rs
+++ b/crates/gateway/src/serving.rs
@@ -10,7 +10,7 @@
 use h1::{Request, RequestDecoder, RequestLimits, Step};
 use platform::{
     directory_answer, directory_query,
-    serving::{DIRECTORY_PATH, READY_PATH},
+    serving::{DIRECTORY_PATH, READY_PATH, RELAY_PATH},
 };
 
 use crate::{phase::Phase, reply::plain, state::State};
@@ -80,6 +80,10 @@
             let body = directory_answer(&addresses, KEEP_MS);
             plain(200, "OK", "application/json", &body, close)
         }
+        RELAY_PATH => {
+            let (status, body) = state.relay.borrow().answer(request);
+            plain(status, "Relay", "application/octet-stream", &body, close)
+        }
         "/metrics" => plain(
             200,
             "OK",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use balance::{Manifest, Members, RetryBudget, Rollout, Targets, Work};
 use model::{InstanceId, ServiceName, Time, Version, Zone};
+use platform::Relay;
 
 use crate::{clock::Clock, metrics::Metrics, phase::Phase, pool::Pool, settings::Settings};
 
@@ -57,6 +58,8 @@
     pub targets_read: Cell<Option<Time>>,
     /// Where reading the entries of targets goes on; `None` if it starts anew.
     pub entries_next: Cell<Option<u64>>,
+    /// Latest records of the operator, for instances that fetch them here.
+    pub relay: RefCell<Relay>,
     /// Whether a part of the entries was missed.
     pub entries_gap: Cell<bool>,
     /// Whether the last read of the entries failed.
@@ -94,6 +97,7 @@
             orders_next: Cell::new(0),
             targets_read: Cell::new(None),
             entries_next: Cell::new(None),
+            relay: RefCell::default(),
             entries_gap: Cell::new(false),
             store_lost: Cell::new(false),
             outcomes: RefCell::default(),
