A cut of one instance is told from an outage of the store

An instance that was cut off from second 1 to 13 kept targets that had left meanwhile for 2 s after its return, as after an outage of the store; with its pauses it read them only at second 15, so a request at 17.2 went to a target that had left at 4. Change: instances tell how long their entries were sound; if another one was sound for 2.5 s, missing entries are gone. Dropped history is read anew at once, the longest pause is 0.7 s.

--- a/crates/balance/src/targets.rs
+++ b/crates/balance/src/targets.rs
@@ -148,6 +148,17 @@
         self.all().any(|t| t.lapsed.is_some())
     }
 
+    /// Drops all targets whose entries are missing, since the store was not away; returns their number.
+    pub fn drop_lapsed(&mut self) -> usize {
+        self.returned = None;
+        let lapsed = self.all().filter(|t| t.lapsed.is_some());
+        let gone: Vec<TargetId> = lapsed.map(|t| t.entry.id.clone()).collect();
+        for id in &gone {
+            self.remove(id);
+        }
+        gone.len()
+    }
+
     /// Drops targets whose entries did not come back in time.
     pub fn sweep(&mut self, now: Time) -> bool {
         let gone: Vec<TargetId> = self
--- a/crates/balance/src/targets/tests.rs
+++ b/crates/balance/src/targets/tests.rs
@@ -72,3 +72,18 @@
     leaving.draining = true;
     assert!(targets.put(leaving, NOW));
 }
+
+/// Guards against targets that left while only this instance was cut off from the store.
+#[test]
+fn drop_lapsed_after_a_cut_of_this_instance() {
+    let mut targets = Targets::default();
+    targets.put(entry("a", 1), NOW);
+    targets.note_return(NOW);
+    targets.lose(&TargetId::new("a"), NOW);
+    assert_eq!(targets.drop_lapsed(), 1);
+    targets.put(entry("a", 1), NOW);
+    assert!(
+        targets.lose(&TargetId::new("a"), NOW),
+        "no time to wait is left"
+    );
+}
--- a/crates/gateway/src/backoff.rs
+++ b/crates/gateway/src/backoff.rs
@@ -8,7 +8,7 @@
 /// First pause, in milliseconds.
 const FIRST_MS: u64 = 250;
 /// Longest pause, in milliseconds.
-const MAX_MS: u64 = 1_000;
+const MAX_MS: u64 = 700;
 
 /// Pauses of one loop.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -30,6 +30,8 @@
     pub presence: u8,
     /// Where its reading of the operator's records goes on.
     pub orders_next: u64,
+    /// Time for which its entries of targets were never out of date for long, in milliseconds.
+    pub steady_ms: u64,
     /// Peer addresses of some live instances that it knows.
     pub known: Vec<SocketAddr>,
     /// Outcomes since its last beat, of targets that failed: good and bad ones.
--- a/crates/gateway/src/beat/tests.rs
+++ b/crates/gateway/src/beat/tests.rs
@@ -8,6 +8,7 @@
         front: "10.0.0.1:80".parse().unwrap(),
         presence: 1,
         orders_next: 12,
+        steady_ms: 900,
         known: vec!["10.0.0.2:7000".parse().unwrap()],
         outcomes: vec![(TargetId::new("t"), 3, 1)],
         rollouts: vec![],
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -58,7 +58,10 @@
             Ok(_) => backoff.reset(),
             Err(error) => {
                 note_failure(&state, &error);
-                task::sleep(backoff.pause()).await;
+                // Dropped records are no failure of the store; the whole listing is read at once.
+                if !matches!(error, PlatformError::Dropped { .. }) {
+                    task::sleep(backoff.pause()).await;
+                }
             }
         }
     }
@@ -160,7 +163,10 @@
             age_ms = age.unwrap_or(0) / 1_000
         );
         if age.is_some_and(|age| age > AWAY_US) {
-            state.targets.borrow_mut().note_return(now);
+            state.steady_since.set(now);
+            if !state.was_store_sound() {
+                state.targets.borrow_mut().note_return(now);
+            }
         }
     }
     state.entries_gap.set(false);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,13 @@
 
 /// Pause after a failed read from the socket, in milliseconds.
 const ERROR_PAUSE_MS: u64 = 400;
+/// Age up to which entries are sound, in microseconds.
+const SOUND_US: u64 = 1_300_000;
+/// Time after which sound entries at another instance show that the store was not away, in
+/// milliseconds. Lapsed entries are back 2 s after the store is.
+const STEADY_MS: u64 = 2_500;
+/// Time for which the word of another instance counts, in microseconds: two beats.
+const WORD_US: u64 = 2_000_000;
 /// Instances that a beat names. All of a hundred know each other after some beats.
 const KNOWN: usize = 6;
 /// Time between two beats while a rollout runs, in milliseconds: a fault is to stop it within seconds.
@@ -82,6 +89,20 @@
     addrs
 }
 
+/// How long the entries were sound, 0 if they are out of date now.
+fn steady_ms(state: &State) -> u64 {
+    let now = state.now();
+    let is_sound = state
+        .targets_read
+        .get()
+        .is_some_and(|at| now.since_us(at) < SOUND_US);
+    if is_sound {
+        now.since_us(state.steady_since.get()) / 1_000
+    } else {
+        0
+    }
+}
+
 /// A few live instances, others each time.
 fn some_members(state: &State) -> Vec<SocketAddr> {
     let now = state.now();
@@ -117,6 +138,7 @@
             Phase::Leaving => 2,
         },
         orders_next: state.orders_next.get(),
+        steady_ms: steady_ms(state),
         known: some_members(state),
         outcomes: outcomes
             .into_iter()
@@ -159,6 +181,13 @@
         ahead(from.into());
     }
     note_member(state, &beat, from, now);
+    if beat.steady_ms >= STEADY_MS {
+        state.sound_until.set(now.plus_us(WORD_US));
+        let dropped = state.targets.borrow_mut().drop_lapsed();
+        if dropped > 0 {
+            info!(event = "targets_lapsed", dropped, source = %beat.name, steady_ms = beat.steady_ms);
+        }
+    }
     state
         .members
         .borrow_mut()
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -62,6 +62,10 @@
     pub relay: RefCell<Relay>,
     /// Whether a part of the entries was missed.
     pub entries_gap: Cell<bool>,
+    /// Since when the entries were never out of date for long.
+    pub steady_since: Cell<Time>,
+    /// Until when another instance is known to have had sound entries throughout.
+    pub sound_until: Cell<Time>,
     /// Whether the last read of the entries failed.
     pub store_lost: Cell<bool>,
     /// Outcomes by target since the last beat.
@@ -96,6 +100,8 @@
             orders_read: Cell::new(Time(0)),
             orders_next: Cell::new(0),
             targets_read: Cell::new(None),
+            steady_since: Cell::new(clock.now()),
+            sound_until: Cell::new(Time(0)),
             entries_next: Cell::new(None),
             relay: RefCell::default(),
             entries_gap: Cell::new(false),
@@ -163,6 +169,12 @@
         may
     }
 
+    /// Whether another instance says that the store was sound, so that what is missing there is gone and
+    /// only this instance was cut off.
+    pub fn was_store_sound(&self) -> bool {
+        self.now() < self.sound_until.get()
+    }
+
     /// Whether no further requests are taken.
     pub fn is_closing(&self) -> bool {
         self.idle_end.is_closed()
