--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -53,6 +53,21 @@
     Zone(Zone),
     /// Shows a proposal.
     Proposal(Proposal),
+    /// Explains a request from logs.
+    Explain(Explain),
+}
+
+/// print what the logs of gateway instances tell of one request, with the beliefs in force
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// identity of the request, as the client sent it
+    #[argh(positional)]
+    pub id: String,
+
+    /// log files of any number of instances; standard input if there are none
+    #[argh(positional)]
+    pub files: Vec<String>,
 }
 
 /// check a whole configuration document without contacting an instance
--- a/crates/ctl/src/commands/mod.rs
+++ b/crates/ctl/src/commands/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each group of commands.
 
 mod check;
+mod explain;
 mod propose;
 mod show;
 mod watch;
@@ -24,9 +25,13 @@
     if let Command::Check(check) = command {
         return check::check(check, output);
     }
+    if let Command::Explain(explain) = command {
+        return explain::explain(explain, output);
+    }
     let client = Client::new(args)?;
     match command {
         Command::Check(check) => check::check(check, output),
+        Command::Explain(explain) => explain::explain(explain, output),
         Command::Publish(publish) => propose::publish(&client, publish, output).await,
         Command::Zone(zone) => propose::zone(&client, zone, output).await,
         Command::Proposal(proposal) => propose::proposal(&client, proposal, output).await,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -11,6 +11,7 @@
 mod commands;
 mod exit;
 mod failure;
+mod log_line;
 mod output;
 mod token;
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -69,7 +69,7 @@
         Ok((response, route)) => {
             let is_late = took_ms > route.aim_ms;
             state.metrics.served(&route.name, took_ms, is_late);
-            let (attempts, path) = (story.attempts, &*story.path);
+            let (attempts, path) = (story.attempts, story.path.trim_end());
             if response.status >= 400 || is_late {
                 warn!(
                     event = "answered",
@@ -105,7 +105,7 @@
                 took_ms,
                 attempts = story.attempts,
                 unsent = story.unsent,
-                targets = &*story.path,
+                targets = story.path.trim_end(),
                 config = state.manifest().map_or(0, |m| m.version),
                 targets_age_ms = state
                     .targets_read
@@ -287,6 +287,10 @@
         let bytes = self.encode(&pick, now);
         let inflight = InFlight::start(self.state, &pick, self.service);
         self.sent_to(&pick);
+        info!(event = "sent", id = self.id.unwrap_or("-"), attempt = self.story.attempts,
+            target_id = %pick.id, service = %self.service, expected_ms = pick.outlook.ms.round(),
+            free = pick.outlook.is_free, pace = pick.pace, load_age_us = pick.age_us,
+            new_version = pick.is_new, left_ms = self.left_ms().round());
         let state = Rc::clone(self.state);
         let (method, id) = (self.request.method.clone(), self.id.map(str::to_owned));
         let (addr, deadline) = (pick.addr, self.deadline);
@@ -548,14 +552,7 @@
 
     fn note(&mut self, pick: &Pick, what: &str, took_us: u64) {
         use std::fmt::Write;
-        let _ = write!(
-            self.story.path,
-            "{}:{what}:{}ms:pace{}:load_age{}us ",
-            pick.id,
-            took_us / 1_000,
-            pick.pace,
-            pick.age_us.min(999_999_999)
-        );
+        let _ = write!(self.story.path, "{}:{what}:{}ms ", pick.id, took_us / 1_000);
     }
 }
 
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -14,11 +14,16 @@
 
 /// Lines that wait for the reader; at 400 bytes each they take 400 KB.
 const QUEUE_LINES: usize = 1_024;
+/// How the level of an ordinary line is written.
+const INFO: &[u8] = b"level=info";
+/// Bytes at the start of a line within which its level stands, behind the time.
+const LEVEL_WITHIN: usize = 64;
 /// Time for which lines are collected into one write.
 const COLLECT: Duration = Duration::from_millis(50);
 
-/// Installs the log format. `lines` is the most lines a second. A second call has no effect.
-pub fn init_logging(level: &str, lines: u32) {
+/// Installs the log format. Each line begins with the
+/// name of the instance; `lines` is the most lines a second. A second call has no effect.
+pub fn init_logging(level: &str, instance: &str, lines: u32) {
     let filter = EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"));
     let (sender, receiver) = sync_channel::<Vec<u8>>(QUEUE_LINES);
     let writer = thread::Builder::new().name(String::from("logs"));
@@ -37,7 +42,11 @@
         eprintln!("cannot start the log thread: {error}");
         return;
     }
-    let queue = Queue { sender, lines };
+    let queue = Queue {
+        sender,
+        lines,
+        prefix: format!("instance={instance} ").into_bytes(),
+    };
     let layer = tracing_logfmt::builder()
         .with_target(false)
         .layer()
@@ -53,6 +62,7 @@
 struct Queue {
     sender: SyncSender<Vec<u8>>,
     lines: u32,
+    prefix: Vec<u8>,
 }
 
 thread_local! {
@@ -75,15 +85,28 @@
         } else {
             (start, used)
         };
-        if used >= self.queue.lines {
+        // Lines of level info, which most requests cause, leave a part of the second's lines for warnings.
+        let is_info = bytes
+            .windows(INFO.len())
+            .take(LEVEL_WITHIN)
+            .any(|w| w == INFO);
+        let most = if is_info {
+            self.queue.lines - self.queue.lines / 4
+        } else {
+            self.queue.lines
+        };
+        if used >= most {
             USED.set((start, used, dropped + 1));
             return Ok(bytes.len());
         }
         if dropped > 0 {
-            let line = format!("level=warn event=lines_dropped count={dropped}\n");
-            let _ = self.queue.sender.try_send(line.into_bytes());
+            let mut line = self.queue.prefix.clone();
+            line.extend(format!("level=warn event=lines_dropped count={dropped}\n").into_bytes());
+            // A full queue is counted with the line below.
+            let _ = self.queue.sender.try_send(line);
         }
-        let is_full = self.queue.sender.try_send(bytes.to_vec()).is_err();
+        let line = [&self.queue.prefix[..], bytes].concat();
+        let is_full = self.queue.sender.try_send(line).is_err();
         USED.set((start, used + 1, u64::from(is_full)));
         Ok(bytes.len())
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -87,7 +87,7 @@
         addr: peer_addr,
         error,
     })?);
-    info!(event = "started", instance = %own.instance, zone = %own.zone, callers = %own.callers,
+    info!(event = "started", zone = %own.zone, callers = %own.callers,
         boot = state.boot, version = env!("CARGO_PKG_VERSION"));
     for listener in small {
         let state = Rc::clone(&state);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -108,7 +108,7 @@
         println!("{file}: no errors");
         return ExitCode::SUCCESS;
     }
-    gateway::init_logging(&args.log, settings.log_lines);
+    gateway::init_logging(&args.log, settings.instance.as_str(), settings.log_lines);
     start_threads(1);
     match gateway::run(settings, Path::new(file)) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/node/tests/gateway_fleet.rs
+++ b/crates/node/tests/gateway_fleet.rs
@@ -27,6 +27,7 @@
 }
 
 /// Part of the requests that got a proper answer.
+#[expect(clippy::cast_precision_loss, reason = "counts of requests")]
 async fn served(rig: &FleetRig, count: usize) -> f64 {
     let sent = rig.send_many(count, Duration::from_millis(8)).await;
     let good = sent.iter().filter(|(r, a)| a.is_proper(&r.id)).count();
@@ -203,7 +204,7 @@
         let start = Instant::now();
         // Callers use an old address answer for up to 3 s.
         while start.elapsed() < Duration::from_millis(2_700) {
-            let request = rig.request(start.elapsed().as_millis() % 2 == 0);
+            let request = rig.request(start.elapsed().as_millis().is_multiple_of(2));
             let answer = send(stopping, &request).await;
             if !answer.is_proper(&request.id) {
                 cut.push(answer);
@@ -239,6 +240,7 @@
 
 /// Orders a rollout, sends requests until the verdict, and returns it with the part that the new
 /// version got.
+#[expect(clippy::cast_precision_loss, reason = "counts of requests")]
 async fn roll_out(rig: &mut FleetRig, fault: testkit::fleet::TargetFault) -> (String, f64) {
     let old = rig.targets.len();
     for at in 0..old {
--- a/crates/testkit/src/fleet/client.rs
+++ b/crates/testkit/src/fleet/client.rs
@@ -73,7 +73,8 @@
             self.method, self.path, self.host, self.id, self.deadline_ms
         );
         if !self.body.is_empty() || self.method == "POST" {
-            bytes += &format!("Content-Length: {}\r\n", self.body.len());
+            let line = format!("Content-Length: {}\r\n", self.body.len());
+            bytes += &line;
         }
         bytes += "\r\n";
         let mut bytes = bytes.into_bytes();
--- a/crates/testkit/src/fleet/gateway.rs
+++ b/crates/testkit/src/fleet/gateway.rs
@@ -62,6 +62,21 @@
         })
     }
 
+    /// Replaces the process by one whose output nobody reads.
+    ///
+    /// # Errors
+    ///
+    /// If the process cannot be replaced.
+    pub fn restart_unread(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        self.child = command(&self.binary, &self.settings)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(())
+    }
+
     /// Starts the process again after it ended.
     ///
     /// # Errors
@@ -144,15 +159,21 @@
 
 fn spawn(binary: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
     let log = fs::OpenOptions::new().create(true).append(true).open(log)?;
-    Command::new(binary)
-        .args(["--gateway", "--settings"])
-        .arg(settings)
-        .stdin(Stdio::null())
+    command(binary, settings)
         .stdout(log.try_clone()?)
         .stderr(log)
         .spawn()
 }
 
+fn command(binary: &Path, settings: &Path) -> Command {
+    let mut command = Command::new(binary);
+    command
+        .args(["--gateway", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null());
+    command
+}
+
 fn settings_text(
     number: u32,
     ip: Ipv4Addr,
--- a/crates/testkit/src/fleet/store.rs
+++ b/crates/testkit/src/fleet/store.rs
@@ -173,7 +173,7 @@
 
     /// Keeps a connection open without an answer.
     async fn hold(&self, stream: TcpStream) {
-        task::sleep(Duration::from_secs(60)).await;
+        task::sleep(Duration::from_mins(1)).await;
         drop(stream);
     }
 
