--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -110,7 +110,8 @@
 
 /// What the instance believed at a decision.
 fn context(line: &LogLine, beliefs: &Beliefs<'_>) -> Vec<String> {
-    let named = |subject: &str| !subject.is_empty() && line.text().contains(subject);
+    let text = line.text();
+    let named = |subject: &str| subject.len() > 1 && text.contains(subject);
     let shown = beliefs
         .iter()
         .filter(|((event, subject), _)| ALWAYS.contains(event) || named(subject));
--- /dev/null
+++ b/crates/testkit/examples/soak.rs
@@ -0,0 +1,68 @@
+//! The randomised soak by hand: many seeds, one after the other, with the release build of the gateway.
+
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+
+use argh::FromArgs;
+use async_std::task;
+use testkit::{built_binary, fleet::soak};
+
+/// Plays random faults on gateway processes and checks what callers and targets see. Exit status 1 if a
+/// promise was broken.
+#[derive(Debug, FromArgs)]
+struct Args {
+    /// first seed, default 1
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// number of seeds, default 50
+    #[argh(option, default = "50")]
+    seeds: u64,
+
+    /// length of the faults of one seed in seconds, 1 to 3600, default 8
+    #[argh(option, default = "8")]
+    seconds: u64,
+
+    /// binary of the gateway. Default: the one built beside this example
+    #[argh(option)]
+    binary: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let Some(binary) = args.binary.or_else(built_binary) else {
+        eprintln!("the gateway is not built; run cargo build --release -p hibiscusway first");
+        return ExitCode::from(2);
+    };
+    if !(1..=3_600).contains(&args.seconds) {
+        eprintln!("--seconds {}: allowed is 1 to 3600", args.seconds);
+        return ExitCode::from(2);
+    }
+    let mut failed = 0;
+    for seed in args.seed..args.seed.saturating_add(args.seeds) {
+        let length = Duration::from_secs(args.seconds);
+        match task::block_on(soak(&binary, seed, length)) {
+            Ok(report) => {
+                let (served, requests) = (report.served, report.requests);
+                println!(
+                    "seed {seed}: {served} of {requests} served, {} faults, {} broken",
+                    report.faults.len(),
+                    report.broken.len()
+                );
+                if !report.broken.is_empty() {
+                    failed += 1;
+                    println!("{:#?}\n{:#?}", report.faults, report.broken);
+                }
+            }
+            Err(error) => {
+                failed += 1;
+                println!("seed {seed}: {error}");
+            }
+        }
+    }
+    println!("{failed} of {} seeds failed", args.seeds);
+    if failed > 0 {
+        ExitCode::FAILURE
+    } else {
+        ExitCode::SUCCESS
+    }
+}
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -4,14 +4,18 @@
 mod client;
 mod gateway;
 mod http;
+mod proxy;
 mod rig;
+mod soak;
 mod store;
 mod target;
 
 pub use self::{
     client::{FleetAnswer, FleetRequest, ask_directory, fetch, send},
     gateway::GatewayProcess,
+    proxy::{FleetProxy, ProxyMode},
     rig::{FleetRig, RigSpec},
+    soak::{SoakReport, soak},
     store::{FleetStore, StoreFault},
     target::{FleetTarget, TargetFault, TargetSpec},
 };
--- a/crates/testkit/src/fleet/target.rs
+++ b/crates/testkit/src/fleet/target.rs
@@ -19,7 +19,7 @@
 use h1::{Request, RequestDecoder};
 
 use super::{
-    FleetStore,
+    FleetProxy, FleetStore,
     http::{next_request, respond},
 };
 
@@ -87,8 +87,8 @@
 /// A running target. Dropping it ends it without a word, as a crash does.
 #[derive(Debug)]
 pub struct FleetTarget {
-    /// Its address.
-    pub addr: SocketAddr,
+    /// What stands before it; its address is the registered one.
+    pub proxy: FleetProxy,
     store: FleetStore,
     shared: Arc<Shared>,
 }
@@ -112,7 +112,7 @@
             is_up: AtomicBool::new(true),
         });
         let target = Self {
-            addr: listener.local_addr()?,
+            proxy: FleetProxy::start(listener.local_addr()?).await?,
             store: store.clone(),
             shared: Arc::clone(&shared),
         };
@@ -126,7 +126,7 @@
                 task::spawn(serve(Arc::clone(&serving), stream));
             }
         });
-        task::spawn(beat(shared, store.clone(), target.addr));
+        task::spawn(beat(shared, store.clone(), target.proxy.addr));
         Ok(target)
     }
 
@@ -172,7 +172,7 @@
     }
 
     fn write_entry(&self, seq: u64) {
-        put_entry(&self.shared, &self.store, self.addr, seq);
+        put_entry(&self.shared, &self.store, self.proxy.addr, seq);
     }
 }
 
