Gateway uses the product's numbered result codes

Cause: the gateway had codes of its own from 7001 on, which docs/codes.md gives to log records. Two new caller errors (2008, 2009) and one unknown outcome (4008).

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,7 +9,7 @@
     future::{Either, LocalBoxFuture, select},
 };
 use h1::{Request, Response, write_headers};
-use model::{ServiceName, TargetId, Time};
+use model::{Code, ServiceName, TargetId, Time};
 use platform::{cold_ms, headers, load_report};
 use rand::Rng;
 use tracing::{info, warn};
@@ -17,7 +17,7 @@
 use crate::{
     choose::{Pick, Wish, choose, work_ms},
     exchange::{Loss, Message, Sent, exchange},
-    reply::{Refusal, pass_on, refusal},
+    reply::{pass_on, refusal, status},
     state::State,
 };
 
@@ -100,8 +100,8 @@
                 event = "refused",
                 id = shown,
                 path = request.path(),
-                code = kind.code(),
-                status = kind.status().0,
+                code = kind.number(),
+                status = status(kind).0,
                 took_ms,
                 attempts = story.attempts,
                 unsent = story.unsent,
@@ -133,13 +133,13 @@
     id: Option<&str>,
     arrived: Time,
     story: &mut Story,
-) -> Result<(Response, Arc<Route>), Refusal> {
-    let manifest = state.manifest().ok_or(Refusal::NoConfig)?;
-    let route = find_route(&manifest, request).ok_or(Refusal::NoRoute)?;
+) -> Result<(Response, Arc<Route>), Code> {
+    let manifest = state.manifest().ok_or(Code::NotReady)?;
+    let route = find_route(&manifest, request).ok_or(Code::UnknownRoute)?;
     let limit_ms = deadline_ms(request).map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
     let deadline = arrived.plus_ms(limit_ms);
     let draw = rand::rng().random::<f64>();
-    let part = pick_part(&route.parts, draw).ok_or(Refusal::NoTarget)?;
+    let part = pick_part(&route.parts, draw).ok_or(Code::NoTarget)?;
     with_budget(state, &part.service, |budget| {
         budget.note_request(state.now());
     });
@@ -213,12 +213,12 @@
 }
 
 impl Job<'_> {
-    async fn run(&mut self) -> Result<Response, Refusal> {
+    async fn run(&mut self) -> Result<Response, Code> {
         loop {
             let pick = self.admit().await?;
             let started = self.state.now();
             if started >= self.deadline {
-                return Err(self.give_up(Refusal::Expired, Refusal::Late));
+                return Err(self.give_up(Code::DeadlinePassed, Code::UpstreamTimeout));
             }
             let (flight, sent) = self.fly(pick).await;
             let took_us = self.state.now().since_us(flight.started);
@@ -310,21 +310,21 @@
         }
     }
 
-    async fn pick(&mut self) -> Result<Pick, Refusal> {
+    async fn pick(&mut self) -> Result<Pick, Code> {
         let mut pick = choose(self.state, &self.wish(self.is_new)).await;
         if pick.is_none() && self.is_new && !self.must_be_new() {
             self.is_new = false;
             pick = choose(self.state, &self.wish(false)).await;
         }
         let Some(pick) = pick else {
-            return Err(self.give_up(Refusal::NoTarget, Refusal::Unknown));
+            return Err(self.give_up(Code::NoTarget, Code::UpstreamClosed));
         };
         Ok(pick)
     }
 
     /// A target that is expected to respond in time, or a refusal early enough for the caller to come
     /// back. Requests that are sure to be late would only make others late.
-    async fn admit(&mut self) -> Result<Pick, Refusal> {
+    async fn admit(&mut self) -> Result<Pick, Code> {
         loop {
             let pick = self.pick().await?;
             let waited_ms = self.waited_ms();
@@ -333,7 +333,7 @@
                 return Ok(pick);
             }
             if waited_ms + RETRY_PICK_MS > limits.hold_ms {
-                return Err(self.give_up(Refusal::TooBusy, Refusal::Unknown));
+                return Err(self.give_up(Code::CannotMeet, Code::UpstreamClosed));
             }
             task::sleep(Duration::from_secs_f64(RETRY_PICK_MS / 1_000.0)).await;
         }
@@ -365,7 +365,7 @@
     }
 
     /// The refusal that is true: `unrun` only if no target can have run the request.
-    fn give_up(&self, unrun: Refusal, unknown: Refusal) -> Refusal {
+    fn give_up(&self, unrun: Code, unknown: Code) -> Code {
         if self.may_have_run { unknown } else { unrun }
     }
 
@@ -408,7 +408,7 @@
         pick: &Pick,
         sent: Sent,
         took_us: u64,
-    ) -> Option<Result<Response, Refusal>> {
+    ) -> Option<Result<Response, Code>> {
         match sent {
             Sent::Unsent(error) => {
                 self.note(pick, "unsent", took_us);
@@ -417,7 +417,7 @@
                 self.story.attempts -= 1;
                 self.story.unsent += 1;
                 if self.story.unsent >= MAX_UNSENT {
-                    return Some(Err(self.give_up(Refusal::NoTarget, Refusal::Unknown)));
+                    return Some(Err(self.give_up(Code::ConnectFailed, Code::UpstreamClosed)));
                 }
                 None
             }
@@ -435,12 +435,15 @@
                 self.may_have_run = true;
                 self.judge(pick, false);
                 if loss == Loss::Timeout {
-                    return Some(Err(Refusal::Late));
+                    return Some(Err(Code::UpstreamTimeout));
                 }
                 if self.route.repeatable && self.may_retry() {
                     return None;
                 }
-                Some(Err(Refusal::Unknown))
+                Some(Err(match loss {
+                    Loss::Malformed(_) => Code::BadAnswer,
+                    _ => Code::UpstreamClosed,
+                }))
             }
         }
     }
@@ -450,7 +453,7 @@
         pick: &Pick,
         response: Response,
         took_us: u64,
-    ) -> Option<Result<Response, Refusal>> {
+    ) -> Option<Result<Response, Code>> {
         self.learn(pick, &response);
         if response.headers.has(headers::NOT_RUN) || response.status == 421 {
             self.note(pick, "shed", took_us);
@@ -462,7 +465,9 @@
             if self.may_retry() {
                 return None;
             }
-            return Some(Err(self.give_up(Refusal::Shed, Refusal::Unknown)));
+            return Some(Err(
+                self.give_up(Code::UpstreamRefused, Code::UpstreamClosed)
+            ));
         }
         let is_signed = response.headers.has(headers::SIGNATURE);
         let is_own = response.headers.only(headers::REQUEST_ID) == self.id;
@@ -482,7 +487,7 @@
         Some(if is_failure {
             Ok(response)
         } else {
-            Err(Refusal::Unknown)
+            Err(Code::UpstreamClosed)
         })
     }
 
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -11,11 +11,12 @@
     FutureExt, StreamExt, future::LocalBoxFuture, select_biased, stream::FuturesOrdered,
 };
 use h1::{MessageError, RequestDecoder, RequestLimits, Step};
+use model::Code;
 use socket2::SockRef;
 
 use crate::{
     call::{Reply, serve},
-    reply::{Refusal, refusal},
+    reply::refusal,
     state::State,
 };
 
@@ -68,7 +69,7 @@
     input: Vec<u8>,
     replies: FuturesOrdered<LocalBoxFuture<'static, Reply>>,
     /// What ends the connection once the requests before it are answered.
-    failure: Option<Refusal>,
+    failure: Option<Code>,
 }
 
 impl Connection {
@@ -100,7 +101,7 @@
                     }
                 }
                 Event::Timeout if self.decoder.in_body() || !self.input.is_empty() => {
-                    self.failure = Some(Refusal::TooSlow);
+                    self.failure = Some(Code::SlowSender);
                 }
                 Event::Timeout => return,
             }
@@ -218,10 +219,10 @@
     }
 }
 
-fn kind_of(error: MessageError) -> Refusal {
+fn kind_of(error: MessageError) -> Code {
     match error {
-        MessageError::HeadTooLarge => Refusal::HeadTooLarge,
-        MessageError::BodyTooLarge => Refusal::BodyTooLarge,
-        _ => Refusal::Malformed,
+        MessageError::HeadTooLarge => Code::HeadTooLarge,
+        MessageError::BodyTooLarge => Code::BodyTooLarge,
+        _ => Code::BadRequest,
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,7 +2,9 @@
 
 use std::{cell::RefCell, collections::BTreeMap, fmt::Write, sync::Arc};
 
-use crate::{reply::Refusal, settings::Settings};
+use model::Code;
+
+use crate::settings::Settings;
 
 /// Upper bounds of the latency histogram, in milliseconds; the last bucket has none.
 const BOUNDS_MS: [u64; 11] = [10, 20, 50, 75, 100, 150, 250, 400, 800, 1_500, 6_000];
@@ -53,12 +55,12 @@
     }
 
     /// Notes a refusal.
-    pub fn refused(&self, kind: Refusal) {
+    pub fn refused(&self, kind: Code) {
         *self
             .figures
             .borrow_mut()
             .refusals
-            .entry(kind.code())
+            .entry(kind.number())
             .or_default() += 1;
     }
 
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -1,96 +1,50 @@
 //! Responses to callers, as bytes.
 
 use h1::{Response, write_headers};
+use model::{Code, Outcome};
 use platform::headers;
 
-/// Body and header that tell a caller why a request got no response of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// The configuration has no route for it.
-    NoRoute,
-    /// No configuration is known yet.
-    NoConfig,
-    /// No target may get it.
-    NoTarget,
-    /// It cannot be served in time.
-    TooBusy,
-    /// Targets refused it.
-    Shed,
-    /// It may have run, and no proper response came.
-    Unknown,
-    /// It may have run, and time is over.
-    Late,
-    /// Time was over before it was sent.
-    Expired,
-    /// The request is malformed.
-    Malformed,
-    /// Its head is too large.
-    HeadTooLarge,
-    /// Its body is too large.
-    BodyTooLarge,
-    /// It arrived too slowly.
-    TooSlow,
-}
-
-impl Refusal {
-    /// Status and reason phrase.
-    #[must_use]
-    pub fn status(self) -> (u16, &'static str) {
-        match self {
-            Self::NoRoute => (404, "Not Found"),
-            Self::NoConfig | Self::NoTarget | Self::TooBusy | Self::Shed | Self::Expired => {
-                (503, "Service Unavailable")
-            }
-            Self::Unknown => (502, "Bad Gateway"),
-            Self::Late => (504, "Gateway Timeout"),
-            Self::Malformed => (400, "Bad Request"),
-            Self::HeadTooLarge => (431, "Request Header Fields Too Large"),
-            Self::BodyTooLarge => (413, "Content Too Large"),
-            Self::TooSlow => (408, "Request Timeout"),
-        }
-    }
+/// Time after which a caller may come back while something is unknown here, in milliseconds.
+const UNKNOWN_RETRY_MS: u32 = 250;
+/// Time after which a caller may come back while targets are busy, in milliseconds; about the time in
+/// which a slot becomes free.
+const BUSY_RETRY_MS: u32 = 40;
 
-    /// Number of the result code, as listed in `docs/codes.md`.
-    #[must_use]
-    pub fn code(self) -> u16 {
-        match self {
-            Self::NoRoute => 7001,
-            Self::NoConfig => 7002,
-            Self::NoTarget => 7003,
-            Self::TooBusy => 7004,
-            Self::Shed => 7005,
-            Self::Unknown => 7006,
-            Self::Late => 7007,
-            Self::Expired => 7008,
-            Self::Malformed => 7009,
-            Self::HeadTooLarge => 7010,
-            Self::BodyTooLarge => 7011,
-            Self::TooSlow => 7012,
-        }
+/// Status and reason phrase for a request that ends with `code`.
+#[must_use]
+pub fn status(code: Code) -> (u16, &'static str) {
+    match code {
+        Code::UnknownRoute => (404, "Not Found"),
+        Code::HeadTooLarge => (431, "Request Header Fields Too Large"),
+        Code::BodyTooLarge => (413, "Content Too Large"),
+        Code::SlowSender => (408, "Request Timeout"),
+        Code::UpstreamTimeout => (504, "Gateway Timeout"),
+        code if code.number() / 1_000 == 2 => (400, "Bad Request"),
+        code if code.outcome() == Outcome::NotRun => (503, "Service Unavailable"),
+        _ => (502, "Bad Gateway"),
     }
+}
 
-    /// When the caller may come back, in milliseconds.
-    fn retry_ms(self) -> Option<u32> {
-        match self {
-            Self::NoConfig | Self::NoTarget => Some(250),
-            // About the time in which a slot becomes free.
-            Self::TooBusy | Self::Shed => Some(40),
-            _ => None,
-        }
+/// When the caller may come back, in milliseconds.
+fn retry_ms(code: Code) -> Option<u32> {
+    match code {
+        Code::NotReady | Code::NoTarget | Code::ConnectFailed => Some(UNKNOWN_RETRY_MS),
+        Code::CannotMeet | Code::UpstreamRefused => Some(BUSY_RETRY_MS),
+        _ => None,
     }
 }
 
 /// The bytes of a refusal.
 #[must_use]
-pub fn refusal(refusal: Refusal, id: Option<&str>, close: bool) -> Vec<u8> {
-    let (status, reason) = refusal.status();
-    let body = format!("{{\"error\":\"{}\",\"code\":{}}}", reason, refusal.code());
+pub fn refusal(code: Code, id: Option<&str>, close: bool) -> Vec<u8> {
+    let (status, reason) = status(code);
+    let body = format!("{{\"error\":\"{}\",\"code\":{}}}", reason, code.number());
     let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n");
     if let Some(id) = id {
         let line = format!("{}: {id}\r\n", headers::REQUEST_ID);
         head.push_str(&line);
     }
-    if let Some(ms) = refusal.retry_ms() {
+    if let Some(ms) = retry_ms(code) {
         let line = format!("Retry-After: {}.{:03}\r\n", ms / 1_000, ms % 1_000);
         head.push_str(&line);
     }
--- a/crates/gateway/src/reply/tests.rs
+++ b/crates/gateway/src/reply/tests.rs
@@ -11,7 +11,7 @@
 
 #[test]
 fn refusal_not_run_says_when_to_come_back() {
-    let response = decode(&refusal(Refusal::TooBusy, Some("id-1"), false));
+    let response = decode(&refusal(Code::CannotMeet, Some("id-1"), false));
     assert_eq!(response.status, 503);
     assert_eq!(response.headers.only("retry-after"), Some("0.040"));
     assert_eq!(response.headers.only(headers::REQUEST_ID), Some("id-1"));
@@ -19,7 +19,7 @@
 
 #[test]
 fn refusal_unknown_outcome_promises_nothing() {
-    for kind in [Refusal::Unknown, Refusal::Late] {
+    for kind in [Code::UpstreamClosed, Code::UpstreamTimeout] {
         let response = decode(&refusal(kind, None, true));
         assert!(matches!(response.status, 502 | 504));
         assert!(!response.headers.has("retry-after") && !response.reusable);
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -51,6 +51,10 @@
     RepeatedKey = 2006, "idempotency key was used before";
     /// A header of the protocol has an invalid value.
     BadHeader = 2007, "invalid header value";
+    /// The configuration has no route for the request.
+    UnknownRoute = 2008, "no route for this host and path";
+    /// The body is larger than allowed.
+    BodyTooLarge = 2009, "request body too large";
 
     /// The class's target or delay cannot be met now.
     CannotMeet = 3001, "cannot start within the allowed delay";
@@ -87,6 +91,8 @@
     BodyFailed = 4006, "request body failed midway";
     /// The upstream's answer is not valid HTTP/1.1.
     BadAnswer = 4007, "malformed answer";
+    /// The answer lacks the signature or identity that targets add, or has an unknown coding.
+    UnsoundAnswer = 4008, "answer without proof of its origin";
 
     /// The document is not valid TOML.
     Syntax = 5001, "not valid TOML";
