--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -15,7 +15,7 @@
 use tracing::{info, warn};
 
 use crate::{
-    choose::{Pick, Wish, choose, work_ms},
+    choose::{Pick, Wish, choose, may_send, work_ms},
     exchange::{Loss, Message, Sent, exchange},
     reply::{pass_on, refusal, status},
     state::State,
@@ -294,6 +294,7 @@
         let state = Rc::clone(self.state);
         let (method, id) = (self.request.method.clone(), self.id.map(str::to_owned));
         let (addr, deadline) = (pick.addr, self.deadline);
+        let target = pick.id.clone();
         let future = async move {
             let _inflight = inflight;
             let message = Message {
@@ -301,7 +302,10 @@
                 id: id.as_deref(),
                 bytes: &bytes,
             };
-            exchange(&state, addr, message, deadline).await
+            exchange(&state, addr, message, deadline, || {
+                may_send(&state, &target)
+            })
+            .await
         };
         Flight {
             pick,
@@ -413,7 +417,9 @@
             Sent::Unsent(error) => {
                 self.note(pick, "unsent", took_us);
                 info!(event = "target_unreachable", target_id = %pick.id, %error);
-                self.state.note_down(&pick.id);
+                if may_send(self.state, &pick.id) {
+                    self.state.note_down(&pick.id);
+                }
                 self.story.attempts -= 1;
                 self.story.unsent += 1;
                 if self.story.unsent >= MAX_UNSENT {
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -156,6 +156,15 @@
     pool
 }
 
+/// Whether a target may get requests now.
+pub fn may_send(state: &State, id: &TargetId) -> bool {
+    state
+        .targets
+        .borrow()
+        .get(id)
+        .is_some_and(|t| is_usable(state, t))
+}
+
 fn is_usable(state: &State, target: &Target) -> bool {
     !target.entry.draining && !state.zones_out.borrow().contains(&target.entry.zone)
 }
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -24,6 +24,9 @@
 /// Age of the entries from which an instance reads by itself, in microseconds. The first read after
 /// both readers ended then still comes in time.
 const FOLLOW_US: u64 = 1_300_000;
+/// Time after the start in which the first listing is enough, in microseconds. Others are met meanwhile,
+/// who read for all; bounds on what an instance must know hold from 3 s after its start.
+const START_US: u64 = 2_500_000;
 /// Time between two looks at whether to read.
 const LOOK: Duration = Duration::from_millis(150);
 /// Time between two reads while entries are awaited that lapsed with the store.
@@ -39,7 +42,7 @@
     let mut backoff = Backoff::default();
     loop {
         sweep(&state);
-        let is_reader = state.duty_rank("entries") < READERS;
+        let is_reader = has_met(&state) && state.duty_rank("entries") < READERS;
         let rested = Duration::from_micros(state.now().since_us(last_read));
         let is_due = is_reader && rested >= PACE;
         if !is_due && !needs_read(&state, rested) {
@@ -71,12 +74,20 @@
 fn needs_read(state: &State, rested: Duration) -> bool {
     let now = state.now();
     let age = state.targets_read.get().map(|at| now.since_us(at));
-    state.entries_next.get().is_none()
+    if state.entries_next.get().is_none() {
+        return true;
+    }
+    let is_old = has_met(state) && age.is_none_or(|age| age >= FOLLOW_US);
+    is_old
         || state.entries_gap.get()
-        || age.is_none_or(|age| age >= FOLLOW_US)
         || (rested >= LAPSED_PACE && state.targets.borrow().has_lapsed())
 }
 
+/// Whether the instance has run for long enough to have met the others.
+fn has_met(state: &State) -> bool {
+    state.now().since_us(state.started) >= START_US
+}
+
 fn note_failure(state: &State, error: &PlatformError) {
     if let PlatformError::Dropped { first } = error {
         info!(event = "entries_dropped", first);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -28,7 +28,7 @@
 pub enum Sent {
     /// The target responded.
     Response(Box<Response>),
-    /// No connection could be opened; nothing was sent.
+    /// No connection could be opened, or the target left meanwhile; nothing was sent.
     Unsent(std::io::Error),
     /// No proper response came; the request may have run.
     Lost(Loss),
@@ -56,13 +56,15 @@
     pub bytes: &'a [u8],
 }
 
-/// Sends `message` to `addr` and reads the response until `deadline`. The connection is kept only if
+/// Sends `message` to `addr` and reads the response until `deadline`. `is_wanted` tells, once the
+/// connection is open, whether the target may still get requests. The connection is kept only if
 /// nothing but the response came. Dropping the future closes it, which cancels the request.
 pub async fn exchange(
     state: &Rc<State>,
     addr: SocketAddr,
     message: Message<'_>,
     deadline: Time,
+    is_wanted: impl Fn() -> bool,
 ) -> Sent {
     let now = state.now();
     let pooled = state.pool.take(addr, now);
@@ -77,6 +79,9 @@
             Err(error) => return Sent::Unsent(error),
         },
     };
+    if !is_wanted() {
+        return Sent::Unsent(std::io::Error::other("the target is leaving"));
+    }
     let left = Duration::from_micros(deadline.since_us(state.now()));
     let sent = match timeout(left, run(&stream, message)).await {
         Ok(sent) => sent,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! Exchange of beats with the other instances over UDP.
 
 use std::{
+    collections::HashMap,
     net::{SocketAddr, SocketAddrV4},
     rc::Rc,
     time::Duration,
@@ -29,8 +30,12 @@
 const STEADY_MS: u64 = 2_500;
 /// Time for which the word of another instance counts, in microseconds: two beats.
 const WORD_US: u64 = 2_000_000;
+/// Largest datagram of UDP, in bytes.
+const MAX_DATAGRAM: usize = 65_535;
 /// Instances that a beat names. All of a hundred know each other after some beats.
 const KNOWN: usize = 6;
+/// Instances that the first beat to a new one names; 8 bytes each, so that they fit a datagram.
+const WELCOME: usize = 120;
 /// Time between two beats while a rollout runs, in milliseconds: a fault is to stop it within seconds.
 const ROLLOUT_BEAT_MS: u64 = 200;
 
@@ -55,7 +60,7 @@
 
 /// Sends one beat to all known instances and to the seeds that are not among them.
 pub async fn send_beat(state: &Rc<State>, socket: &UdpSocket) {
-    let bytes = own_beat(state).encode();
+    let bytes = own_beat(state, KNOWN).encode();
     for addr in recipients(state) {
         if let Err(error) = socket.send_to(&bytes, addr).await {
             debug!(event = "beat_unsent", peer = %addr, %error);
@@ -104,16 +109,20 @@
 }
 
 /// A few live instances, others each time.
-fn some_members(state: &State) -> Vec<SocketAddr> {
+fn some_members(state: &State, count: usize) -> Vec<SocketAddr> {
     let now = state.now();
     let live: Vec<SocketAddr> = state.members.borrow().live(now).map(|m| m.peer).collect();
-    live.choose_multiple(&mut rand::rng(), KNOWN)
+    live.choose_multiple(&mut rand::rng(), count)
         .copied()
         .collect()
 }
 
-fn own_beat(state: &State) -> Beat {
-    let outcomes = state.outcomes.take();
+fn own_beat(state: &State, known: usize) -> Beat {
+    let outcomes = if known == KNOWN {
+        state.outcomes.take()
+    } else {
+        HashMap::default()
+    };
     let rollouts = state.rollouts.borrow();
     let reports = rollouts.values().map(|r| RolloutReport {
         service: r.order.service.clone(),
@@ -139,7 +148,7 @@
         },
         orders_next: state.orders_next.get(),
         steady_ms: steady_ms(state),
-        known: some_members(state),
+        known: some_members(state, known),
         outcomes: outcomes
             .into_iter()
             .filter(|(_, (_, bad))| *bad > 0)
@@ -152,14 +161,16 @@
 /// Receives beats until the process ends. `ahead` is told of a sender that has read
 /// further in the operator's records than this instance.
 pub async fn receive_beats(state: Rc<State>, socket: Rc<UdpSocket>, ahead: impl Fn(SocketAddr)) {
-    let mut buffer = vec![0; crate::beat::MAX_BYTES];
+    // Evidence of a rollout over many routes can exceed the usual size.
+    let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((count, from)) => {
                 let bytes = &buffer[..count];
                 if let Some(beat) = Beat::decode(bytes) {
-                    if let SocketAddr::V4(from) = from {
-                        hear(&state, beat, from, &ahead);
+                    let SocketAddr::V4(from) = from else { continue };
+                    if hear(&state, beat, from, &ahead) {
+                        welcome(&state, &socket, from.into()).await;
                     }
                 } else if let Some(part) = EntriesPart::decode(bytes) {
                     take_part(&state, part);
@@ -175,12 +186,23 @@
     }
 }
 
-fn hear(state: &State, beat: Beat, from: SocketAddrV4, ahead: &impl Fn(SocketAddr)) {
+/// Tells an instance that was not known before of all others, so that it need not ask the store.
+async fn welcome(state: &State, socket: &UdpSocket, to: SocketAddr) {
+    let mut beat = own_beat(state, WELCOME);
+    // Its outcomes are for all instances and go with the next beat to all.
+    beat.outcomes.clear();
+    if let Err(error) = socket.send_to(&beat.encode(), to).await {
+        debug!(event = "welcome_unsent", peer = %to, %error);
+    }
+}
+
+/// Takes in a beat; whether its sender was not known.
+fn hear(state: &State, beat: Beat, from: SocketAddrV4, ahead: &impl Fn(SocketAddr)) -> bool {
     let now = state.now();
     if beat.orders_next > state.orders_next.get() {
         ahead(from.into());
     }
-    note_member(state, &beat, from, now);
+    let is_new = note_member(state, &beat, from, now);
     if beat.steady_ms >= STEADY_MS {
         state.sound_until.set(now.plus_us(WORD_US));
         let dropped = state.targets.borrow_mut().drop_lapsed();
@@ -219,9 +241,11 @@
                 stage = rollout.stage.0);
         }
     }
+    is_new
 }
 
-fn note_member(state: &State, beat: &Beat, from: SocketAddrV4, now: Time) {
+/// Notes the sender of a beat; whether it was not known.
+fn note_member(state: &State, beat: &Beat, from: SocketAddrV4, now: Time) -> bool {
     let presence = beat.presence();
     let mut members = state.members.borrow_mut();
     let is_news = !members
@@ -230,6 +254,9 @@
     if is_news {
         info!(event = "peer", peer = %beat.name, boot = beat.boot, presence = ?presence);
     }
+    let is_new = !members
+        .live(now)
+        .any(|m| m.name == beat.name && m.boot == beat.boot);
     members.hear(Member {
         name: beat.name.clone(),
         boot: beat.boot,
@@ -239,6 +266,7 @@
         presence,
         heard: Some(now),
     });
+    is_new
 }
 
 /// Notes an instance that was read of in the store.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -63,7 +63,7 @@
         bytes: &bytes,
     };
     let now = state.now();
-    let sent = exchange(state, addr, message, now.plus_ms(ANSWER_MS * 2)).await;
+    let sent = exchange(state, addr, message, now.plus_ms(ANSWER_MS * 2), || true).await;
     let response = match sent {
         Sent::Response(response) => response,
         Sent::Unsent(_) => return state.note_down(id),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,6 +22,8 @@
     pub settings: Settings,
     /// Clock.
     pub clock: Clock,
+    /// When the process started.
+    pub started: Time,
     /// Number of this process.
     pub boot: u64,
     /// Configuration in force, once known.
@@ -84,6 +86,7 @@
         Rc::new(Self {
             metrics: Metrics::new(&settings),
             clock,
+            started: clock.now(),
             boot: Clock::boot_number(),
             manifest: RefCell::default(),
             targets: RefCell::default(),
