Parts of entries are told twice; duty to wait for orders is looked at all the time; metrics of ages and counts

Cause: an instance that took over the wait for orders noticed it only after a pause of 25 s; test configuration_is_in_force_after_its_readers_ended failed before. Lost parts made listeners read the store.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -27,6 +27,8 @@
 /// Time after the start in which the first listing is enough, in microseconds. Others are met meanwhile,
 /// who read for all; bounds on what an instance must know hold from 3 s after its start.
 const START_US: u64 = 2_500_000;
+/// Time for which a missing part is awaited, in microseconds. Another reader's next part may cover it.
+const GAP_US: u64 = 600_000;
 /// Time between two looks at whether to read.
 const LOOK: Duration = Duration::from_millis(150);
 /// Time between two reads while entries are awaited that lapsed with the store.
@@ -40,6 +42,7 @@
     let mut store = Store::new(state.settings.store);
     let mut last_read = Time(0);
     let mut backoff = Backoff::default();
+    let mut told: Option<EntriesPart> = None;
     loop {
         sweep(&state);
         let is_reader = has_met(&state) && state.duty_rank("entries") < READERS;
@@ -52,13 +55,19 @@
         last_read = state.now();
         state.metrics.count("store_calls", 1);
         match read(&state, &mut store).await {
-            Ok(datagrams) if is_reader => {
+            Ok(part) => {
                 backoff.reset();
-                for bytes in datagrams {
-                    tell_all(&state, &socket, &bytes).await;
+                if is_reader && let Some(part) = part {
+                    // Each part is told twice, so that one lost datagram leaves no gap.
+                    let both = told
+                        .take()
+                        .map_or_else(|| part.clone(), |last| last.join(&part));
+                    for bytes in both.datagrams() {
+                        tell_all(&state, &socket, &bytes).await;
+                    }
+                    told = Some(part);
                 }
             }
-            Ok(_) => backoff.reset(),
             Err(error) => {
                 note_failure(&state, &error);
                 // Dropped records are no failure of the store; the whole listing is read at once.
@@ -79,12 +88,15 @@
     }
     let is_old = has_met(state) && age.is_none_or(|age| age >= FOLLOW_US);
     is_old
-        || state.entries_gap.get()
+        || state
+            .entries_gap
+            .get()
+            .is_some_and(|since| now.since_us(since) >= GAP_US)
         || (rested >= LAPSED_PACE && state.targets.borrow().has_lapsed())
 }
 
 /// Whether the instance has run for long enough to have met the others.
-fn has_met(state: &State) -> bool {
+pub fn has_met(state: &State) -> bool {
     state.now().since_us(state.started) >= START_US
 }
 
@@ -105,12 +117,12 @@
 }
 
 /// Reads once; returns what the other instances are to be told.
-async fn read(state: &Rc<State>, store: &mut Store) -> Result<Vec<Vec<u8>>, PlatformError> {
+async fn read(state: &Rc<State>, store: &mut Store) -> Result<Option<EntriesPart>, PlatformError> {
     let Some(from) = state.entries_next.get() else {
         let newest = store.newest(Topic::Targets).await?;
         note_current(state, newest.end);
         apply_whole(state, newest.listing);
-        return Ok(Vec::new());
+        return Ok(None);
     };
     let page = store.read(Topic::Targets, from, 0).await?;
     // Parts that arrived meanwhile may have gone further.
@@ -119,7 +131,7 @@
         .get()
         .is_some_and(|next| next > page.next);
     if is_behind {
-        return Ok(Vec::new());
+        return Ok(None);
     }
     note_current(state, page.next);
     log_malformed(&page.listing);
@@ -131,7 +143,11 @@
     let news: Vec<(u64, EntryChange)> = changes
         .filter(|(offset, change)| apply(state, *offset, change))
         .collect();
-    Ok(EntriesPart::datagrams(from, page.next, news))
+    Ok(Some(EntriesPart {
+        from,
+        next: page.next,
+        changes: news,
+    }))
 }
 
 fn known(change: Change) -> Option<EntryChange> {
@@ -148,8 +164,9 @@
         return;
     };
     if part.from > own {
-        // A part was lost on the way.
-        state.entries_gap.set(true);
+        // A part was lost or overtaken on the way.
+        let since = state.entries_gap.get().unwrap_or_else(|| state.now());
+        state.entries_gap.set(Some(since));
         return;
     }
     if part.next < own {
@@ -180,7 +197,7 @@
             }
         }
     }
-    state.entries_gap.set(false);
+    state.entries_gap.set(None);
     state.entries_next.set(Some(next));
     state.targets_read.set(Some(now));
 }
--- a/crates/gateway/src/entries_part.rs
+++ b/crates/gateway/src/entries_part.rs
@@ -34,23 +34,40 @@
 }
 
 impl EntriesPart {
-    /// Datagrams that tell of the changes from `from` to `next`, none larger than allowed.
-    pub fn datagrams(from: u64, next: u64, changes: Vec<(u64, EntryChange)>) -> Vec<Vec<u8>> {
-        let part = Self {
-            from,
-            next,
-            changes,
-        };
+    /// This part and the one that follows it.
+    pub fn join(mut self, next: &Self) -> Self {
+        if self.next != next.from {
+            return next.clone();
+        }
+        self.next = next.next;
+        self.changes.extend_from_slice(&next.changes);
+        self
+    }
+
+    /// Datagrams that tell of the part, none larger than allowed.
+    pub fn datagrams(self) -> Vec<Vec<u8>> {
         let mut bytes = vec![FORMAT];
-        bytes.extend(encode_to_vec(&part, standard()).unwrap_or_default());
-        if bytes.len() <= MAX_BYTES || part.changes.len() < 2 {
+        bytes.extend(encode_to_vec(&self, standard()).unwrap_or_default());
+        if bytes.len() <= MAX_BYTES || self.changes.len() < 2 {
             return vec![bytes];
         }
-        let mut left = part.changes;
+        let mut left = self.changes;
         let right = left.split_off(left.len() / 2);
         let middle = right[0].0;
-        let mut datagrams = Self::datagrams(from, middle, left);
-        datagrams.extend(Self::datagrams(middle, next, right));
+        let (left, right) = (
+            Self {
+                from: self.from,
+                next: middle,
+                changes: left,
+            },
+            Self {
+                from: middle,
+                next: self.next,
+                changes: right,
+            },
+        );
+        let mut datagrams = left.datagrams();
+        datagrams.extend(right.datagrams());
         datagrams
     }
 
--- a/crates/gateway/src/entries_part/tests.rs
+++ b/crates/gateway/src/entries_part/tests.rs
@@ -7,10 +7,31 @@
     )
 }
 
+fn part(from: u64, next: u64, changes: Vec<(u64, EntryChange)>) -> EntriesPart {
+    EntriesPart {
+        from,
+        next,
+        changes,
+    }
+}
+
+/// Guards against a lost datagram that makes every listener read the store.
+#[test]
+fn join_covers_both_parts() {
+    let first = part(1, 4, vec![gone(2)]);
+    let second = part(4, 9, vec![gone(5)]);
+    assert_eq!(
+        first.clone().join(&second),
+        part(1, 9, vec![gone(2), gone(5)])
+    );
+    let later = part(7, 9, vec![gone(8)]);
+    assert_eq!(first.join(&later), later, "parts with a gap between them");
+}
+
 #[test]
 fn datagrams_cover_all_offsets_in_order() {
     let changes: Vec<_> = (10..500).map(gone).collect();
-    let datagrams = EntriesPart::datagrams(7, 600, changes.clone());
+    let datagrams = part(7, 600, changes.clone()).datagrams();
     assert!(datagrams.len() > 1);
     let mut next = 7;
     let mut seen = Vec::new();
@@ -26,8 +47,8 @@
 
 #[test]
 fn decode_foreign_datagrams() {
-    let bytes = EntriesPart::datagrams(1, 2, vec![gone(1)]).remove(0);
+    let bytes = part(1, 2, vec![gone(1)]).datagrams().remove(0);
     assert!(EntriesPart::decode(&bytes[1..]).is_none());
     assert!(EntriesPart::decode(&bytes[..bytes.len() - 1]).is_none());
-    assert!(EntriesPart::decode(&EntriesPart::datagrams(3, 2, vec![]).remove(0)).is_none());
+    assert!(EntriesPart::decode(&part(3, 2, vec![]).datagrams().remove(0)).is_none());
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -64,11 +64,14 @@
             .or_default() += 1;
     }
 
-    /// All metrics as text.
-    pub fn text(&self) -> String {
+    /// All metrics as text, with `gauges` that hold at this moment.
+    pub fn text(&self, gauges: &[(&'static str, u64)]) -> String {
         let figures = self.figures.borrow();
         let instance = &self.instance;
         let mut out = String::new();
+        for (name, value) in gauges {
+            let _ = writeln!(out, "hibiscusway_{name}{{instance=\"{instance}\"}} {value}");
+        }
         for (name, value) in &figures.counters {
             let _ = writeln!(
                 out,
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -8,7 +8,7 @@
 use platform::{Change, Listing, OperatorChange, PlatformError, RecordedVerdict, Store, Topic};
 use tracing::{error, info, warn};
 
-use crate::{backoff::Backoff, peers::send_beat, state::State};
+use crate::{backoff::Backoff, entries::has_met, peers::send_beat, state::State};
 
 /// Instances that wait at the store. One of them may be cut off from the store, and one more from the
 /// other instances, without a delay.
@@ -18,6 +18,8 @@
 const WAIT_MS: u64 = 20_000;
 /// Time without news after which an instance that does not wait at the store reads there once.
 const CHECK: Duration = Duration::from_secs(25);
+/// Time between two looks at whether this instance is to wait at the store.
+const LOOK: Duration = Duration::from_millis(250);
 /// Time for another instance to pass records on.
 const PASS_ON: Duration = Duration::from_millis(300);
 /// Time for one read without a wait.
@@ -91,6 +93,18 @@
     state.duty_rank("orders") < WAITERS
 }
 
+/// Waits until this instance is to wait at the store, or until it is time to read without that.
+async fn wait_for_duty(state: &State) -> bool {
+    let start = state.now();
+    while Duration::from_micros(state.now().since_us(start)) < CHECK {
+        if has_met(state) && is_waiter(state) {
+            return true;
+        }
+        async_std::task::sleep(LOOK).await;
+    }
+    false
+}
+
 /// Fetches records from an instance that has them, or else from the store.
 async fn fetch(
     state: &Rc<State>,
@@ -128,10 +142,9 @@
     next: Option<u64>,
 ) -> Result<u64, PlatformError> {
     if let Some(from) = next {
-        let wait_ms = if is_waiter(state) {
+        let wait_ms = if wait_for_duty(state).await {
             WAIT_MS
         } else {
-            async_std::task::sleep(CHECK).await;
             0
         };
         state.metrics.count("store_calls", 1);
--- a/crates/gateway/src/serving.rs
+++ b/crates/gateway/src/serving.rs
@@ -8,6 +8,7 @@
     net::TcpStream,
 };
 use h1::{Request, RequestDecoder, RequestLimits, Step};
+use model::Time;
 use platform::{
     directory_answer, directory_query,
     serving::{DIRECTORY_PATH, READY_PATH, RELAY_PATH},
@@ -59,6 +60,24 @@
     }
 }
 
+/// What holds at this moment.
+fn gauges(state: &State) -> Vec<(&'static str, u64)> {
+    let now = state.now();
+    let age_ms = |at: Time| now.since_us(at) / 1_000;
+    let budgets = state.budgets.borrow();
+    let extras = budgets.values().map(|b| b.used().0 as u64).sum();
+    vec![
+        ("config_version", state.manifest().map_or(0, |m| m.version)),
+        ("orders_age_ms", age_ms(state.orders_read.get())),
+        ("targets_age_ms", state.targets_read.get().map_or(0, age_ms)),
+        ("targets", state.targets.borrow().len() as u64),
+        ("peers", state.members.borrow().live(now).count() as u64),
+        ("caller_connections", state.callers.get() as u64),
+        ("requests_in_progress", state.busy.get() as u64),
+        ("second_sends_in_window", extras),
+    ]
+}
+
 fn answer(state: &State, request: &Request) -> Vec<u8> {
     let close = !request.reusable;
     match request.path() {
@@ -88,7 +107,7 @@
             200,
             "OK",
             "text/plain",
-            state.metrics.text().as_bytes(),
+            state.metrics.text(&gauges(state)).as_bytes(),
             close,
         ),
         _ => plain(404, "Not Found", "text/plain", b"", close),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -62,8 +62,8 @@
     pub entries_next: Cell<Option<u64>>,
     /// Latest records of the operator, for instances that fetch them here.
     pub relay: RefCell<Relay>,
-    /// Whether a part of the entries was missed.
-    pub entries_gap: Cell<bool>,
+    /// Since when a part of the entries is missing.
+    pub entries_gap: Cell<Option<Time>>,
     /// Since when the entries were never out of date for long.
     pub steady_since: Cell<Time>,
     /// Until when another instance is known to have had sound entries throughout.
@@ -107,7 +107,7 @@
             sound_until: Cell::new(Time(0)),
             entries_next: Cell::new(None),
             relay: RefCell::default(),
-            entries_gap: Cell::new(false),
+            entries_gap: Cell::new(None),
             store_lost: Cell::new(false),
             outcomes: RefCell::default(),
             idle_end,
--- a/crates/node/tests/gateway_fleet.rs
+++ b/crates/node/tests/gateway_fleet.rs
@@ -295,3 +295,31 @@
         assert!(part < 0.1, "{part}");
     });
 }
+
+/// Guards against a configuration that nobody reads because all instances that wait at the store ended.
+#[test]
+fn configuration_is_in_force_after_its_readers_ended() {
+    task::block_on(async {
+        let rig = rig(6, 3).await;
+        task::sleep(Duration::from_secs(4)).await;
+        // Ends the waits that began before the instances knew each other.
+        rig.publish(&[]);
+        task::sleep(Duration::from_millis(500)).await;
+        // Any three of the first five may be the readers; the last one must take over.
+        for instance in &rig.instances[..5] {
+            instance.signal("KILL").unwrap();
+        }
+        // Silent instances are forgotten after five beats.
+        task::sleep(Duration::from_secs(3)).await;
+        let route = json!({ "name": "new", "host": "shop.example", "path_prefix": "/new/",
+            "kind": "idempotent", "timeout_s": 1, "service": "orders", "attempts": 2 });
+        rig.publish(&[route]);
+        task::sleep(APPLY).await;
+        let mut request = rig.request(false);
+        request.path = String::from("/new/1");
+        assert_eq!(
+            send(rig.instances[5].callers(), &request).await.status(),
+            200
+        );
+    });
+}
