--- /dev/null
+++ b/crates/gateway/src/flight.rs
@@ -0,0 +1,146 @@
+//! One send of a request to one target.
+
+use std::rc::Rc;
+
+use futures::{FutureExt, future::LocalBoxFuture};
+use h1::{Request, write_headers};
+use model::{ServiceName, TargetId, Time};
+use platform::headers;
+
+use crate::{
+    choose::{Pick, may_send},
+    exchange::{Message, Sent, exchange},
+    state::State,
+};
+
+/// A request on its way to one target.
+pub struct Flight {
+    /// Where it went.
+    pub pick: Pick,
+    /// When.
+    pub started: Time,
+    future: LocalBoxFuture<'static, Sent>,
+}
+
+impl Flight {
+    /// Sends `request` to `pick`; it ends at `deadline`.
+    pub fn launch(
+        state: &Rc<State>,
+        service: &ServiceName,
+        request: &Request,
+        pick: Pick,
+        deadline: Time,
+    ) -> Self {
+        let started = state.now();
+        let bytes = encode(request, &pick, deadline.since_us(started) / 1_000);
+        let inflight = InFlight::start(state, &pick, service);
+        let state = Rc::clone(state);
+        let method = request.method.clone();
+        let id = request.headers.only(headers::REQUEST_ID).map(str::to_owned);
+        let (addr, target) = (pick.addr, pick.id.clone());
+        let future = async move {
+            let _inflight = inflight;
+            let message = Message {
+                method: &method,
+                id: id.as_deref(),
+                bytes: &bytes,
+            };
+            exchange(&state, addr, message, deadline, || {
+                may_send(&state, &target)
+            })
+            .await
+        };
+        Self {
+            pick,
+            started,
+            future: future.boxed_local(),
+        }
+    }
+
+    /// The result; to be awaited only once to its end.
+    pub fn result(&mut self) -> &mut LocalBoxFuture<'static, Sent> {
+        &mut self.future
+    }
+}
+
+/// Whether a response counts as one.
+pub fn is_good(sent: &Sent) -> bool {
+    matches!(sent, Sent::Response(r) if r.status < 500 && !r.headers.has(headers::NOT_RUN))
+}
+
+/// Whether the target said that it did not run the request.
+pub fn is_unrun(sent: &Sent) -> bool {
+    matches!(sent, Sent::Response(r) if r.headers.has(headers::NOT_RUN) || r.status == 421)
+}
+
+/// Counts a request at a target until dropped.
+struct InFlight {
+    state: Rc<State>,
+    id: TargetId,
+}
+
+impl InFlight {
+    fn start(state: &Rc<State>, pick: &Pick, service: &ServiceName) -> Self {
+        let now = state.now();
+        if let Some(target) = state.targets.borrow_mut().get_mut(&pick.id) {
+            target.inflight += 1;
+            target.unseen += 1;
+            if target.is_cold(now) {
+                let manifest = state.manifest();
+                let spec = manifest.as_ref().and_then(|m| m.service(service));
+                let instances = state.instances().len();
+                target
+                    .gate
+                    .note(now, spec.map_or(1.0, |s| s.cold_rate), instances);
+            }
+        }
+        Self {
+            state: Rc::clone(state),
+            id: pick.id.clone(),
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(target) = self.state.targets.borrow_mut().get_mut(&self.id) {
+            target.inflight = target.inflight.saturating_sub(1);
+            target.unseen = target.unseen.saturating_sub(1);
+        }
+    }
+}
+/// The request as it goes to a target that has `left_ms` for it.
+fn encode(request: &Request, pick: &Pick, left_ms: u64) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(request.body.len() + 512);
+    let line = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
+    bytes.extend_from_slice(line.as_bytes());
+    let is_replaced = |name: &str| {
+        headers::REPLACED
+            .iter()
+            .any(|own| name.eq_ignore_ascii_case(own))
+    };
+    let kept = request
+        .headers
+        .end_to_end()
+        .filter(|(name, _)| !is_replaced(name));
+    write_headers(&mut bytes, kept);
+    let own = format!(
+        "{}: {left_ms}\r\n{}: {}\r\n",
+        headers::DEADLINE_MS,
+        headers::EXPECTED_TARGET,
+        pick.id
+    );
+    bytes.extend_from_slice(own.as_bytes());
+    let has_length =
+        request.headers.has("content-length") || request.headers.has("transfer-encoding");
+    if has_length {
+        let line = format!("Content-Length: {}\r\n", request.body.len());
+        bytes.extend_from_slice(line.as_bytes());
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/flight/tests.rs
@@ -0,0 +1,65 @@
+use balance::Outlook;
+use h1::{RequestDecoder, RequestLimits, Step};
+
+use super::*;
+
+fn decode(bytes: &[u8]) -> Request {
+    let limits = RequestLimits {
+        head: 4_096,
+        body: 100,
+    };
+    match RequestDecoder::default().step(&mut bytes.to_vec(), limits) {
+        Ok(Step::Whole(request)) => *request,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn pick() -> Pick {
+    Pick {
+        id: TargetId::new("i-1"),
+        addr: "10.0.0.1:80".parse().unwrap(),
+        pace: 100,
+        age_us: 0,
+        outlook: Outlook {
+            ms: 1.0,
+            is_free: true,
+        },
+        is_new: false,
+    }
+}
+
+/// Guards against requests that change on their way, and against values that a client sets itself.
+#[test]
+fn encode_keeps_request_and_replaces_own_headers() {
+    let request = decode(
+        b"POST /a/%2e/b?x=1&y HTTP/1.1\r\nHost: h\r\nX-Kept: v\r\nConnection: close\r\n\
+          X-Hibiscusway-Expect-Instance: forged\r\nX-Hibiscusway-Deadline-Ms: 99999\r\n\
+          Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+    );
+    let sent = decode(&encode(&request, &pick(), 700));
+    assert_eq!(
+        (&*sent.method, &*sent.target, &*sent.body),
+        ("POST", "/a/%2e/b?x=1&y", &b"abc"[..])
+    );
+    assert_eq!(sent.headers.only("x-kept"), Some("v"));
+    assert_eq!(sent.headers.only(headers::DEADLINE_MS), Some("700"));
+    assert_eq!(sent.headers.only(headers::EXPECTED_TARGET), Some("i-1"));
+    assert!(!sent.headers.has("transfer-encoding") && !sent.headers.has("connection"));
+}
+
+/// Guards against an empty body that becomes no body, and the other way round.
+#[test]
+fn encode_states_length_only_if_the_client_did() {
+    let with = decode(b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    let without = decode(b"GET / HTTP/1.1\r\n\r\n");
+    assert!(
+        decode(&encode(&with, &pick(), 1))
+            .headers
+            .has("content-length")
+    );
+    assert!(
+        !decode(&encode(&without, &pick(), 1))
+            .headers
+            .has("content-length")
+    );
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,9 +16,12 @@
 mod entries;
 mod entries_part;
 mod exchange;
+mod flight;
+mod job;
 mod logs;
 mod metrics;
 mod orders;
+mod outcome;
 mod peers;
 mod phase;
 mod pool;
@@ -29,6 +32,7 @@
 mod serving;
 mod settings;
 mod state;
+mod story;
 
 pub use crate::{
     logs::init_logging,
--- /dev/null
+++ b/crates/gateway/src/outcome.rs
@@ -0,0 +1,65 @@
+//! What the result of a send tells about the target, the route and a rollout.
+
+use std::sync::Arc;
+
+use balance::{Route, Verdict};
+use h1::Response;
+use model::ServiceName;
+use platform::{cold_ms, load_report};
+use tracing::warn;
+
+use crate::{choose::Pick, state::State};
+
+/// Times the expected time from which a response counts as slow. A neighbour that gets noisy after the
+/// choice makes a target up to 4 times slower, but rarely for a whole request.
+const SLOW_FACTOR: f64 = 3.0;
+
+/// Whether a response took far longer than expected.
+pub fn is_slow(pick: &Pick, took_us: u64) -> bool {
+    took_us as f64 / 1_000.0 > pick.outlook.ms * SLOW_FACTOR
+}
+
+/// Takes in load and warm-up from a response.
+pub fn learn(state: &State, pick: &Pick, response: &Response) {
+    let now = state.now();
+    let mut targets = state.targets.borrow_mut();
+    let Some(target) = targets.get_mut(&pick.id) else {
+        return;
+    };
+    if let Some(load) = load_report(&response.headers, now) {
+        target.note_load(load);
+    }
+    if let Some(ms) = cold_ms(&response.headers) {
+        target.note_cold(now, ms);
+    }
+}
+
+/// Takes in the time of a proper response.
+pub fn note_work(state: &State, route: &Route, pick: &Pick, took_us: u64) {
+    // Work times are those of the version that is known.
+    if pick.is_new {
+        return;
+    }
+    let mut work = state.work.borrow_mut();
+    let work = work.entry(Arc::clone(&route.name)).or_default();
+    work.note(took_us as f64 / 1_000.0, pick.pace);
+}
+
+/// Counts a result for the target and for a rollout of its service.
+pub fn judge(state: &State, service: &ServiceName, route: &Route, pick: &Pick, is_good: bool) {
+    state.note_outcome(&pick.id, is_good);
+    let mut rollouts = state.rollouts.borrow_mut();
+    let Some(rollout) = rollouts.get_mut(service) else {
+        return;
+    };
+    if rollout.verdict != Verdict::Running {
+        return;
+    }
+    let at = rollout.stage.0;
+    let key = model::rendezvous(&route.name, "");
+    rollout.own.note(pick.is_new, at, key, is_good);
+    if rollout.judge() {
+        warn!(event = "rollout_stopped", service = %service, version = %rollout.order.version,
+            stage = at, evidence = ?rollout.evidence().new);
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use async_std::channel::{Receiver, Sender, bounded};
@@ -211,6 +212,22 @@
         }
     }
 
+    /// Uses the budget of second sends to `service`.
+    pub fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        action: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let settings = &self.settings;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            let window_us = Duration::from_secs_f64(settings.retry_window_s).as_micros();
+            let window_us = u64::try_from(window_us).unwrap_or(u64::MAX);
+            RetryBudget::new(window_us, settings.retry_ratio, settings.retry_slack)
+        });
+        action(budget)
+    }
+
     /// Notes an outcome at a target, for this instance and the next beat.
     pub fn note_outcome(&self, id: &model::TargetId, is_good: bool) {
         let now = self.now();
