Facts about draining targets are published with the next tick

Each of 2,100 facts rebuilt the view from all facts before it, so a zone taken out waited behind them.

--- a/crates/node/src/control/peer_events.rs
+++ b/crates/node/src/control/peer_events.rs
@@ -119,9 +119,14 @@
     info!(event = "fact", instance = %control.ctx.settings.instance, ?fact);
     control.members.see(now, &Sighting::Fact(fact.clone()));
     control.ctx.peers.send_all(&PeerMsg::Fact(fact.clone()));
+    let is_draining = matches!(fact, Fact::Draining { .. });
     control.facts.insert(fact);
     control.published = None;
-    publish::publish(control, now);
+    // Thousands of targets may leave at once, and each view is made from all facts. They wait for the
+    // next tick; stops and zones do not.
+    if !is_draining {
+        publish::publish(control, now);
+    }
 }
 
 /// Drops facts about targets that are gone and about moves that are not remembered.
