--- a/crates/balance/src/members.rs
+++ b/crates/balance/src/members.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use model::{InstanceId, Time, Zone};
+use model::{InstanceId, Time, Zone, rendezvous};
 
 /// Time between two beats in a small system, in milliseconds. At 16 instances this is 38 datagrams a
 /// second each way.
@@ -131,6 +131,30 @@
             .collect()
     }
 
+    /// Number of instances that come before `own` in `zone` for `duty`. The first of each zone come
+    /// before the second ones, so that the loss of a zone leaves one of the first few.
+    #[must_use]
+    pub fn duty_rank(&self, duty: &str, own: &InstanceId, zone: &Zone, now: Time) -> usize {
+        let others = self.live(now).filter(|m| m.presence != Presence::Leaving);
+        let mut candidates: Vec<(u64, &InstanceId, &Zone)> = others
+            .map(|m| (&m.name, &m.zone))
+            .filter(|(name, _)| *name != own)
+            .chain([(own, zone)])
+            .map(|(name, zone)| (rendezvous(duty, name.as_str()), name, zone))
+            .collect();
+        candidates.sort_unstable_by(|a, b| b.cmp(a));
+        let mut seen: BTreeMap<&Zone, usize> = BTreeMap::new();
+        let mut turns: Vec<(usize, bool)> = Vec::with_capacity(candidates.len());
+        for (_, name, zone) in candidates {
+            let turn = seen.entry(zone).or_default();
+            turns.push((*turn, name == own));
+            *turn += 1;
+        }
+        // Stable: within one turn, the order by weight stays.
+        turns.sort_by_key(|(turn, _)| *turn);
+        turns.iter().take_while(|(_, is_own)| !is_own).count()
+    }
+
     /// Names of the instances that share work, for rendezvous hashing.
     #[must_use]
     pub fn names(&self, now: Time) -> Vec<InstanceId> {
--- a/crates/balance/src/members/tests.rs
+++ b/crates/balance/src/members/tests.rs
@@ -54,3 +54,33 @@
     let tries = (0..10).filter(|_| !silent.hinted().is_empty()).count();
     assert_eq!(tries, 3, "an address that never answers is given up");
 }
+
+/// Guards against duties whose first instances all go with one zone.
+#[test]
+fn duty_rank_takes_zones_in_turn() {
+    let zones = ["a", "b", "c"];
+    let names: Vec<String> = (0..16).map(|n| format!("edge-{n}")).collect();
+    let zone_of = |n: usize| Zone::new(zones[n % 3]);
+    let rank = |own: usize, duty: &str| {
+        let mut members = Members::default();
+        for (n, name) in names.iter().enumerate().filter(|(n, _)| *n != own) {
+            members.hear(Member {
+                name: InstanceId::new(name),
+                zone: zone_of(n),
+                peer: format!("10.0.0.{}:7000", n + 1).parse().unwrap(),
+                ..member(1, Presence::Ready, Some(START))
+            });
+        }
+        members.duty_rank(duty, &InstanceId::new(&names[own]), &zone_of(own), START)
+    };
+    for duty in ["orders", "entries", "rollout orders 1", "rollout orders 2"] {
+        let mut ranked: Vec<(usize, usize)> = (0..16).map(|own| (rank(own, duty), own)).collect();
+        ranked.sort_unstable();
+        let ranks: Vec<usize> = ranked.iter().map(|(rank, _)| *rank).collect();
+        assert_eq!(ranks, (0..16).collect::<Vec<_>>(), "every rank once");
+        let mut first: Vec<Zone> = ranked[..3].iter().map(|(_, own)| zone_of(*own)).collect();
+        first.sort_unstable();
+        first.dedup();
+        assert_eq!(first.len(), 3, "{duty}: {ranked:?}");
+    }
+}
--- a/crates/balance/src/targets.rs
+++ b/crates/balance/src/targets.rs
@@ -1,7 +1,7 @@
 //! The targets of all services, as their entries and the calls to them show.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
 };
 
@@ -118,23 +118,22 @@
         true
     }
 
-    /// Replaces all entries by those of a whole listing; targets that are not in it are lost.
-    pub fn replace(&mut self, entries: Vec<TargetEntry>, now: Time) -> bool {
-        let listed: Vec<TargetId> = entries.iter().map(|e| e.id.clone()).collect();
-        let missing: Vec<TargetId> = self
-            .homes
-            .keys()
-            .filter(|id| !listed.contains(id))
-            .cloned()
-            .collect();
-        let mut changed = false;
-        for entry in entries {
-            changed |= self.put(entry, now);
-        }
-        for id in missing {
-            changed |= self.lose(&id, now);
+    /// Replaces all entries by those of a whole listing; targets that are not in it are lost. Returns
+    /// entries that are news, and the targets that are missing.
+    pub fn replace(
+        &mut self,
+        entries: Vec<TargetEntry>,
+        now: Time,
+    ) -> (Vec<TargetEntry>, Vec<TargetId>) {
+        let listed: HashSet<&TargetId> = entries.iter().map(|e| &e.id).collect();
+        let known = self.homes.keys();
+        let missing: Vec<TargetId> = known.filter(|id| !listed.contains(id)).cloned().collect();
+        let mut changed = entries;
+        changed.retain(|entry| self.put(entry.clone(), now));
+        for id in &missing {
+            self.lose(id, now);
         }
-        changed
+        (changed, missing)
     }
 
     /// Notes that the store answers again after it was away.
--- a/crates/balance/src/targets/tests.rs
+++ b/crates/balance/src/targets/tests.rs
@@ -31,7 +31,9 @@
     let mut targets = Targets::default();
     targets.put(entry("a", 1), NOW);
     targets.note_return(NOW);
-    assert!(!targets.replace(vec![], NOW));
+    let (news, missing) = targets.replace(vec![], NOW);
+    assert!(news.is_empty() && missing == [TargetId::new("a")]);
+    assert_eq!(targets.len(), 1);
     assert!(!targets.sweep(NOW.plus_ms(1_900)));
     assert_eq!(targets.len(), 1);
     assert!(
@@ -40,6 +42,18 @@
     );
 }
 
+/// Guards against instances that are not told what a whole listing changed.
+#[test]
+fn replace_names_news() {
+    let mut targets = Targets::default();
+    targets.put(entry("a", 1), NOW);
+    targets.put(entry("b", 1), NOW);
+    let restarted = entry("b", 2);
+    let (news, missing) = targets.replace(vec![restarted.clone(), entry("c", 1)], NOW);
+    assert_eq!(news, [restarted, entry("c", 1)]);
+    assert_eq!(missing, [TargetId::new("a")]);
+}
+
 #[test]
 fn put_after_lapse_keeps_target() {
     let mut targets = Targets::default();
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -24,6 +24,10 @@
 /// Age of the entries from which an instance reads by itself, in microseconds. The first read after
 /// both readers ended then still comes in time.
 const FOLLOW_US: u64 = 1_300_000;
+/// Time between the reads of one instance and twice as many after it while nothing is heard, in
+/// microseconds. The first to read tell the others, so that a hundred instances do not all read; the last
+/// still do so 2 s after the last news.
+const FOLLOW_STEP_US: u64 = 75_000;
 /// Time after the start in which the first listing is enough, in microseconds. Others are met meanwhile,
 /// who read for all; bounds on what an instance must know hold from 3 s after its start.
 const START_US: u64 = 2_500_000;
@@ -33,6 +37,9 @@
 const LOOK: Duration = Duration::from_millis(150);
 /// Time between two reads while entries are awaited that lapsed with the store.
 const LAPSED_PACE: Duration = Duration::from_millis(450);
+/// Longer pause after a failed read, for the second instance and each doubling of the rank. The first ones
+/// notice the store's return and tell the others; the last of a hundred look 3 s later at most.
+const FAILED_STEP: Duration = Duration::from_millis(350);
 /// Age of the entries from which a store that failed counts as having been away, in microseconds.
 /// Targets write every 1.5 s and lapse after three missed writes.
 const AWAY_US: u64 = 1_200_000;
@@ -42,13 +49,18 @@
     let mut store = Store::new(state.settings.store);
     let mut last_read = Time(0);
     let mut backoff = Backoff::default();
+    let mut not_before = Time(0);
     let mut told: Option<EntriesPart> = None;
     loop {
         sweep(&state);
-        let is_reader = has_met(&state) && state.duty_rank("entries") < READERS;
+        let rank = state.duty_rank("entries");
+        let is_reader = has_met(&state) && rank < READERS;
         let rested = Duration::from_micros(state.now().since_us(last_read));
         let is_due = is_reader && rested >= PACE;
-        if !is_due && !needs_read(&state, rested) {
+        let has_lost_readers = is_old(&state, rank);
+        let is_wanted = is_due || has_lost_readers || is_lapsed(&state, rank, rested);
+        let is_paused = state.now() < not_before;
+        if !misses_part(&state) && (is_paused || !is_wanted && !is_new(&state)) {
             task::sleep(LOOK).await;
             continue;
         }
@@ -57,7 +69,9 @@
         match read(&state, &mut store).await {
             Ok(part) => {
                 backoff.reset();
-                if is_reader && let Some(part) = part {
+                if (is_reader || has_lost_readers)
+                    && let Some(part) = part
+                {
                     // Each part is told twice, so that one lost datagram leaves no gap.
                     let both = told
                         .take()
@@ -70,29 +84,35 @@
             }
             Err(error) => {
                 note_failure(&state, &error);
-                // Dropped records are no failure of the store; the whole listing is read at once.
-                if !matches!(error, PlatformError::Dropped { .. }) {
-                    task::sleep(backoff.pause()).await;
-                }
+                let pause = backoff.pause() + FAILED_STEP * (rank + 1).ilog2();
+                let pause_us = u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
+                not_before = state.now().plus_us(pause_us);
             }
         }
     }
 }
 
-/// Whether this instance must read by itself.
-fn needs_read(state: &State, rested: Duration) -> bool {
-    let now = state.now();
-    let age = state.targets_read.get().map(|at| now.since_us(at));
-    if state.entries_next.get().is_none() {
-        return true;
-    }
-    let is_old = has_met(state) && age.is_none_or(|age| age >= FOLLOW_US);
-    is_old
-        || state
-            .entries_gap
-            .get()
-            .is_some_and(|since| now.since_us(since) >= GAP_US)
-        || (rested >= LAPSED_PACE && state.targets.borrow().has_lapsed())
+/// Whether nothing was heard for so long that the instance with this rank reads for all.
+fn is_old(state: &State, rank: usize) -> bool {
+    let limit_us = FOLLOW_US + FOLLOW_STEP_US * u64::from((rank + 1).ilog2());
+    let age = state.targets_read.get().map(|at| state.now().since_us(at));
+    has_met(state) && age.is_none_or(|age| age >= limit_us)
+}
+
+/// Whether no entries are known.
+fn is_new(state: &State) -> bool {
+    state.entries_next.get().is_none()
+}
+
+/// Whether a part was told that does not follow what is known here.
+fn misses_part(state: &State) -> bool {
+    let gap = state.entries_gap.get();
+    gap.is_some_and(|since| state.now().since_us(since) >= GAP_US)
+}
+
+/// Whether the readers look for entries that lapsed with the store.
+fn is_lapsed(state: &State, rank: usize, rested: Duration) -> bool {
+    rank < READERS && rested >= LAPSED_PACE && state.targets.borrow().has_lapsed()
 }
 
 /// Whether the instance has run for long enough to have met the others.
@@ -101,13 +121,12 @@
 }
 
 fn note_failure(state: &State, error: &PlatformError) {
-    if let PlatformError::Dropped { first } = error {
-        info!(event = "entries_dropped", first);
-        state.entries_next.set(None);
-        return;
+    let now = state.now();
+    if state.entries_gap.get().is_some() {
+        // The missing part is tried for again after the usual wait.
+        state.entries_gap.set(Some(now));
     }
     if !state.store_lost.replace(true) {
-        let now = state.now();
         let age_ms = state
             .targets_read
             .get()
@@ -119,12 +138,15 @@
 /// Reads once; returns what the other instances are to be told.
 async fn read(state: &Rc<State>, store: &mut Store) -> Result<Option<EntriesPart>, PlatformError> {
     let Some(from) = state.entries_next.get() else {
-        let newest = store.newest(Topic::Targets).await?;
-        note_current(state, newest.end);
-        apply_whole(state, newest.listing);
-        return Ok(None);
+        return list(state, store, None).await;
+    };
+    let page = match store.read(Topic::Targets, from, 0).await {
+        Err(PlatformError::Dropped { first }) => {
+            info!(event = "entries_dropped", first, from);
+            return list(state, store, Some(from)).await;
+        }
+        page => page?,
     };
-    let page = store.read(Topic::Targets, from, 0).await?;
     // Parts that arrived meanwhile may have gone further.
     let is_behind = state
         .entries_next
@@ -150,6 +172,26 @@
     }))
 }
 
+/// Reads all entries. `from` is where reading would have gone on; the others are told what has changed
+/// since, so that they need not read all entries as well.
+async fn list(
+    state: &Rc<State>,
+    store: &mut Store,
+    from: Option<u64>,
+) -> Result<Option<EntriesPart>, PlatformError> {
+    state.metrics.count("store_calls", 1);
+    let newest = store.newest(Topic::Targets).await?;
+    note_current(state, newest.end);
+    let changes = apply_whole(state, newest.listing);
+    // The listing holds for its end, so that it goes before whatever was heard of meanwhile.
+    let last = newest.end.saturating_sub(1);
+    Ok(from.map(|from| EntriesPart {
+        from,
+        next: newest.end,
+        changes: changes.into_iter().map(|c| (last, c)).collect(),
+    }))
+}
+
 fn known(change: Change) -> Option<EntryChange> {
     match change {
         Change::Target(entry) => Some(EntryChange::Put(entry)),
@@ -208,7 +250,8 @@
     }
 }
 
-fn apply_whole(state: &State, listing: Listing) {
+/// Applies a whole listing; returns what is news.
+fn apply_whole(state: &State, listing: Listing) -> Vec<EntryChange> {
     log_malformed(&listing);
     let mut entries: Vec<TargetEntry> = Vec::new();
     for (_, change) in listing.changes {
@@ -218,7 +261,11 @@
         }
     }
     info!(event = "targets", count = entries.len());
-    state.targets.borrow_mut().replace(entries, state.now());
+    let (changed, missing) = state.targets.borrow_mut().replace(entries, state.now());
+    let changed = changed.into_iter().map(EntryChange::Put);
+    changed
+        .chain(missing.into_iter().map(EntryChange::Gone))
+        .collect()
 }
 
 /// Applies one change; whether it is news.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -142,12 +142,8 @@
 
     /// Number of live instances that come before this one for `duty`.
     pub fn duty_rank(&self, duty: &str) -> usize {
-        let own = model::rendezvous(duty, self.own().as_str());
-        let names = self.members.borrow().names(self.now());
-        let before = |name: &&InstanceId| {
-            (model::rendezvous(duty, name.as_str()), *name) > (own, self.own())
-        };
-        names.iter().filter(before).count()
+        let members = self.members.borrow();
+        members.duty_rank(duty, self.own(), &self.settings.zone, self.now())
     }
 
     /// Whether this instance is the first choice among the live ones for `duty`.
