--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -168,6 +168,7 @@
     Ok(Some(EntriesPart {
         from,
         next: page.next,
+        end: page.next,
         changes: news,
     }))
 }
@@ -188,6 +189,7 @@
     Ok(from.map(|from| EntriesPart {
         from,
         next: newest.end,
+        end: newest.end,
         changes: changes.into_iter().map(|c| (last, c)).collect(),
     }))
 }
@@ -205,43 +207,51 @@
     let Some(own) = state.entries_next.get() else {
         return;
     };
-    if part.from > own {
-        // A part was lost or overtaken on the way.
-        let since = state.entries_gap.get().unwrap_or_else(|| state.now());
-        state.entries_gap.set(Some(since));
-        return;
-    }
-    if part.next < own {
-        return;
-    }
-    note_current(state, part.next);
-    for (offset, change) in part.changes {
-        if offset >= own {
-            apply(state, offset, &change);
+    if part.from <= own && part.next >= own {
+        note_regained(state);
+        state.entries_next.set(Some(part.next));
+        for (offset, change) in part.changes {
+            if offset >= own {
+                apply(state, offset, &change);
+            }
+        }
+        if part.next == part.end {
+            note_current(state, part.next);
         }
     }
+    let is_behind = state.entries_next.get().is_some_and(|own| own < part.end);
+    if is_behind && state.entries_gap.get().is_none() {
+        // A datagram was lost or overtaken on the way.
+        state.entries_gap.set(Some(state.now()));
+    }
 }
 
-/// Notes that the entries are known up to `next`.
-fn note_current(state: &State, next: u64) {
+/// Notes that the store's entries are known again after a failure.
+fn note_regained(state: &State) {
+    if !state.store_lost.replace(false) {
+        return;
+    }
     let now = state.now();
     let age = state.targets_read.get().map(|at| now.since_us(at));
-    if state.store_lost.replace(false) {
-        info!(
-            event = "store_regained",
-            reader = "entries",
-            age_ms = age.unwrap_or(0) / 1_000
-        );
-        if age.is_some_and(|age| age > AWAY_US) {
-            state.steady_since.set(now);
-            if !state.was_store_sound() {
-                state.targets.borrow_mut().note_return(now);
-            }
+    info!(
+        event = "store_regained",
+        reader = "entries",
+        age_ms = age.unwrap_or(0) / 1_000
+    );
+    if age.is_some_and(|age| age > AWAY_US) {
+        state.steady_since.set(now);
+        if !state.was_store_sound() {
+            state.targets.borrow_mut().note_return(now);
         }
     }
+}
+
+/// Notes that the entries are known up to `next`, the end of what the store holds.
+fn note_current(state: &State, next: u64) {
+    note_regained(state);
     state.entries_gap.set(None);
     state.entries_next.set(Some(next));
-    state.targets_read.set(Some(now));
+    state.targets_read.set(Some(state.now()));
 }
 
 fn log_malformed(listing: &Listing) {
--- a/crates/gateway/src/entries_part.rs
+++ b/crates/gateway/src/entries_part.rs
@@ -29,6 +29,9 @@
     pub from: u64,
     /// Offset after the last one covered.
     pub next: u64,
+    /// Offset after the last record that the reader saw. It is beyond `next` in all but the last datagram
+    /// of a large part.
+    pub end: u64,
     /// Changes with their offsets; records that changed nothing are left out.
     pub changes: Vec<(u64, EntryChange)>,
 }
@@ -40,6 +43,7 @@
             return next.clone();
         }
         self.next = next.next;
+        self.end = next.end;
         self.changes.extend_from_slice(&next.changes);
         self
     }
@@ -58,11 +62,13 @@
             Self {
                 from: self.from,
                 next: middle,
+                end: self.end,
                 changes: left,
             },
             Self {
                 from: middle,
                 next: self.next,
+                end: self.end,
                 changes: right,
             },
         );
@@ -78,7 +84,8 @@
             return None;
         }
         let (part, used) = decode_from_slice::<Self, _>(rest, standard()).ok()?;
-        (used == rest.len() && part.from <= part.next).then_some(part)
+        let is_ordered = part.from <= part.next && part.next <= part.end;
+        (used == rest.len() && is_ordered).then_some(part)
     }
 }
 
--- a/crates/gateway/src/entries_part/tests.rs
+++ b/crates/gateway/src/entries_part/tests.rs
@@ -11,6 +11,7 @@
     EntriesPart {
         from,
         next,
+        end: next,
         changes,
     }
 }
@@ -40,6 +41,7 @@
         let part = EntriesPart::decode(&bytes).unwrap();
         assert_eq!(part.from, next);
         next = part.next;
+        assert_eq!(part.end, 600, "a listener must see that more follows");
         seen.extend(part.changes);
     }
     assert_eq!((next, seen), (600, changes));
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -36,6 +36,12 @@
 const KNOWN: usize = 6;
 /// Instances that the first beat to a new one names; 8 bytes each, so that they fit a datagram.
 const WELCOME: usize = 120;
+/// Part of the link that datagrams to many instances may take while they are sent.
+const LINK_PART: f64 = 0.4;
+/// Bytes of the headers below a datagram.
+const HEAD_BYTES: usize = 42;
+/// Time for which datagrams may be sent ahead. At 10 Mbit/s these are 4 kB, far below a link's queue.
+const SPREAD: Duration = Duration::from_millis(8);
 /// Time between two beats while a rollout runs, in milliseconds: a fault is to stop it within seconds.
 const ROLLOUT_BEAT_MS: u64 = 200;
 
@@ -58,25 +64,35 @@
     rollout.verdict == balance::Verdict::Running
 }
 
+/// Sends a datagram to many instances, no faster than a part of the link bears: what does not fit into its
+/// queue is dropped, and requests wait behind the rest.
+async fn send_spread(state: &State, socket: &UdpSocket, bytes: &[u8], addrs: &[SocketAddr]) {
+    let bits = (bytes.len() + HEAD_BYTES) as f64 * 8.0;
+    let each = Duration::from_secs_f64(bits / (state.settings.link_mbps * 1e6 * LINK_PART));
+    let mut owed = Duration::ZERO;
+    for addr in addrs {
+        if owed >= SPREAD {
+            task::sleep(owed).await;
+            owed = Duration::ZERO;
+        }
+        owed += each;
+        if let Err(error) = socket.send_to(bytes, addr).await {
+            debug!(event = "datagram_unsent", peer = %addr, %error);
+        }
+    }
+}
+
 /// Sends one beat to all known instances and to the seeds that are not among them.
 pub async fn send_beat(state: &Rc<State>, socket: &UdpSocket) {
     let bytes = own_beat(state, KNOWN).encode();
-    for addr in recipients(state) {
-        if let Err(error) = socket.send_to(&bytes, addr).await {
-            debug!(event = "beat_unsent", peer = %addr, %error);
-        }
-    }
+    send_spread(state, socket, &bytes, &recipients(state)).await;
 }
 
 /// Sends a datagram to all live instances.
 pub async fn tell_all(state: &State, socket: &UdpSocket, bytes: &[u8]) {
     let now = state.now();
     let addrs: Vec<SocketAddr> = state.members.borrow().live(now).map(|m| m.peer).collect();
-    for addr in addrs {
-        if let Err(error) = socket.send_to(bytes, addr).await {
-            debug!(event = "datagram_unsent", peer = %addr, %error);
-        }
-    }
+    send_spread(state, socket, bytes, &addrs).await;
 }
 
 fn recipients(state: &State) -> Vec<SocketAddr> {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -39,11 +39,19 @@
     pub retry_window_s: f64,
     /// Probes allowed for each target and second, over all instances.
     pub probes_per_s: f64,
+    /// Bandwidth of the machine's link, in Mbit/s.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Log lines allowed in a second.
     #[serde(default = "default_log_lines")]
     pub log_lines: u32,
 }
 
+/// Bandwidth unless stated, in Mbit/s: the usual one of a server.
+fn default_link_mbps() -> f64 {
+    1_000.0
+}
+
 /// Log lines in a second unless stated: every request of a busy instance has one.
 fn default_log_lines() -> u32 {
     200
@@ -127,6 +135,9 @@
                 return value(key, rate.to_string(), "a number from 0");
             }
         }
+        if !(self.link_mbps.is_finite() && self.link_mbps > 0.0) {
+            return value("link_mbps", self.link_mbps.to_string(), "above 0");
+        }
         if self.log_lines == 0 {
             return value("log_lines", String::from("0"), "1 or more");
         }
--- a/crates/gateway/src/settings/tests.rs
+++ b/crates/gateway/src/settings/tests.rs
@@ -29,6 +29,7 @@
     for (from, to, word) in [
         ("zone = \"a\"", "zone = \"\"", "zone"),
         ("stop_s = 6", "stop_s = -1", "stop_s"),
+        ("stop_s = 6", "stop_s = 6\nlink_mbps = 0", "link_mbps"),
         ("retry_ratio = 0.2", "retry_ratio = nan", "retry_ratio"),
         ("10.1.0.35:8144", "nowhere", "callers"),
         ("probes_per_s", "probe_per_s", "probe_per_s"),
