--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -4,11 +4,23 @@
 
 use model::Time;
 
+use crate::BudgetUse;
+
 /// Part of the allowed ratio that is used. Requests at other instances are not seen here, and shares
 /// move with the callers.
 const RATIO_USED: f64 = 0.7;
 /// Part of the allowed constant that is used, split over the instances.
 const SLACK_USED: f64 = 0.7;
+/// Part of the allowed ratio that the whole system may have used for an instance to exceed its own share.
+/// What the others send until they know of it must still fit.
+const SHARED_RATIO: f64 = 0.4;
+/// The same for the allowed constant.
+const SHARED_SLACK: f64 = 0.5;
+/// Second sends beyond the own share for each request of the last second. Together with views that are
+/// two seconds old, this bounds what all instances can send too many.
+const SHARED_PACE: f64 = 0.5;
+/// Span for that pace, in microseconds.
+const PACE_US: u64 = 1_000_000;
 
 /// Second sends to one service by this instance, in a sliding window.
 #[derive(Clone, Debug)]
@@ -47,15 +59,35 @@
         (self.extras.len() as f64) + 1.0 <= limit
     }
 
+    /// Whether one more second send fits although the own share is used. `others`: what the other
+    /// instances used lately; `part`: part of all instances that told of it, this one included.
+    pub fn allows_shared(&mut self, now: Time, others: BudgetUse, part: f64) -> bool {
+        self.forget(now);
+        let requests = f64::from(others.requests) + self.requests.len() as f64;
+        let extras = f64::from(others.extras) + self.extras.len() as f64;
+        let limit =
+            requests * self.ratio * SHARED_RATIO + self.slack * SHARED_SLACK * part.clamp(0.0, 1.0);
+        let recent = |list: &VecDeque<Time>| {
+            let from_end = list.iter().rev();
+            from_end.take_while(|t| now.since_us(**t) < PACE_US).count() as f64
+        };
+        let pace = (recent(&self.requests) * SHARED_PACE).max(1.0);
+        extras < limit && recent(&self.extras) < pace
+    }
+
     /// Notes a second send.
     pub fn note_extra(&mut self, now: Time) {
         self.extras.push_back(now);
     }
 
-    /// Second sends and requests in the window.
-    #[must_use]
-    pub fn used(&self) -> (usize, usize) {
-        (self.extras.len(), self.requests.len())
+    /// Requests and second sends in the window.
+    pub fn used(&mut self, now: Time) -> BudgetUse {
+        self.forget(now);
+        let count = |list: &VecDeque<Time>| u32::try_from(list.len()).unwrap_or(u32::MAX);
+        BudgetUse {
+            requests: count(&self.requests),
+            extras: count(&self.extras),
+        }
     }
 
     fn forget(&mut self, now: Time) {
--- a/crates/balance/src/budget/tests.rs
+++ b/crates/balance/src/budget/tests.rs
@@ -24,6 +24,96 @@
     }
 }
 
+/// Time between two steps of the simulated fleet.
+const STEP_US: u64 = 100_000;
+
+/// Second sends of all instances in each step when every request wants one from `stall` on, with reports
+/// that arrive every `beat` steps and may be lost once.
+fn play(rates: &[u32], stall: u64, beat: u64, slack: f64, steps: u64) -> Vec<(u32, u32)> {
+    let mut fleet: Vec<RetryBudget> = (0..rates.len())
+        .map(|_| RetryBudget::new(WINDOW_US, 0.2, slack))
+        .collect();
+    let mut told: Vec<BudgetUse> = vec![BudgetUse::default(); rates.len()];
+    let mut seen = Vec::new();
+    for step in 0..steps {
+        let now = Time(step * STEP_US);
+        if step % (2 * beat) == 0 {
+            for (told, budget) in told.iter_mut().zip(&mut fleet) {
+                *told = budget.used(now);
+            }
+        }
+        let (mut requests, mut extras) = (0, 0);
+        for own in 0..fleet.len() {
+            let mut others = BudgetUse::default();
+            let reports = told.iter().enumerate().filter(|(at, _)| *at != own);
+            reports.for_each(|(_, used)| others.add(*used));
+            // Rates are requests in 10 steps, spread evenly.
+            let rate = u64::from(rates[own]);
+            for _ in (rate * step / 10)..(rate * (step + 1) / 10) {
+                requests += 1;
+                let budget = &mut fleet[own];
+                budget.note_request(now);
+                let may = budget.allows(now, rates.len()) || budget.allows_shared(now, others, 1.0);
+                if may && step >= stall {
+                    budget.note_extra(now);
+                    extras += 1;
+                }
+            }
+        }
+        seen.push((requests, extras));
+    }
+    seen
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+
+    /// Guards against instances that together exceed the budget because each sees the others late.
+    #[test]
+    fn allows_shared_keeps_limit_in_a_stall(
+        rates in proptest::collection::vec(1_u32..60, 8..60),
+        stall in 0_u64..150,
+        beat in 4_u64..=10,
+    ) {
+        let slack = if rates.len() > 24 { 160.0 } else { 60.0 };
+        let seen = play(&rates, stall, beat, slack, 300);
+        for window in seen.windows(100) {
+            let requests: u32 = window.iter().map(|(r, _)| r).sum();
+            let extras: u32 = window.iter().map(|(_, e)| e).sum();
+            let limit = f64::from(requests) * 0.2 + slack;
+            prop_assert!(f64::from(extras) <= limit, "{extras} of {limit}");
+        }
+    }
+}
+
+/// Guards against instances that may send nothing again although the system has used nothing.
+#[test]
+fn allows_shared_lends_unused_shares() {
+    let mut budget = RetryBudget::new(WINDOW_US, 0.2, 160.0);
+    for at in 0..10 {
+        budget.note_request(Time(9_000_000 + at * 100_000));
+    }
+    let now = Time(9_950_000);
+    while budget.allows(now, 100) {
+        budget.note_extra(Time(5_000_000));
+    }
+    let idle = BudgetUse {
+        requests: 5_000,
+        extras: 10,
+    };
+    assert!(budget.allows_shared(now, idle, 1.0));
+    let busy = BudgetUse {
+        requests: 5_000,
+        extras: 700,
+    };
+    assert!(!budget.allows_shared(now, busy, 1.0));
+    let alone = BudgetUse::default();
+    assert!(
+        !budget.allows_shared(now, alone, 0.01),
+        "cut off, the slack belongs to the others"
+    );
+}
+
 #[test]
 fn allows_again_after_window() {
     let mut budget = RetryBudget::new(WINDOW_US, 0.0, 1.5);
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -9,9 +9,11 @@
 
 mod admission;
 mod budget;
+mod budget_use;
 mod caller_limits;
 mod cold_gate;
 mod evidence;
+mod fleet_use;
 mod health;
 mod load;
 mod manifest;
@@ -29,9 +31,11 @@
 pub use crate::{
     admission::AdmitLimits,
     budget::RetryBudget,
+    budget_use::BudgetUse,
     caller_limits::CallerLimits,
     cold_gate::ColdGate,
     evidence::{Evidence, Tally},
+    fleet_use::FleetUse,
     health::Health,
     load::{Load, Outlook},
     manifest::Manifest,
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use balance::{Evidence, Presence, Stage};
+use balance::{BudgetUse, Evidence, Presence, Stage};
 use bincode::{
     config::standard,
     serde::{decode_from_slice, encode_to_vec},
@@ -13,7 +13,7 @@
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. Another release with another layout takes another one.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 3;
 
 /// What an instance says of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +36,8 @@
     pub known: Vec<SocketAddr>,
     /// Outcomes since its last beat, of targets that failed: good and bad ones.
     pub outcomes: Vec<(TargetId, u32, u32)>,
+    /// Its requests and second sends by service, in the window of the budget.
+    pub used: Vec<(ServiceName, BudgetUse)>,
     /// What it knows of rollouts.
     pub rollouts: Vec<RolloutReport>,
 }
--- a/crates/gateway/src/beat/tests.rs
+++ b/crates/gateway/src/beat/tests.rs
@@ -11,6 +11,13 @@
         steady_ms: 900,
         known: vec!["10.0.0.2:7000".parse().unwrap()],
         outcomes: vec![(TargetId::new("t"), 3, 1)],
+        used: vec![(
+            ServiceName::new("s"),
+            BudgetUse {
+                requests: 40,
+                extras: 2,
+            },
+        )],
         rollouts: vec![],
     }
 }
--- a/crates/gateway/src/entries_part.rs
+++ b/crates/gateway/src/entries_part.rs
@@ -11,7 +11,7 @@
 use crate::beat::MAX_BYTES;
 
 /// First byte of a datagram, different from that of beats.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 4;
 
 /// One change of the targets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -23,6 +23,11 @@
 const MAX_UNSENT: u32 = 3;
 /// Times the expected time after which a request that may be repeated is sent to a second target.
 const HEDGE_FACTOR: f64 = 1.8;
+/// The same if a second send could not end in time otherwise. Earlier ones are mostly for requests that
+/// just have more work.
+const EARLY_FACTOR: f64 = 1.4;
+/// Time that a second send is allowed for, as a part of the route's work time.
+const SECOND_PART: f64 = 1.2;
 /// Shortest wait for a response before a second target is tried, in milliseconds.
 const HEDGE_MIN_MS: f64 = 25.0;
 /// Shortest time that is worth another attempt, as a part of the route's work time.
@@ -77,7 +82,7 @@
     /// Sends the request and waits for a result. One that may be repeated and takes too long is sent to
     /// a second target as well; the first good result counts, and the other send is cancelled.
     async fn fly(&mut self, pick: Pick) -> (Flight, Sent) {
-        let patience_ms = (pick.outlook.ms * HEDGE_FACTOR).max(HEDGE_MIN_MS);
+        let patience_ms = self.patience_ms(&pick);
         let mut first = self.launch(pick);
         if !self.route.repeatable {
             let sent = first.result().await;
@@ -96,6 +101,16 @@
         self.first_good(first, second).await
     }
 
+    /// Time after which a second target is tried, so that it can still respond within the objective.
+    fn patience_ms(&self, pick: &Pick) -> f64 {
+        let second_ms = work_ms(self.state, &self.route.name) * SECOND_PART;
+        let in_time_ms = self.route.aim_ms as f64 - self.waited_ms() - second_ms;
+        let expected_ms = pick.outlook.ms;
+        in_time_ms
+            .clamp(expected_ms * EARLY_FACTOR, expected_ms * HEDGE_FACTOR)
+            .max(HEDGE_MIN_MS)
+    }
+
     /// A second target that can start at once, if the budget allows one.
     async fn pick_second(&mut self) -> Option<Pick> {
         if !self.may_retry() {
@@ -306,9 +321,7 @@
         let work_ms = work_ms(self.state, &self.route.name);
         self.story.attempts < self.route.attempts
             && self.left_ms() > work_ms * MIN_LEFT
-            && self.state.with_budget(self.service, |b| {
-                b.allows(self.state.now(), self.state.instances().len())
-            })
+            && self.state.may_send_again(self.service)
     }
 
     fn judge(&self, pick: &Pick, is_good: bool) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -98,6 +98,7 @@
 fn recipients(state: &State) -> Vec<SocketAddr> {
     let mut members = state.members.borrow_mut();
     members.sweep(state.now());
+    state.fleet_use.borrow_mut().sweep(state.now());
     let mut addrs: Vec<SocketAddr> = members.all().map(|m| m.peer).collect();
     for seed in &state.settings.seeds {
         let addr = SocketAddr::new(seed.ip(), state.settings.peer.port());
@@ -152,7 +153,13 @@
             balance::Evidence::default()
         },
     });
+    let now = state.now();
+    let mut budgets = state.budgets.borrow_mut();
+    let used = budgets
+        .iter_mut()
+        .map(|(name, b)| (name.clone(), b.used(now)));
     Beat {
+        used: used.collect(),
         name: state.own().clone(),
         boot: state.boot,
         zone: state.settings.zone.clone(),
@@ -230,6 +237,8 @@
         .members
         .borrow_mut()
         .learn_addresses(&beat.known, state.settings.peer.into());
+    let mut fleet_use = state.fleet_use.borrow_mut();
+    fleet_use.hear(beat.name.clone(), beat.used, now);
     for (id, good, bad) in &beat.outcomes {
         if let Some(target) = state.targets.borrow_mut().get_mut(id) {
             target.health.note(now, *good, *bad);
--- a/crates/gateway/src/serving.rs
+++ b/crates/gateway/src/serving.rs
@@ -64,8 +64,9 @@
 fn gauges(state: &State) -> Vec<(&'static str, u64)> {
     let now = state.now();
     let age_ms = |at: Time| now.since_us(at) / 1_000;
-    let budgets = state.budgets.borrow();
-    let extras = budgets.values().map(|b| b.used().0 as u64).sum();
+    let mut budgets = state.budgets.borrow_mut();
+    let used = budgets.values_mut().map(|b| b.used(now));
+    let extras = used.map(|used| u64::from(used.extras)).sum();
     vec![
         ("config_version", state.manifest().map_or(0, |m| m.version)),
         ("orders_age_ms", age_ms(state.orders_read.get())),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,7 +10,7 @@
 };
 
 use async_std::channel::{Receiver, Sender, bounded};
-use balance::{Manifest, Members, RetryBudget, Rollout, Targets, Work};
+use balance::{FleetUse, Manifest, Members, RetryBudget, Rollout, Targets, Work};
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
 
@@ -43,6 +43,8 @@
     pub work: RefCell<HashMap<Arc<str>, Work>>,
     /// Budgets of second sends by service.
     pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// What the other instances used of those budgets.
+    pub fleet_use: RefCell<FleetUse>,
     /// Connections to targets.
     pub pool: Pool,
     /// Metrics.
@@ -97,6 +99,7 @@
             versions: RefCell::default(),
             work: RefCell::default(),
             budgets: RefCell::default(),
+            fleet_use: RefCell::default(),
             pool: Pool::default(),
             phase: Cell::new(Phase::Starting),
             callers: Cell::new(0),
@@ -224,6 +227,18 @@
         action(budget)
     }
 
+    /// Whether another send to `service` fits the budget: the own share, or what the others leave.
+    pub fn may_send_again(&self, service: &ServiceName) -> bool {
+        let now = self.now();
+        let (others, reports) = self.fleet_use.borrow().of(service, now);
+        let members = self.members.borrow();
+        let live = members.names(now).len() + 1;
+        let part = (reports + 1) as f64 / (members.all().count() + 1) as f64;
+        self.with_budget(service, |budget| {
+            budget.allows(now, live) || budget.allows_shared(now, others, part)
+        })
+    }
+
     /// Notes an outcome at a target, for this instance and the next beat.
     pub fn note_outcome(&self, id: &model::TargetId, is_good: bool) {
         let now = self.now();
