--- a/crates/balance/src/cold_gate.rs
+++ b/crates/balance/src/cold_gate.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use model::{InstanceId, TargetId, Time, rendezvous_rank};
+use model::{InstanceId, TargetId, Time, rendezvous};
 
 /// Instances that may send to one cold target. More of them start more requests at once, since each
 /// may begin with one; fewer leave the target unused when they have no requests.
@@ -32,7 +32,7 @@
         own: &InstanceId,
         instances: &[InstanceId],
     ) -> bool {
-        now >= self.next && senders(target, own, instances).contains(&own.as_str())
+        now >= self.next && is_sender(target, own, instances)
     }
 
     /// Notes a request to the target.
@@ -44,18 +44,15 @@
     }
 }
 
-fn senders<'a>(
-    target: &TargetId,
-    own: &'a InstanceId,
-    instances: &'a [InstanceId],
-) -> Vec<&'a str> {
-    let mut names: Vec<&str> = instances.iter().map(InstanceId::as_str).collect();
-    if !names.contains(&own.as_str()) {
-        names.push(own.as_str());
-    }
-    rendezvous_rank(target.as_str(), &mut names);
-    names.truncate(SENDERS);
-    names
+/// Whether fewer than [`SENDERS`] instances come before `own` for the target.
+fn is_sender(target: &TargetId, own: &InstanceId, instances: &[InstanceId]) -> bool {
+    let weight = |name: &InstanceId| rendezvous(target.as_str(), name.as_str());
+    let own_weight = weight(own);
+    let before = instances.iter().filter(|name| {
+        let weight = weight(name);
+        *name != own && (weight > own_weight || weight == own_weight && *name < own)
+    });
+    before.take(SENDERS).count() < SENDERS
 }
 
 #[cfg(test)]
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -27,6 +27,7 @@
 mod target_entry;
 mod targets;
 mod work;
+mod work_times;
 
 pub use crate::{
     admission::AdmitLimits,
@@ -49,4 +50,5 @@
     target_entry::TargetEntry,
     targets::{Target, Targets},
     work::Work,
+    work_times::WorkTimes,
 };
--- a/crates/balance/src/work/tests.rs
+++ b/crates/balance/src/work/tests.rs
@@ -1,18 +1,45 @@
 use super::*;
 
+fn ms(work: &Work) -> f64 {
+    work.ms().unwrap()
+}
+
 #[test]
 fn note_takes_pace_out() {
     let mut work = Work::default();
     for _ in 0..100 {
-        work.note(400.0, 400);
+        work.note(400.0, 400, 400);
     }
-    assert!((work.ms() - 100.0).abs() < 1.0);
+    assert!((ms(&work) - 100.0).abs() < 1.0);
 }
 
 #[test]
 fn note_outlier_is_capped() {
     let mut work = Work::default();
-    work.note(100.0, 100);
-    work.note(100_000.0, 100);
-    assert!(work.ms() < 120.0);
+    for _ in 0..20 {
+        work.note(100.0, 100, 100);
+    }
+    work.note(100_000.0, 100, 100);
+    assert!(ms(&work) < 120.0);
+}
+
+/// Guards against estimates that are several times too long after a neighbour got noisy: slow requests
+/// would not be sent to a second target in time.
+#[test]
+fn note_leaves_out_changed_pace() {
+    let mut work = Work::default();
+    work.note(300.0, 100, 400);
+    work.note(300.0, 400, 100);
+    assert_eq!(work.ms(), None);
+    work.note(75.0, 100, 100);
+    work.note(300.0, 100, 400);
+    assert!((ms(&work) - 75.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn note_first_samples_count_alike() {
+    let mut work = Work::default();
+    work.note(60.0, 100, 100);
+    work.note(120.0, 100, 100);
+    assert!((ms(&work) - 90.0).abs() < 1e-9);
 }
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -1,8 +1,8 @@
 //! Chooses the target of one send: a few candidates are asked for their load, the best one is taken.
 
-use std::{rc::Rc, sync::Arc};
+use std::rc::Rc;
 
-use balance::{Outlook, Prior, Target, Verdict};
+use balance::{Outlook, Prior, Route, Target, Verdict};
 use model::{ServiceName, TargetId, Time, Version};
 use rand::Rng;
 
@@ -12,6 +12,9 @@
 const ASKED: usize = 3;
 /// Rounds before a request is queued at a busy target or refused.
 const ROUNDS: usize = 2;
+/// Times the work time up to which a free target is taken without asking others. With a quarter of the
+/// targets slow, all candidates of one round are slow in 1 of 64 rounds.
+const GOOD_FACTOR: f64 = 1.6;
 /// Age up to which a load report is taken as current, in microseconds.
 const FRESH_US: u64 = 6_000;
 /// Targets of a service that an instance turns to first. With more, connections to each are used too
@@ -33,7 +36,7 @@
     /// Service.
     pub service: &'a ServiceName,
     /// Route, whose work time is known.
-    pub route: &'a Arc<str>,
+    pub route: &'a Route,
     /// Whether the new version of a rollout is to be taken.
     pub is_new: bool,
     /// Targets that the request was sent to before.
@@ -61,6 +64,7 @@
 pub async fn choose(state: &Rc<State>, wish: &Wish<'_>) -> Option<Pick> {
     let mut asked: Vec<TargetId> = Vec::new();
     let mut best: Option<(f64, Pick)> = None;
+    let work_ms = work_ms(state, wish.route);
     for _ in 0..ROUNDS {
         let round = shortlist(state, wish, &asked);
         if round.is_empty() {
@@ -82,7 +86,9 @@
                 best = Some((cost, pick));
             }
         }
-        if best.as_ref().is_some_and(|(_, pick)| pick.outlook.is_free) {
+        let is_enough =
+            |pick: &Pick| pick.outlook.is_free && pick.outlook.ms <= work_ms * GOOD_FACTOR;
+        if best.as_ref().is_some_and(|(_, pick)| is_enough(pick)) {
             break;
         }
         asked.extend(round);
@@ -100,7 +106,7 @@
     let prior = Prior::of(targets.of(wish.service), now);
     let usable: Vec<&Target> = targets
         .of(wish.service)
-        .filter(|t| is_usable(state, t) && rule.allows(t, wish.is_new, now))
+        .filter(|t| is_usable(state, t) && rule.allows(t, wish.is_new))
         .filter(|t| !wish.tried.contains(&t.entry.id) && !asked.contains(&t.entry.id))
         .collect();
     let open =
@@ -220,30 +226,28 @@
 }
 
 /// Work time of a route at the usual pace, in milliseconds.
-pub fn work_ms(state: &State, route: &Arc<str>) -> f64 {
-    state
-        .work
-        .borrow()
-        .get(route)
-        .copied()
-        .unwrap_or_default()
-        .ms()
+pub fn work_ms(state: &State, route: &Route) -> f64 {
+    state.work.borrow().ms(route)
 }
 
 /// Which versions of a service may get requests.
 #[derive(Debug)]
-struct VersionRule<'a> {
-    state: &'a State,
+struct VersionRule {
     ordered: Option<(Version, Verdict)>,
+    /// Versions that are known for too short to be the ordinary one.
+    unsettled: Vec<Version>,
 }
 
-impl<'a> VersionRule<'a> {
-    fn of(state: &'a State, service: &ServiceName) -> Self {
+impl VersionRule {
+    fn of(state: &State, service: &ServiceName) -> Self {
         let rollouts = state.rollouts.borrow();
         let ordered = rollouts
             .get(service)
             .map(|r| (r.order.version.clone(), r.verdict));
-        Self { state, ordered }
+        Self {
+            ordered,
+            unsettled: unsettled(state, service),
+        }
     }
 
     fn is_new(&self, target: &Target) -> bool {
@@ -252,29 +256,25 @@
             .is_some_and(|(version, _)| *version == target.entry.version)
     }
 
-    fn allows(&self, target: &Target, is_new: bool, now: Time) -> bool {
+    fn allows(&self, target: &Target, is_new: bool) -> bool {
         let is_of_new = self.is_new(target);
         match self.ordered.as_ref().map(|(_, verdict)| verdict) {
             Some(Verdict::Running) => is_of_new == is_new,
             Some(Verdict::Undone) => !is_of_new,
             Some(Verdict::Done) if is_of_new => true,
-            _ => self.is_settled(target, now),
+            _ => !self.unsettled.contains(&target.entry.version),
         }
     }
+}
 
-    /// Whether a version is known for long enough to be the ordinary one, or is the only one.
-    fn is_settled(&self, target: &Target, now: Time) -> bool {
-        let versions = self.state.versions.borrow();
-        let entry = &target.entry;
-        let first = versions
-            .iter()
-            .filter(|((s, _), _)| *s == entry.service)
-            .map(|(_, at)| *at)
-            .min();
-        let key = (entry.service.clone(), entry.version.clone());
-        let Some(at) = versions.get(&key) else {
-            return true;
-        };
-        first == Some(*at) || now.since_us(*at) >= NEW_VERSION_US
-    }
+/// Versions of a service that came after its first one and were not there for long.
+fn unsettled(state: &State, service: &ServiceName) -> Vec<Version> {
+    let now = state.now();
+    let versions = state.versions.borrow();
+    let of_service = || versions.iter().filter(|((s, _), _)| s == service);
+    let first = of_service().map(|(_, at)| *at).min();
+    of_service()
+        .filter(|(_, at)| first != Some(**at) && now.since_us(**at) < NEW_VERSION_US)
+        .map(|((_, version), _)| version.clone())
+        .collect()
 }
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -103,7 +103,7 @@
 
     /// Time after which a second target is tried, so that it can still respond within the objective.
     fn patience_ms(&self, pick: &Pick) -> f64 {
-        let second_ms = work_ms(self.state, &self.route.name) * SECOND_PART;
+        let second_ms = work_ms(self.state, self.route) * SECOND_PART;
         let in_time_ms = self.route.aim_ms as f64 - self.waited_ms() - second_ms;
         let expected_ms = pick.outlook.ms;
         in_time_ms
@@ -200,7 +200,7 @@
     fn wish(&self, is_new: bool) -> Wish<'_> {
         Wish {
             service: self.service,
-            route: &self.route.name,
+            route: self.route,
             is_new,
             tried: &self.tried,
         }
@@ -298,7 +298,7 @@
         self.may_have_run = true;
         if is_proper && response.status < 500 {
             self.story.note(pick, "ok", took_us);
-            note_work(self.state, self.route, pick, took_us);
+            note_work(self.state, self.route, pick, &response, took_us);
             self.judge(pick, !is_slow(pick, took_us));
             return Some(Ok(response));
         }
@@ -318,7 +318,7 @@
 
     /// Whether another send fits attempts, time and budget.
     fn may_retry(&self) -> bool {
-        let work_ms = work_ms(self.state, &self.route.name);
+        let work_ms = work_ms(self.state, self.route);
         self.story.attempts < self.route.attempts
             && self.left_ms() > work_ms * MIN_LEFT
             && self.state.may_send_again(self.service)
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -1,7 +1,5 @@
 //! What the result of a send tells about the target, the route and a rollout.
 
-use std::sync::Arc;
-
 use balance::{Route, Verdict};
 use h1::Response;
 use model::ServiceName;
@@ -35,14 +33,14 @@
 }
 
 /// Takes in the time of a proper response.
-pub fn note_work(state: &State, route: &Route, pick: &Pick, took_us: u64) {
+pub fn note_work(state: &State, route: &Route, pick: &Pick, response: &Response, took_us: u64) {
     // Work times are those of the version that is known.
     if pick.is_new {
         return;
     }
+    let after = load_report(&response.headers, state.now()).map_or(pick.pace, |load| load.pace);
     let mut work = state.work.borrow_mut();
-    let work = work.entry(Arc::clone(&route.name)).or_default();
-    work.note(took_us as f64 / 1_000.0, pick.pace);
+    work.note(route, took_us as f64 / 1_000.0, pick.pace, after);
 }
 
 /// Counts a result for the target and for a rollout of its service.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -4,7 +4,8 @@
 
 use async_std::future::timeout;
 use balance::Target;
-use futures::future::join_all;
+use futures::{StreamExt, stream::FuturesUnordered};
+use h1::Response;
 use model::{TargetId, Time};
 use platform::{cold_ms, headers, load_report};
 
@@ -16,17 +17,33 @@
 /// Time for the answers, in milliseconds. They come within 2 ms across zones; a target that takes
 /// longer is no good choice.
 const ANSWER_MS: u64 = 10;
+/// Time for the others after a first answer that came late, in milliseconds.
+const OTHERS_MS: u64 = 3;
+/// Time for the first answer, in milliseconds. Without any, the delay is this instance's own, and a choice
+/// without reports costs more than the wait.
+const FIRST_MS: u64 = 30;
 
 /// Asks `targets` and notes their answers. Targets that do not answer in time keep their old report.
 pub async fn probe(state: &Rc<State>, targets: &[TargetId]) {
     let start = state.now();
-    let asked = targets.iter().map(|id| probe_one(state, id));
-    // Late answers are dropped with their connections.
-    if timeout(Duration::from_millis(ANSWER_MS), join_all(asked))
-        .await
-        .is_err()
-    {
-        note_silent(state, targets, start);
+    let mut asked: FuturesUnordered<_> = targets.iter().map(|id| probe_one(state, id)).collect();
+    let in_time = start.plus_ms(ANSWER_MS);
+    let mut first: Option<Time> = None;
+    loop {
+        let limit = first.map_or(start.plus_ms(FIRST_MS), |at| {
+            in_time.max(at.plus_ms(OTHERS_MS))
+        });
+        let left = Duration::from_micros(limit.since_us(state.now()));
+        // Late answers are dropped with their connections.
+        match timeout(left, asked.next()).await {
+            Ok(Some(is_answered)) if is_answered && first.is_none() => first = Some(state.now()),
+            Ok(Some(_)) => {}
+            Ok(None) => return,
+            Err(_) if first.is_some_and(|at| at < in_time) => {
+                return note_silent(state, targets, start);
+            }
+            Err(_) => return,
+        }
     }
 }
 
@@ -47,13 +64,14 @@
     }
 }
 
-async fn probe_one(state: &Rc<State>, id: &TargetId) {
+/// Asks one target; whether it answered.
+async fn probe_one(state: &Rc<State>, id: &TargetId) -> bool {
     let Some((addr, path)) = address(state, id) else {
-        return;
+        return false;
     };
     if !state.may_probe() {
         state.metrics.count("probes_over_budget", 1);
-        return;
+        return false;
     }
     state.metrics.count("probes", 1);
     let bytes = format!("GET {path} HTTP/1.1\r\nHost: {addr}\r\n\r\n").into_bytes();
@@ -63,12 +81,20 @@
         bytes: &bytes,
     };
     let now = state.now();
-    let sent = exchange(state, addr, message, now.plus_ms(ANSWER_MS * 2), || true).await;
+    let sent = exchange(state, addr, message, now.plus_ms(FIRST_MS), || true).await;
     let response = match sent {
         Sent::Response(response) => response,
-        Sent::Unsent(_) => return state.note_down(id),
-        Sent::Lost(_) => return,
+        Sent::Unsent(_) => {
+            state.note_down(id);
+            return false;
+        }
+        Sent::Lost(_) => return false,
     };
+    take_answer(state, id, &response);
+    true
+}
+
+fn take_answer(state: &State, id: &TargetId, response: &Response) {
     let mut targets = state.targets.borrow_mut();
     if response
         .headers
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,12 +5,11 @@
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 
 use async_std::channel::{Receiver, Sender, bounded};
-use balance::{FleetUse, Manifest, Members, RetryBudget, Rollout, Targets, Work};
+use balance::{FleetUse, Manifest, Members, RetryBudget, Rollout, Targets, WorkTimes};
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
 
@@ -39,8 +38,8 @@
     pub zones_out: RefCell<BTreeSet<Zone>>,
     /// When each version of a service was first seen.
     pub versions: RefCell<HashMap<(ServiceName, Version), Time>>,
-    /// Work time by route.
-    pub work: RefCell<HashMap<Arc<str>, Work>>,
+    /// Work times.
+    pub work: RefCell<WorkTimes>,
     /// Budgets of second sends by service.
     pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// What the other instances used of those budgets.
