--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -8,9 +8,9 @@
 
 /// Part of the allowed ratio that is used. Requests at other instances are not seen here, and shares
 /// move with the callers.
-const RATIO_USED: f64 = 0.7;
+const RATIO_USED: f64 = 0.8;
 /// Part of the allowed constant that is used, split over the instances.
-const SLACK_USED: f64 = 0.7;
+const SLACK_USED: f64 = 0.8;
 /// Part of the allowed ratio that the whole system may have used for an instance to exceed its own share.
 /// What the others send until they know of it must still fit.
 const SHARED_RATIO: f64 = 0.4;
@@ -53,10 +53,16 @@
 
     /// Whether one more second send fits, with `instances` sharing the slack.
     pub fn allows(&mut self, now: Time, instances: usize) -> bool {
+        self.allows_part(now, instances, 1.0)
+    }
+
+    /// Whether one more second send stays within `part` of the share. What is left is for sends that
+    /// matter more.
+    pub fn allows_part(&mut self, now: Time, instances: usize, part: f64) -> bool {
         self.forget(now);
         let slack = self.slack * SLACK_USED / instances.max(1) as f64;
-        let limit = self.requests.len() as f64 * self.ratio * RATIO_USED + slack;
-        (self.extras.len() as f64) + 1.0 <= limit
+        let share = self.requests.len() as f64 * self.ratio * RATIO_USED + slack;
+        (self.extras.len() as f64) + 1.0 <= share * part
     }
 
     /// Whether one more second send fits although the own share is used. `others`: what the other
@@ -80,6 +86,11 @@
         self.extras.push_back(now);
     }
 
+    /// Gives one second send back that was noted and not made.
+    pub fn take_back(&mut self) {
+        self.extras.pop_back();
+    }
+
     /// Requests and second sends in the window.
     pub fn used(&mut self, now: Time) -> BudgetUse {
         self.forget(now);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -168,6 +168,7 @@
         arrived,
         is_urgent: manifest.is_urgent(&route),
         is_new,
+        extra: None,
         tried: Vec::new(),
         may_have_run: false,
         story,
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -13,6 +13,7 @@
 use crate::{
     choose::{Pick, Wish, choose, may_send, work_ms},
     exchange::{Loss, Sent},
+    extra::Extra,
     flight::{Flight, is_good, is_unrun},
     outcome::{is_slow, judge, learn, note_work},
     state::State,
@@ -32,6 +33,10 @@
 const HEDGE_MIN_MS: f64 = 25.0;
 /// Shortest time that is worth another attempt, as a part of the route's work time.
 const MIN_LEFT: f64 = 0.8;
+/// Part of the budget that second sends of slow requests may use. Requests that failed need the rest.
+const HEDGE_PART: f64 = 0.6;
+/// Part of the budget for less urgent requests that failed.
+const OTHER_PART: f64 = 0.85;
 /// Pause before another look for a target while all that were asked are busy, in milliseconds. A slot
 /// of two dozen targets becomes free every few milliseconds.
 const RETRY_PICK_MS: f64 = 7.0;
@@ -54,6 +59,8 @@
     pub is_urgent: bool,
     /// Whether it goes to the new version of a rollout.
     pub is_new: bool,
+    /// Leave for another send, once taken.
+    pub extra: Option<Extra>,
     /// Targets that it was sent to.
     pub tried: Vec<TargetId>,
     /// Whether a target may have run it.
@@ -113,12 +120,16 @@
 
     /// A second target that can start at once, if the budget allows one.
     async fn pick_second(&mut self) -> Option<Pick> {
-        if !self.may_retry() {
+        if !self.may_retry(HEDGE_PART) {
             return None;
         }
-        let pick = choose(self.state, &self.wish(self.is_new)).await?;
-        let fits = pick.outlook.is_free && pick.outlook.ms < self.left_ms();
-        (fits && self.may_retry()).then_some(pick)
+        let pick = choose(self.state, &self.wish(self.is_new)).await;
+        let fits = |pick: &Pick| pick.outlook.is_free && pick.outlook.ms < self.left_ms();
+        let pick = pick.filter(fits);
+        if pick.is_none() {
+            self.extra = None;
+        }
+        pick
     }
 
     async fn first_good(&mut self, mut first: Flight, mut second: Flight) -> (Flight, Sent) {
@@ -148,9 +159,8 @@
 
     fn launch(&mut self, pick: Pick) -> Flight {
         self.story.attempts += 1;
-        if self.story.attempts > 1 {
-            self.state
-                .with_budget(self.service, |b| b.note_extra(self.state.now()));
+        if let Some(extra) = self.extra.take() {
+            extra.spend();
         }
         self.tried.push(pick.id.clone());
         info!(event = "sent", id = self.id().unwrap_or("-"), attempt = self.story.attempts,
@@ -238,6 +248,9 @@
                     self.state.note_down(&pick.id);
                 }
                 self.story.attempts -= 1;
+                if self.story.attempts > 0 {
+                    self.extra = Some(Extra::of_unsent(self.state, self.service));
+                }
                 self.story.unsent += 1;
                 if self.story.unsent >= MAX_UNSENT {
                     return Some(Err(self.give_up(Code::ConnectFailed, Code::UpstreamClosed)));
@@ -260,7 +273,7 @@
                 if loss == Loss::Timeout {
                     return Some(Err(Code::UpstreamTimeout));
                 }
-                if self.route.repeatable && self.may_retry() {
+                if self.route.repeatable && self.may_retry(self.retry_part()) {
                     return None;
                 }
                 Some(Err(match loss {
@@ -285,7 +298,7 @@
                 self.state.targets.borrow_mut().remove(&pick.id);
                 self.state.pool.forget(pick.addr);
             }
-            if self.may_retry() {
+            if self.may_retry(self.retry_part()) {
                 return None;
             }
             return Some(Err(
@@ -296,7 +309,9 @@
         let is_own = response.headers.only(headers::REQUEST_ID) == self.id();
         let is_proper = is_signed && is_own && !response.headers.has("content-encoding");
         self.may_have_run = true;
-        if is_proper && response.status < 500 {
+        // Such a status says that the request was not run, which the target did not state.
+        let is_promise = matches!(response.status, 408 | 429 | 503);
+        if is_proper && response.status < 500 && !is_promise {
             self.story.note(pick, "ok", took_us);
             note_work(self.state, self.route, pick, &response, took_us);
             self.judge(pick, !is_slow(pick, took_us));
@@ -305,23 +320,33 @@
         self.story
             .note(pick, if is_proper { "error" } else { "invalid" }, took_us);
         self.judge(pick, false);
-        if self.route.repeatable && self.may_retry() {
+        if self.route.repeatable && self.may_retry(self.retry_part()) {
             return None;
         }
-        let is_failure = response.status >= 400 && is_own;
-        Some(if is_failure {
+        let is_plain = response.status >= 500 || is_proper;
+        Some(if is_own && is_plain && !is_promise {
             Ok(response)
         } else {
             Err(Code::UpstreamClosed)
         })
     }
 
-    /// Whether another send fits attempts, time and budget.
-    fn may_retry(&self) -> bool {
+    /// Part of the budget for another send after a failure.
+    fn retry_part(&self) -> f64 {
+        if self.is_urgent { 1.0 } else { OTHER_PART }
+    }
+
+    /// Whether another send fits attempts, time and `part` of the budget; takes leave for it.
+    fn may_retry(&mut self, part: f64) -> bool {
         let work_ms = work_ms(self.state, self.route);
         self.story.attempts < self.route.attempts
             && self.left_ms() > work_ms * MIN_LEFT
-            && self.state.may_send_again(self.service)
+            && self.take_extra(part)
+    }
+
+    fn take_extra(&mut self, part: f64) -> bool {
+        self.extra = Extra::take(self.state, self.service, part);
+        self.extra.is_some()
     }
 
     fn judge(&self, pick: &Pick, is_good: bool) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod entries;
 mod entries_part;
 mod exchange;
+mod extra;
 mod flight;
 mod job;
 mod logs;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -38,11 +38,10 @@
         match timeout(left, asked.next()).await {
             Ok(Some(is_answered)) if is_answered && first.is_none() => first = Some(state.now()),
             Ok(Some(_)) => {}
-            Ok(None) => return,
             Err(_) if first.is_some_and(|at| at < in_time) => {
                 return note_silent(state, targets, start);
             }
-            Err(_) => return,
+            Ok(None) | Err(_) => return,
         }
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -226,15 +226,16 @@
         action(budget)
     }
 
-    /// Whether another send to `service` fits the budget: the own share, or what the others leave.
-    pub fn may_send_again(&self, service: &ServiceName) -> bool {
+    /// Whether another send to `service` fits `part` of the budget: of the own share, or of what the
+    /// others leave.
+    pub fn may_send_again(&self, service: &ServiceName, part: f64) -> bool {
         let now = self.now();
         let (others, reports) = self.fleet_use.borrow().of(service, now);
         let members = self.members.borrow();
         let live = members.names(now).len() + 1;
-        let part = (reports + 1) as f64 / (members.all().count() + 1) as f64;
+        let heard = (reports + 1) as f64 / (members.all().count() + 1) as f64;
         self.with_budget(service, |budget| {
-            budget.allows(now, live) || budget.allows_shared(now, others, part)
+            budget.allows_part(now, live, part) || budget.allows_shared(now, others, heard)
         })
     }
 
