--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -8,9 +8,9 @@
 
 /// Part of the allowed ratio that is used. Requests at other instances are not seen here, and shares
 /// move with the callers.
-const RATIO_USED: f64 = 0.8;
+const RATIO_USED: f64 = 0.7;
 /// Part of the allowed constant that is used, split over the instances.
-const SLACK_USED: f64 = 0.8;
+const SLACK_USED: f64 = 0.7;
 /// Part of the allowed ratio that the whole system may have used for an instance to exceed its own share.
 /// What the others send until they know of it must still fit.
 const SHARED_RATIO: f64 = 0.4;
