--- a/crates/balance/src/admission.rs
+++ b/crates/balance/src/admission.rs
@@ -6,9 +6,9 @@
 use crate::{Outlook, Route};
 
 /// Part of the objective within which an urgent request must be expected to be answered if it queues.
-const URGENT_PART: f64 = 0.85;
+const URGENT_PART: f64 = 1.0;
 /// The same for other requests; what is left keeps room for urgent ones.
-const OTHER_PART: f64 = 0.55;
+const OTHER_PART: f64 = 0.7;
 /// Part of the objective for which a request may be held before it is refused. Callers that are told
 /// early can come back in time.
 const HOLD_PART: f64 = 0.12;
