--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,6 @@
 
 use async_std::{net::UdpSocket, task};
 use balance::{Member, Presence, Rollout};
-use futures::FutureExt;
 use model::Time;
 use rand::seq::IndexedRandom;
 use tracing::{debug, info, warn};
@@ -37,9 +36,6 @@
 const KNOWN: usize = 6;
 /// Instances that the first beat to a new one names; 8 bytes each, so that they fit a datagram.
 const WELCOME: usize = 120;
-/// Pause between two looks at the socket, so that datagrams of a hundred instances are taken together. What
-/// they tell must be in force within 2 s.
-const RECEIVE_PACE: Duration = Duration::from_millis(50);
 /// Part of the link that datagrams to many instances may take while they are sent.
 const LINK_PART: f64 = 0.4;
 /// Bytes of the headers below a datagram.
@@ -191,39 +187,25 @@
     // Evidence of a rollout over many routes can exceed the usual size.
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
-        let mut received = Some(socket.recv_from(&mut buffer).await);
-        while let Some(result) = received {
-            match result {
-                Ok((count, from)) => {
-                    take_datagram(&state, &socket, &buffer[..count], from, &ahead).await;
-                }
-                Err(error) => {
-                    warn!(event = "beats_failed", %error);
-                    task::sleep(Duration::from_millis(ERROR_PAUSE_MS)).await;
+        match socket.recv_from(&mut buffer).await {
+            Ok((count, from)) => {
+                let bytes = &buffer[..count];
+                if let Some(beat) = Beat::decode(bytes) {
+                    let SocketAddr::V4(from) = from else { continue };
+                    if hear(&state, beat, from, &ahead) {
+                        welcome(&state, &socket, from.into()).await;
+                    }
+                } else if let Some(part) = EntriesPart::decode(bytes) {
+                    take_part(&state, part);
+                } else {
+                    debug!(event = "datagram_foreign", %from);
                 }
             }
-            received = socket.recv_from(&mut buffer).now_or_never();
-        }
-        task::sleep(RECEIVE_PACE).await;
-    }
-}
-
-async fn take_datagram(
-    state: &Rc<State>,
-    socket: &UdpSocket,
-    bytes: &[u8],
-    from: SocketAddr,
-    ahead: &impl Fn(SocketAddr),
-) {
-    if let Some(beat) = Beat::decode(bytes) {
-        let SocketAddr::V4(addr) = from else { return };
-        if hear(state, beat, addr, ahead) {
-            welcome(state, socket, from).await;
+            Err(error) => {
+                warn!(event = "beats_failed", %error);
+                task::sleep(Duration::from_millis(ERROR_PAUSE_MS)).await;
+            }
         }
-    } else if let Some(part) = EntriesPart::decode(bytes) {
-        take_part(state, part);
-    } else {
-        debug!(event = "datagram_foreign", %from);
     }
 }
 
