A status that says "not run" is passed on only if the target states it

Callers take these statuses as leave to repeat, also for requests that may run once only.

Change: such a response becomes 502, like other failures with unknown outcome; a 4xx response without a signature as well. The stand-in of a target learns the fault `FalseRefusal`.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -15,6 +15,7 @@
 mod evidence;
 mod fleet_use;
 mod health;
+mod hedge;
 mod load;
 mod manifest;
 mod members;
@@ -38,6 +39,7 @@
     evidence::{Evidence, Tally},
     fleet_use::FleetUse,
     health::Health,
+    hedge::hedge_after_ms,
     load::{Load, Outlook},
     manifest::Manifest,
     members::{Member, Members, Presence},
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -94,9 +94,13 @@
 
 /// Whether nothing was heard for so long that the instance with this rank reads for all.
 fn is_old(state: &State, rank: usize) -> bool {
-    let limit_us = FOLLOW_US + FOLLOW_STEP_US * u64::from((rank + 1).ilog2());
     let age = state.targets_read.get().map(|at| state.now().since_us(at));
-    has_met(state) && age.is_none_or(|age| age >= limit_us)
+    has_met(state) && age.is_none_or(|age| age >= follow_limit_us(rank))
+}
+
+/// Age of the entries from which the instance with this rank reads, in microseconds.
+fn follow_limit_us(rank: usize) -> u64 {
+    FOLLOW_US + FOLLOW_STEP_US * u64::from((rank + 1).ilog2())
 }
 
 /// Whether no entries are known.
@@ -320,3 +324,6 @@
     }
     state.pool.sweep(now, |addr| targets.has_address(addr));
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/example.rs
@@ -0,0 +1,30 @@
+//! Settings and state of an instance for tests.
+
+use std::rc::Rc;
+
+use crate::{settings::Settings, state::State};
+
+/// Valid settings.
+pub const EXAMPLE: &str = r#"
+instance = "edge-a-1"
+zone = "a"
+callers = "10.1.0.35:8144"
+ready = "10.1.0.35:8140"
+directory = "10.1.0.35:8143"
+peer = "10.1.0.35:7660"
+metrics = "10.1.0.35:7661"
+store = "10.200.1.7:8142"
+seeds = ["10.1.0.35:8146"]
+stop_s = 6
+retry_ratio = 0.2
+retry_slack = 60
+retry_window_s = 10
+probes_per_s = 60
+"#;
+
+/// State of an instance that has just started, with `link_mbps` of bandwidth.
+pub fn state(link_mbps: f64) -> Rc<State> {
+    let mut settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
+    settings.link_mbps = link_mbps;
+    State::new(settings)
+}
--- a/crates/gateway/src/extra.rs
+++ b/crates/gateway/src/extra.rs
@@ -48,3 +48,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use async_std::{future::timeout, task};
-use balance::{AdmitLimits, Route, Verdict};
+use balance::{AdmitLimits, Route, Verdict, hedge_after_ms};
 use futures::future::{Either, select};
 use h1::{Request, Response};
 use model::{Code, ServiceName, TargetId, Time};
@@ -15,22 +15,13 @@
     exchange::{Loss, Sent},
     extra::Extra,
     flight::{Flight, is_good, is_unrun},
-    outcome::{is_slow, judge, learn, note_work},
+    outcome::{is_promise, is_slow, judge, learn, note_work},
     state::State,
     story::Story,
 };
 
 /// Connections that a request may fail to open before it is refused. Such tries reach no target.
 const MAX_UNSENT: u32 = 3;
-/// Times the expected time after which a request that may be repeated is sent to a second target.
-const HEDGE_FACTOR: f64 = 1.8;
-/// The same if a second send could not end in time otherwise. Earlier ones are mostly for requests that
-/// just have more work.
-const EARLY_FACTOR: f64 = 1.4;
-/// Time that a second send is allowed for, as a part of the route's work time.
-const SECOND_PART: f64 = 1.2;
-/// Shortest wait for a response before a second target is tried, in milliseconds.
-const HEDGE_MIN_MS: f64 = 25.0;
 /// Shortest time that is worth another attempt, as a part of the route's work time.
 const MIN_LEFT: f64 = 0.8;
 /// Part of the budget that second sends of slow requests may use. Requests that failed need the rest.
@@ -110,12 +101,8 @@
 
     /// Time after which a second target is tried, so that it can still respond within the objective.
     fn patience_ms(&self, pick: &Pick) -> f64 {
-        let second_ms = work_ms(self.state, self.route) * SECOND_PART;
-        let in_time_ms = self.route.aim_ms as f64 - self.waited_ms() - second_ms;
-        let expected_ms = pick.outlook.ms;
-        in_time_ms
-            .clamp(expected_ms * EARLY_FACTOR, expected_ms * HEDGE_FACTOR)
-            .max(HEDGE_MIN_MS)
+        let left_ms = self.route.aim_ms as f64 - self.waited_ms();
+        hedge_after_ms(pick.outlook.ms, left_ms, work_ms(self.state, self.route))
     }
 
     /// A second target that can start at once, if the budget allows one.
@@ -309,8 +296,7 @@
         let is_own = response.headers.only(headers::REQUEST_ID) == self.id();
         let is_proper = is_signed && is_own && !response.headers.has("content-encoding");
         self.may_have_run = true;
-        // Such a status says that the request was not run, which the target did not state.
-        let is_promise = matches!(response.status, 408 | 429 | 503);
+        let is_promise = is_promise(response.status);
         if is_proper && response.status < 500 && !is_promise {
             self.story.note(pick, "ok", took_us);
             note_work(self.state, self.route, pick, &response, took_us);
@@ -323,8 +309,8 @@
         if self.route.repeatable && self.may_retry(self.retry_part()) {
             return None;
         }
-        let is_plain = response.status >= 500 || is_proper;
-        Some(if is_own && is_plain && !is_promise {
+        let is_failure = response.status >= 500 || is_proper;
+        Some(if is_own && is_failure && !is_promise {
             Ok(response)
         } else {
             Err(Code::UpstreamClosed)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,8 @@
 mod clock;
 mod entries;
 mod entries_part;
+#[cfg(test)]
+mod example;
 mod exchange;
 mod extra;
 mod flight;
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -17,6 +17,12 @@
     took_us as f64 / 1_000.0 > pick.outlook.ms * SLOW_FACTOR
 }
 
+/// Whether a status tells the caller that the request was not run. Unless the target states that by
+/// itself, it may have run, and the status must not be passed on.
+pub fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// Takes in load and warm-up from a response.
 pub fn learn(state: &State, pick: &Pick, response: &Response) {
     let now = state.now();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -309,3 +309,6 @@
         heard: None,
     });
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/peers/tests.rs
@@ -0,0 +1,23 @@
+use std::time::Instant;
+
+use super::*;
+use crate::example::state;
+
+fn time_to_send(link_mbps: f64) -> Duration {
+    task::block_on(async {
+        let state = state(link_mbps);
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let sink = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let addrs = vec![sink.local_addr().unwrap(); 100];
+        let start = Instant::now();
+        send_spread(&state, &socket, &[0; 1_208], &addrs).await;
+        start.elapsed()
+    })
+}
+
+/// Guards against bursts that a slow link drops: 100 datagrams of 10,000 bits take 0.25 s at 0.4 of
+/// 10 Mbit/s, less what may be sent ahead.
+#[test]
+fn send_spread_keeps_to_part_of_link() {
+    assert!(time_to_send(10.0) >= Duration::from_millis(230));
+}
--- a/crates/gateway/src/settings/tests.rs
+++ b/crates/gateway/src/settings/tests.rs
@@ -1,21 +1,5 @@
 use super::*;
-
-const EXAMPLE: &str = r#"
-instance = "edge-a-1"
-zone = "a"
-callers = "10.1.0.35:8144"
-ready = "10.1.0.35:8140"
-directory = "10.1.0.35:8143"
-peer = "10.1.0.35:7660"
-metrics = "10.1.0.35:7661"
-store = "10.200.1.7:8142"
-seeds = ["10.1.0.35:8146"]
-stop_s = 6
-retry_ratio = 0.2
-retry_slack = 60
-retry_window_s = 10
-probes_per_s = 60
-"#;
+use crate::example::EXAMPLE;
 
 #[test]
 fn parse_example() {
--- a/crates/node/tests/gateway_answers.rs
+++ b/crates/node/tests/gateway_answers.rs
@@ -81,6 +81,16 @@
     );
 }
 
+/// Guards against a refusal that invites the caller to repeat what has run.
+#[test]
+fn fault_false_refusal_is_unknown() {
+    let (reads, writes) = play(TargetFault::FalseRefusal);
+    assert!(
+        all(&reads, 502) && all(&writes, 502),
+        "{reads:?} {writes:?}"
+    );
+}
+
 #[test]
 fn fault_lost_answer_is_unknown() {
     let (reads, writes) = play(TargetFault::LoseAnswer);
--- a/crates/testkit/src/fleet/target.rs
+++ b/crates/testkit/src/fleet/target.rs
@@ -35,6 +35,8 @@
     Shed,
     /// It fails requests with a signed 500.
     Error,
+    /// It runs a request and answers with a status that says that it did not.
+    FalseRefusal,
     /// It runs a request and resets the connection.
     LoseAnswer,
     /// It runs a request and breaks off inside the body.
@@ -302,6 +304,7 @@
     let raw = |text: String| async move { (&mut stream).write_all(text.as_bytes()).await.is_ok() };
     match fault {
         TargetFault::Error => respond(stream, 500, &signed, &body).await.is_ok(),
+        TargetFault::FalseRefusal => respond(stream, 503, &signed, &body).await.is_ok(),
         TargetFault::LoseAnswer => false,
         TargetFault::Mute => {
             task::sleep(Duration::from_secs(20)).await;
