Large responses come from the own zone; further candidates are always the same

A response of 90 kB from another zone costs about half of what it earns. A second round of probes asked any of 245 targets.

Change: the cost of another zone grows with the mean size of the route's responses; a second round asks among 48 targets that stay the same.

Tests: cost_of_other_zone_grows_with_response, usual_targets_stay_the_same.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -25,6 +25,7 @@
 mod rollout;
 mod route;
 mod service_spec;
+mod sizes;
 mod target_entry;
 mod targets;
 mod work;
@@ -49,6 +50,7 @@
     rollout::{Rollout, Stage},
     route::Route,
     service_spec::ServiceSpec,
+    sizes::Sizes,
     target_entry::TargetEntry,
     targets::{Target, Targets},
     work::Work,
--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use balance::{Outlook, Prior, Route, Target, Verdict};
+use balance::{Outlook, Prior, Route, Target, Targets, Verdict};
 use model::{ServiceName, TargetId, Time, Version};
 use rand::Rng;
 
@@ -20,10 +20,15 @@
 /// Targets of a service that an instance turns to first. With more, connections to each are used too
 /// rarely to be kept.
 const USUAL: usize = 24;
+/// The same when others are looked for, because the first candidates are slow or busy.
+const USUAL_MORE: usize = 48;
 /// Usable targets in the own zone from which the first choice is made among them only.
 const ENOUGH_NEAR: usize = 12;
 /// Cost of another zone, in milliseconds: traffic between zones is paid for, and takes 1 ms more.
-const ZONE_MS: f64 = 6.0;
+const FAR_MS: f64 = 6.0;
+/// The same for each kilobyte of the response. At the platform's prices, 90 kB from another zone cost about
+/// half of what the response earns.
+const FAR_MS_PER_KB: f64 = 1.0;
 /// Random part of the ranking, so that instances with the same view do not all ask the same targets.
 const JITTER: f64 = 0.6;
 /// Time for which targets of a version that was never ordered get nothing, in microseconds. Its order
@@ -99,11 +104,10 @@
 /// Targets worth asking, without those in `asked`.
 fn shortlist(state: &Rc<State>, wish: &Wish<'_>, asked: &[TargetId]) -> Vec<TargetId> {
     let now = state.now();
-    let work_ms = work_ms(state, wish.route);
     let rule = VersionRule::of(state, wish.service);
     let instances = state.instances();
     let targets = state.targets.borrow();
-    let prior = Prior::of(targets.of(wish.service), now);
+    let terms = Terms::of(state, wish, &targets);
     let usable: Vec<&Target> = targets
         .of(wish.service)
         .filter(|t| is_usable(state, t) && rule.allows(t, wish.is_new))
@@ -123,17 +127,13 @@
     } else {
         sound
     };
-    let pool = if asked.is_empty() {
-        usual(state, pool)
-    } else {
-        pool
-    };
+    let pool = usual(state, pool, asked.is_empty());
     let mut rng = rand::rng();
     let mut ranked: Vec<(f64, &Target)> = pool
         .into_iter()
         .map(|t| {
             (
-                cost(state, t, now, work_ms, &prior) * (1.0 + JITTER * rng.random::<f64>()),
+                terms.cost(state, t) * (1.0 + JITTER * rng.random::<f64>()),
                 t,
             )
         })
@@ -146,19 +146,20 @@
         .collect()
 }
 
-/// The targets that this instance turns to first: of its own zone if there are enough, and always the
-/// same ones.
-fn usual<'a>(state: &State, mut pool: Vec<&'a Target>) -> Vec<&'a Target> {
-    if pool.len() <= USUAL {
+/// The targets that this instance turns to: always the same ones, so that connections to them are kept.
+/// At first only those of its own zone, if there are enough.
+fn usual<'a>(state: &State, mut pool: Vec<&'a Target>, is_first: bool) -> Vec<&'a Target> {
+    let most = if is_first { USUAL } else { USUAL_MORE };
+    if pool.len() <= most {
         return pool;
     }
     let is_near = |t: &&Target| t.entry.zone == state.settings.zone;
-    if pool.iter().copied().filter(|t| is_near(t)).count() >= ENOUGH_NEAR {
+    if is_first && pool.iter().copied().filter(|t| is_near(t)).count() >= ENOUGH_NEAR {
         pool.retain(is_near);
     }
     let own = state.own().as_str();
     pool.sort_by_cached_key(|t| model::rendezvous(own, t.entry.id.as_str()));
-    pool.truncate(USUAL);
+    pool.truncate(most);
     pool
 }
 
@@ -182,22 +183,41 @@
     !load.is_some_and(|load| load.is_fresh(now, FRESH_US))
 }
 
-/// Expected time at a target, with what speaks against it, in milliseconds.
-fn cost(state: &State, target: &Target, now: Time, work_ms: f64, prior: &Prior) -> f64 {
-    let zone_ms = if target.entry.zone == state.settings.zone {
-        0.0
-    } else {
-        ZONE_MS
-    };
-    let expected = outlook(target, now, work_ms, prior).ms;
-    // A failure costs about another attempt.
-    expected * (1.0 + 2.0 * target.health.bad_share(now)) + zone_ms
+/// What targets are compared by.
+struct Terms {
+    now: Time,
+    work_ms: f64,
+    /// Cost of another zone, in milliseconds.
+    far_ms: f64,
+    prior: Prior,
 }
 
-fn outlook(target: &Target, now: Time, work_ms: f64, prior: &Prior) -> Outlook {
-    match target.load {
-        Some(load) => load.outlook(now, work_ms, target.unseen, prior),
-        None => prior.outlook(work_ms, target.inflight, target.entry.slots),
+impl Terms {
+    fn of(state: &State, wish: &Wish<'_>, targets: &Targets) -> Self {
+        let now = state.now();
+        Self {
+            now,
+            work_ms: work_ms(state, wish.route),
+            far_ms: FAR_MS + FAR_MS_PER_KB * state.sizes.borrow().kb(wish.route),
+            prior: Prior::of(targets.of(wish.service), now),
+        }
+    }
+
+    /// Expected time at a target, with what speaks against it, in milliseconds.
+    fn cost(&self, state: &State, target: &Target) -> f64 {
+        let is_near = target.entry.zone == state.settings.zone;
+        let far_ms = if is_near { 0.0 } else { self.far_ms };
+        // A failure costs about another attempt.
+        self.outlook(target).ms * (1.0 + 2.0 * target.health.bad_share(self.now)) + far_ms
+    }
+
+    fn outlook(&self, target: &Target) -> Outlook {
+        match target.load {
+            Some(load) => load.outlook(self.now, self.work_ms, target.unseen, &self.prior),
+            None => self
+                .prior
+                .outlook(self.work_ms, target.inflight, target.entry.slots),
+        }
     }
 }
 
@@ -210,19 +230,18 @@
     if is_shut || !is_usable(state, target) {
         return None;
     }
-    let work_ms = work_ms(state, wish.route);
+    let terms = Terms::of(state, wish, &targets);
     let load = target.load;
-    let prior = Prior::of(targets.of(wish.service), now);
     let silent = if is_stale(state, id) { 2.0 } else { 1.0 };
     let pick = Pick {
         id: id.clone(),
         addr: target.entry.addr,
         pace: load.map_or(100, |load| load.pace),
         age_us: load.map_or(u64::MAX, |load| now.since_us(load.at)),
-        outlook: outlook(target, now, work_ms, &prior),
+        outlook: terms.outlook(target),
         is_new: VersionRule::of(state, wish.service).is_new(target),
     };
-    Some((cost(state, target, now, work_ms, &prior) * silent, pick))
+    Some((terms.cost(state, target) * silent, pick))
 }
 
 /// Work time of a route at the usual pace, in milliseconds.
@@ -278,3 +297,6 @@
         .map(|((_, version), _)| version.clone())
         .collect()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/choose/tests.rs
@@ -0,0 +1,80 @@
+use balance::TargetEntry;
+use model::Zone;
+
+use super::*;
+use crate::example::state;
+
+fn route() -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        parts: vec![],
+        repeatable: true,
+        attempts: 2,
+        timeout_ms: 1_000,
+        aim_ms: 300,
+        priority: 1,
+    }
+}
+
+fn put(state: &State, id: &str, zone: &str) {
+    let entry = TargetEntry {
+        id: TargetId::new(id),
+        service: ServiceName::new("s"),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        zone: Zone::new(zone),
+        version: Version::new("v1"),
+        slots: 3,
+        draining: false,
+        cold_ms: 0,
+        born: 1,
+    };
+    state.targets.borrow_mut().put(entry, state.now());
+}
+
+/// Guards against large responses that are fetched from other zones although they cost more than they
+/// earn there.
+#[test]
+fn cost_of_other_zone_grows_with_response() {
+    let state = state(1_000.0);
+    put(&state, "near", "a");
+    put(&state, "far", "b");
+    let (service, route) = (ServiceName::new("s"), route());
+    let wish = Wish {
+        service: &service,
+        route: &route,
+        is_new: false,
+        tried: &[],
+    };
+    let gap_ms = || {
+        let targets = state.targets.borrow();
+        let terms = Terms::of(&state, &wish, &targets);
+        let cost = |id| terms.cost(&state, targets.get(&TargetId::new(id)).unwrap());
+        cost("far") - cost("near")
+    };
+    assert!((gap_ms() - FAR_MS).abs() < 1e-9);
+    state.sizes.borrow_mut().note(&route, 90_000);
+    assert!((gap_ms() - FAR_MS - 90.0 * FAR_MS_PER_KB).abs() < 1e-9);
+}
+
+/// Guards against a second round that asks any of hundreds of targets, each over a new connection.
+#[test]
+fn usual_targets_stay_the_same() {
+    let state = state(1_000.0);
+    for at in 0..200 {
+        put(&state, &format!("t{at}"), ["a", "b", "c"][at % 3]);
+    }
+    let targets = state.targets.borrow();
+    let ids = |is_first| {
+        let all = targets.all().collect();
+        let mut ids: Vec<&str> = usual(&state, all, is_first)
+            .iter()
+            .map(|t| t.entry.id.as_str())
+            .collect();
+        ids.sort_unstable();
+        ids
+    };
+    assert_eq!((ids(true).len(), ids(false).len()), (USUAL, USUAL_MORE));
+    assert_eq!(ids(false), ids(false));
+}
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -38,8 +38,10 @@
     }
 }
 
-/// Takes in the time of a proper response.
+/// Takes in the time and size of a proper response.
 pub fn note_work(state: &State, route: &Route, pick: &Pick, response: &Response, took_us: u64) {
+    let mut sizes = state.sizes.borrow_mut();
+    sizes.note(route, response.body.len());
     // Work times are those of the version that is known.
     if pick.is_new {
         return;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,7 @@
 };
 
 use async_std::channel::{Receiver, Sender, bounded};
-use balance::{FleetUse, Manifest, Members, RetryBudget, Rollout, Targets, WorkTimes};
+use balance::{FleetUse, Manifest, Members, RetryBudget, Rollout, Sizes, Targets, WorkTimes};
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
 
@@ -40,6 +40,8 @@
     pub versions: RefCell<HashMap<(ServiceName, Version), Time>>,
     /// Work times.
     pub work: RefCell<WorkTimes>,
+    /// Sizes of responses.
+    pub sizes: RefCell<Sizes>,
     /// Budgets of second sends by service.
     pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// What the other instances used of those budgets.
@@ -97,6 +99,7 @@
             zones_out: RefCell::default(),
             versions: RefCell::default(),
             work: RefCell::default(),
+            sizes: RefCell::default(),
             budgets: RefCell::default(),
             fleet_use: RefCell::default(),
             pool: Pool::default(),
