--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use async_std::{future::timeout, task};
+use async_std::future::timeout;
 use balance::Target;
 use futures::{StreamExt, stream::FuturesUnordered};
 use h1::Response;
@@ -17,9 +17,6 @@
 /// Time for the answers, in milliseconds. They come within 2 ms across zones; a target that takes
 /// longer is no good choice.
 const ANSWER_MS: u64 = 10;
-/// Time after which an answer is not awaited in the background either, in milliseconds; its connection is
-/// silent then.
-const LATE_MS: u64 = 200;
 /// Time for the others after a first answer that came late, in milliseconds.
 const OTHERS_MS: u64 = 3;
 /// Time for the first answer, in milliseconds. Without any, the delay is this instance's own, and a choice
@@ -29,11 +26,7 @@
 /// Asks `targets` and notes their answers. Targets that do not answer in time keep their old report.
 pub async fn probe(state: &Rc<State>, targets: &[TargetId]) {
     let start = state.now();
-    // Probes go on by themselves: a late answer still tells the load, and its connection is kept.
-    let mut asked: FuturesUnordered<_> = targets
-        .iter()
-        .map(|id| task::spawn_local(probe_one(Rc::clone(state), id.clone())))
-        .collect();
+    let mut asked: FuturesUnordered<_> = targets.iter().map(|id| probe_one(state, id)).collect();
     let in_time = start.plus_ms(ANSWER_MS);
     let mut first: Option<Time> = None;
     loop {
@@ -41,6 +34,7 @@
             in_time.max(at.plus_ms(OTHERS_MS))
         });
         let left = Duration::from_micros(limit.since_us(state.now()));
+        // Late answers are dropped with their connections.
         match timeout(left, asked.next()).await {
             Ok(Some(is_answered)) if is_answered && first.is_none() => first = Some(state.now()),
             Ok(Some(_)) => {}
@@ -70,8 +64,8 @@
 }
 
 /// Asks one target; whether it answered.
-async fn probe_one(state: Rc<State>, id: TargetId) -> bool {
-    let Some((addr, path)) = address(&state, &id) else {
+async fn probe_one(state: &Rc<State>, id: &TargetId) -> bool {
+    let Some((addr, path)) = address(state, id) else {
         return false;
     };
     if !state.may_probe() {
@@ -86,16 +80,16 @@
         bytes: &bytes,
     };
     let now = state.now();
-    let sent = exchange(&state, addr, message, now.plus_ms(LATE_MS), || true).await;
+    let sent = exchange(state, addr, message, now.plus_ms(FIRST_MS), || true).await;
     let response = match sent {
         Sent::Response(response) => response,
         Sent::Unsent(_) => {
-            state.note_down(&id);
+            state.note_down(id);
             return false;
         }
         Sent::Lost(_) => return false,
     };
-    take_answer(&state, &id, &response);
+    take_answer(state, id, &response);
     true
 }
 
