Duties go to instances that reach the store

A third of the instances could not reach the store but still reached each other, all three that wait for orders among them; the others relied on them, and a configuration came into force 5.4 s late. The trace shows "cannot connect" at the cut instances and no read of orders by any other between 10.4 and 15.8 s. Ruled out: a lost beat (all instances were late by the same time) and the dropped history (it was read at once when somebody read).

Change: beats say whether the latest call to the store succeeded; instances without the store come last for a duty, tell so at once, and try again every 5 s. Waiting reads last 1.2 s instead of 3 s, so that a read that is never answered is noticed in 2.2 s.

Test: duty_rank_puts_instances_without_store_last.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -11,6 +11,7 @@
 mod budget;
 mod budget_use;
 mod caller_limits;
+mod candidate;
 mod cold_gate;
 mod evidence;
 mod fleet_use;
@@ -36,6 +37,7 @@
     budget::RetryBudget,
     budget_use::BudgetUse,
     caller_limits::CallerLimits,
+    candidate::Candidate,
     cold_gate::ColdGate,
     evidence::{Evidence, Tally},
     fleet_use::FleetUse,
--- a/crates/balance/src/members.rs
+++ b/crates/balance/src/members.rs
@@ -4,6 +4,8 @@
 
 use model::{InstanceId, Time, Zone, rendezvous};
 
+use crate::Candidate;
+
 /// Time between two beats in a small system, in milliseconds. At 16 instances this is 38 datagrams a
 /// second each way.
 const BEAT_MS: u64 = 400;
@@ -48,6 +50,8 @@
     pub peer: SocketAddr,
     /// Whether it takes callers.
     pub presence: Presence,
+    /// Whether its latest call to the store succeeded.
+    pub has_store: bool,
     /// When it was last heard of; `None` if it was only read of.
     pub heard: Option<Time>,
 }
@@ -131,23 +135,35 @@
             .collect()
     }
 
-    /// Number of instances that come before `own` in `zone` for `duty`. The first of each zone come
-    /// before the second ones, so that the loss of a zone leaves one of the first few.
+    /// Number of instances that come before `own` for `duty`. The first of each zone come before the
+    /// second ones, so that the loss of a zone leaves one of the first few; those without the store come
+    /// last.
     #[must_use]
-    pub fn duty_rank(&self, duty: &str, own: &InstanceId, zone: &Zone, now: Time) -> usize {
+    pub fn duty_rank(&self, duty: &str, own: &Candidate<'_>, now: Time) -> usize {
         let others = self.live(now).filter(|m| m.presence != Presence::Leaving);
-        let mut candidates: Vec<(u64, &InstanceId, &Zone)> = others
-            .map(|m| (&m.name, &m.zone))
-            .filter(|(name, _)| *name != own)
-            .chain([(own, zone)])
-            .map(|(name, zone)| (rendezvous(duty, name.as_str()), name, zone))
+        let others = others.filter(|m| m.name != *own.name).map(|m| Candidate {
+            name: &m.name,
+            zone: &m.zone,
+            has_store: m.has_store,
+        });
+        let mut candidates: Vec<(bool, u64, &InstanceId, &Zone)> = others
+            .chain([*own])
+            .map(|c| {
+                (
+                    c.has_store,
+                    rendezvous(duty, c.name.as_str()),
+                    c.name,
+                    c.zone,
+                )
+            })
             .collect();
         candidates.sort_unstable_by(|a, b| b.cmp(a));
-        let mut seen: BTreeMap<&Zone, usize> = BTreeMap::new();
-        let mut turns: Vec<(usize, bool)> = Vec::with_capacity(candidates.len());
-        for (_, name, zone) in candidates {
-            let turn = seen.entry(zone).or_default();
-            turns.push((*turn, name == own));
+        let own = own.name;
+        let mut seen: BTreeMap<(bool, &Zone), usize> = BTreeMap::new();
+        let mut turns: Vec<((bool, usize), bool)> = Vec::with_capacity(candidates.len());
+        for (has_store, _, name, zone) in candidates {
+            let turn = seen.entry((has_store, zone)).or_default();
+            turns.push(((!has_store, *turn), name == own));
             *turn += 1;
         }
         // Stable: within one turn, the order by weight stays.
--- a/crates/balance/src/members/tests.rs
+++ b/crates/balance/src/members/tests.rs
@@ -8,6 +8,7 @@
         front: "10.0.0.1:80".parse().unwrap(),
         peer: "10.0.0.1:7000".parse().unwrap(),
         presence,
+        has_store: true,
         heard,
     }
 }
@@ -71,7 +72,12 @@
                 ..member(1, Presence::Ready, Some(START))
             });
         }
-        members.duty_rank(duty, &InstanceId::new(&names[own]), &zone_of(own), START)
+        let candidate = Candidate {
+            name: &InstanceId::new(&names[own]),
+            zone: &zone_of(own),
+            has_store: true,
+        };
+        members.duty_rank(duty, &candidate, START)
     };
     for duty in ["orders", "entries", "rollout orders 1", "rollout orders 2"] {
         let mut ranked: Vec<(usize, usize)> = (0..16).map(|own| (rank(own, duty), own)).collect();
@@ -84,3 +90,42 @@
         assert_eq!(first.len(), 3, "{duty}: {ranked:?}");
     }
 }
+
+/// Guards against duties that stay with instances that are cut off from the store.
+#[test]
+fn duty_rank_puts_instances_without_store_last() {
+    let mut members = Members::default();
+    for n in 0..9 {
+        members.hear(Member {
+            name: InstanceId::new(&format!("edge-{n}")),
+            zone: Zone::new(["a", "b", "c"][n % 3]),
+            peer: format!("10.0.0.{}:7000", n + 1).parse().unwrap(),
+            has_store: n == 4,
+            ..member(1, Presence::Ready, Some(START))
+        });
+    }
+    let (name, zone) = (InstanceId::new("own"), Zone::new("a"));
+    let rank = |has_store| {
+        let own = Candidate {
+            name: &name,
+            zone: &zone,
+            has_store,
+        };
+        members.duty_rank("orders", &own, START)
+    };
+    assert!(rank(true) <= 1, "only one other has the store");
+    assert!(rank(false) >= 1);
+    let later = START.plus_ms(60_000);
+    assert_eq!(
+        members.duty_rank(
+            "orders",
+            &Candidate {
+                name: &name,
+                zone: &zone,
+                has_store: false
+            },
+            later
+        ),
+        0
+    );
+}
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -28,6 +28,8 @@
     pub front: SocketAddr,
     /// 0: starting, 1: ready, 2: leaving.
     pub presence: u8,
+    /// Whether its latest call to the store succeeded.
+    pub has_store: bool,
     /// Where its reading of the operator's records goes on.
     pub orders_next: u64,
     /// Time for which its entries of targets were never out of date for long, in milliseconds.
--- a/crates/gateway/src/beat/tests.rs
+++ b/crates/gateway/src/beat/tests.rs
@@ -7,6 +7,7 @@
         zone: Zone::new("z"),
         front: "10.0.0.1:80".parse().unwrap(),
         presence: 1,
+        has_store: true,
         orders_next: 12,
         steady_ms: 900,
         known: vec!["10.0.0.2:7000".parse().unwrap()],
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -12,7 +12,7 @@
 use crate::{
     backoff::Backoff,
     entries_part::{EntriesPart, EntryChange},
-    peers::tell_all,
+    peers::{send_beat, tell_all},
     state::State,
 };
 
@@ -68,6 +68,7 @@
         state.metrics.count("store_calls", 1);
         match read(&state, &mut store).await {
             Ok(part) => {
+                state.has_store.set(true);
                 backoff.reset();
                 if (is_reader || has_lost_readers)
                     && let Some(part) = part
@@ -84,6 +85,10 @@
             }
             Err(error) => {
                 note_failure(&state, &error);
+                if state.has_store.replace(false) {
+                    // The others take the duty over as soon as they know.
+                    send_beat(&state, &socket).await;
+                }
                 let pause = backoff.pause() + FAILED_STEP * (rank + 1).ilog2();
                 let pause_us = u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
                 not_before = state.now().plus_us(pause_us);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -13,14 +13,16 @@
 /// Instances that wait at the store. One of them may be cut off from the store, and one more from the
 /// other instances, without a delay.
 const WAITERS: usize = 3;
-/// Longest wait for a new record in one read, in milliseconds. Each read is paid for, but a read that the
-/// store took before an outage is never answered: an instance must read anew within 5 s of its end.
-const WAIT_MS: u64 = 3_000;
+/// Longest wait for a new record in one read, in milliseconds. Each read is paid for, but one that the
+/// store took before an outage or a cut is never answered, and others take over only after it.
+const WAIT_MS: u64 = 1_200;
 /// Time without news after which an instance that does not wait at the store reads there once.
 const CHECK: Duration = Duration::from_secs(25);
 /// Time after the start in which the others are met. Until then every instance would take itself for one
 /// that waits; a configuration must be in force within 2 s.
 const MEET: Duration = Duration::from_millis(700);
+/// Time after which an instance whose last call failed tries the store again.
+const RETRY: Duration = Duration::from_secs(5);
 /// Time between two looks at whether this instance is to wait at the store.
 const LOOK: Duration = Duration::from_millis(250);
 /// Time for another instance to pass records on.
@@ -44,6 +46,7 @@
         let event = read
             .race(async { told.await.map_or(Next::Nothing, Next::Told) })
             .await;
+        let was_told = matches!(event, Next::Told(_));
         let done = match event {
             Next::Read(done) => done,
             Next::Nothing => return,
@@ -62,6 +65,9 @@
                 }
                 is_lost = false;
                 backoff.reset();
+                if !was_told {
+                    state.has_store.set(true);
+                }
                 let is_news = next != Some(at);
                 next = Some(at);
                 state.orders_next.set(at);
@@ -79,6 +85,10 @@
                     warn!(event = "store_lost", reader = "orders", %error);
                 }
                 is_lost = true;
+                if state.has_store.replace(false) {
+                    // The others take the duty over as soon as they know.
+                    send_beat(&state, &socket).await;
+                }
                 async_std::task::sleep(backoff.pause()).await;
             }
         }
@@ -99,7 +109,8 @@
 /// Waits until this instance is to wait at the store, or until it is time to read without that.
 async fn wait_for_duty(state: &State) -> bool {
     let start = state.now();
-    while Duration::from_micros(state.now().since_us(start)) < CHECK {
+    let limit = if state.has_store.get() { CHECK } else { RETRY };
+    while Duration::from_micros(state.now().since_us(start)) < limit {
         let age = Duration::from_micros(state.now().since_us(state.started));
         if age >= MEET && is_waiter(state) {
             return true;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -169,6 +169,7 @@
             Phase::Ready => 1,
             Phase::Leaving => 2,
         },
+        has_store: state.has_store.get(),
         orders_next: state.orders_next.get(),
         steady_ms: steady_ms(state),
         known: some_members(state, known),
@@ -289,6 +290,7 @@
         front: beat.front,
         peer: from.into(),
         presence,
+        has_store: beat.has_store,
         heard: Some(now),
     });
     is_new
@@ -306,6 +308,7 @@
         front: entry.front,
         peer: entry.peer,
         presence: Presence::Starting,
+        has_store: true,
         heard: None,
     });
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -9,7 +9,9 @@
 };
 
 use async_std::channel::{Receiver, Sender, bounded};
-use balance::{FleetUse, Manifest, Members, RetryBudget, Rollout, Sizes, Targets, WorkTimes};
+use balance::{
+    Candidate, FleetUse, Manifest, Members, RetryBudget, Rollout, Sizes, Targets, WorkTimes,
+};
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
 
@@ -72,6 +74,8 @@
     pub steady_since: Cell<Time>,
     /// Until when another instance is known to have had sound entries throughout.
     pub sound_until: Cell<Time>,
+    /// Whether the latest call of this instance to the store succeeded, or none was made.
+    pub has_store: Cell<bool>,
     /// Whether the last read of the entries failed.
     pub store_lost: Cell<bool>,
     /// Outcomes by target since the last beat.
@@ -114,6 +118,7 @@
             entries_next: Cell::new(None),
             relay: RefCell::default(),
             entries_gap: Cell::new(None),
+            has_store: Cell::new(true),
             store_lost: Cell::new(false),
             outcomes: RefCell::default(),
             idle_end,
@@ -148,7 +153,12 @@
     /// Number of live instances that come before this one for `duty`.
     pub fn duty_rank(&self, duty: &str) -> usize {
         let members = self.members.borrow();
-        members.duty_rank(duty, self.own(), &self.settings.zone, self.now())
+        let own = Candidate {
+            name: self.own(),
+            zone: &self.settings.zone,
+            has_store: self.has_store.get(),
+        };
+        members.duty_rank(duty, &own, self.now())
     }
 
     /// Whether this instance is the first choice among the live ones for `duty`.
