Rollouts notice versions that fail at times

Change: a second test of 12% against 3%, with eight failures at least.

Test: is_bad_seventh_of_requests, which failed before. The existing tests on good versions hold.

--- a/crates/balance/src/evidence.rs
+++ b/crates/balance/src/evidence.rs
@@ -12,6 +12,12 @@
 const ASSUMED_BAD: f64 = 0.35;
 /// Distance of the two assumptions when the old version fails often as well.
 const MIN_DISTANCE: f64 = 0.2;
+/// Distance to the share assumed of versions that fail at times, such as a seventh of their requests under
+/// load.
+const SMALL_DISTANCE: f64 = 0.09;
+/// Failures without which a version is not said to fail at times. Failures come earlier than successes
+/// after a stage has begun.
+const MIN_BAD_AT_TIMES: u32 = 8;
 /// Log likelihood ratio for a judgement: a good version is taken for a bad one in 1 of 400 tests.
 const BAD_RATIO: f64 = 6.0;
 /// Failures without which no version is called bad.
@@ -96,12 +102,19 @@
     }
 }
 
-/// Sequential probability ratio test of the assumed failure share against the usual one.
+/// Whether a tally shows more failures than usual: many of few requests, or some of many.
 fn exceeds(tally: Tally, usual: f64) -> bool {
-    let assumed = ASSUMED_BAD.max(usual + MIN_DISTANCE);
-    let ratio = f64::from(tally.bad) * (assumed / usual).ln()
-        + f64::from(tally.good) * ((1.0 - assumed) / (1.0 - usual)).ln();
-    tally.bad >= MIN_BAD && ratio >= BAD_RATIO
+    let often = ASSUMED_BAD.max(usual + MIN_DISTANCE);
+    let at_times = usual + SMALL_DISTANCE;
+    (tally.bad >= MIN_BAD && ratio(tally, usual, often) >= BAD_RATIO)
+        || (tally.bad >= MIN_BAD_AT_TIMES && ratio(tally, usual, at_times) >= BAD_RATIO)
+}
+
+/// Log likelihood ratio of the assumed failure share against the usual one, as in a sequential probability
+/// ratio test.
+fn ratio(tally: Tally, usual: f64, assumed: f64) -> f64 {
+    f64::from(tally.bad) * (assumed / usual).ln()
+        + f64::from(tally.good) * ((1.0 - assumed) / (1.0 - usual)).ln()
 }
 
 #[cfg(test)]
--- a/crates/balance/src/evidence/tests.rs
+++ b/crates/balance/src/evidence/tests.rs
@@ -35,6 +35,13 @@
     assert!(evidence(&[(1, 0, 200, 1), (2, 0, 6, 6)], (900, 9)).is_bad());
 }
 
+/// Guards against versions that fail a seventh of their requests under load and go on to get all of them.
+#[test]
+fn is_bad_seventh_of_requests() {
+    assert!(evidence(&[(1, 0, 190, 2), (3, 0, 70, 11)], (900, 9)).is_bad());
+    assert!(!evidence(&[(3, 0, 700, 11)], (900, 9)).is_bad());
+}
+
 #[test]
 fn is_bad_not_while_old_fails_as_often() {
     assert!(!evidence(&[(1, 0, 40, 8)], (400, 80)).is_bad());
