Test of configurations while the waiting instances lack the store

Seven of eight instances lose the store; the one that keeps it was not waiting. With beats that always say has_store the test fails (a route that was published is answered 404 after 2 s); with the code as it is it passes.

--- a/crates/node/tests/gateway_fleet.rs
+++ b/crates/node/tests/gateway_fleet.rs
@@ -8,7 +8,10 @@
 
 use async_std::task;
 use serde_json::json;
-use testkit::fleet::{FleetRig, RigSpec, StoreFault, TargetSpec, ask_directory, send};
+use testkit::fleet::{
+    FleetProxy, FleetRig, GatewayProcess, ProxyMode, RigSpec, StoreFault, TargetSpec,
+    ask_directory, send,
+};
 
 /// Time within which targets, zones and configurations must be in force, from the platform's bounds.
 const APPLY: Duration = Duration::from_secs(2);
@@ -347,3 +350,54 @@
         }
     });
 }
+
+/// Instances whose way to the store can be cut one by one.
+async fn rig_with_proxies(count: usize) -> (FleetRig, Vec<FleetProxy>) {
+    let mut rig = rig(0, 3).await;
+    let mut proxies = Vec::new();
+    for at in 0..count {
+        let proxy = FleetProxy::start(rig.store.addr).await.unwrap();
+        let seeds: Vec<_> = rig.instances.iter().take(3).map(|i| i.ip).collect();
+        let zone = ["a", "b", "c"][at % 3];
+        let instance = GatewayProcess::start(binary(), zone, proxy.addr, &seeds).unwrap();
+        rig.instances.push(instance);
+        proxies.push(proxy);
+    }
+    while !rig.all_ready().await {
+        task::sleep(Duration::from_millis(50)).await;
+    }
+    (rig, proxies)
+}
+
+/// Guards against configurations that come late because all instances that wait for them are cut off
+/// from the store, while the others still hear them.
+#[test]
+fn configuration_is_in_force_while_waiters_lack_the_store() {
+    task::block_on(async {
+        let (rig, proxies) = rig_with_proxies(8).await;
+        task::sleep(Duration::from_secs(3)).await;
+        // The last in the order of the duty is the only one that keeps the store.
+        let weight = |at: &usize| {
+            let name = format!("edge-{}", rig.instances[*at].ip.octets()[3]);
+            model::rendezvous("orders", &name)
+        };
+        let kept = (0..8).min_by_key(weight).unwrap();
+        for (at, proxy) in proxies.iter().enumerate() {
+            if at != kept {
+                proxy.set_mode(ProxyMode::Silent);
+            }
+        }
+        // Instances are in touch again 3 s after the cut.
+        task::sleep(Duration::from_secs(3)).await;
+        let route = json!({ "name": "new", "host": "shop.example", "path_prefix": "/new/",
+            "kind": "idempotent", "timeout_s": 1, "service": "orders", "attempts": 2 });
+        rig.publish(&[route]);
+        task::sleep(APPLY).await;
+        for instance in &rig.instances {
+            let mut request = rig.request(false);
+            request.path = String::from("/new/1");
+            let status = send(instance.callers(), &request).await.status();
+            assert_eq!(status, 200, "{}", instance.ip);
+        }
+    });
+}
