--- a/crates/gateway/src/choose.rs
+++ b/crates/gateway/src/choose.rs
@@ -2,11 +2,11 @@
 
 use std::rc::Rc;
 
-use balance::{Outlook, Prior, Route, Target, Targets, Verdict};
-use model::{ServiceName, TargetId, Time, Version};
+use balance::{Outlook, Prior, Route, Target, Targets};
+use model::{ServiceName, TargetId, Time};
 use rand::Rng;
 
-use crate::{probe::probe, state::State};
+use crate::{probe::probe, state::State, version_rule::VersionRule};
 
 /// Candidates that are asked in a round. With three, the choice comes close to one with full knowledge.
 const ASKED: usize = 3;
@@ -31,9 +31,6 @@
 const FAR_MS_PER_KB: f64 = 1.0;
 /// Random part of the ranking, so that instances with the same view do not all ask the same targets.
 const JITTER: f64 = 0.6;
-/// Time for which targets of a version that was never ordered get nothing, in microseconds. Its order
-/// may be read later than their entries.
-const NEW_VERSION_US: u64 = 3_000_000;
 
 /// What a choice is made for.
 #[derive(Debug)]
@@ -249,54 +246,5 @@
     state.work.borrow().ms(route)
 }
 
-/// Which versions of a service may get requests.
-#[derive(Debug)]
-struct VersionRule {
-    ordered: Option<(Version, Verdict)>,
-    /// Versions that are known for too short to be the ordinary one.
-    unsettled: Vec<Version>,
-}
-
-impl VersionRule {
-    fn of(state: &State, service: &ServiceName) -> Self {
-        let rollouts = state.rollouts.borrow();
-        let ordered = rollouts
-            .get(service)
-            .map(|r| (r.order.version.clone(), r.verdict));
-        Self {
-            ordered,
-            unsettled: unsettled(state, service),
-        }
-    }
-
-    fn is_new(&self, target: &Target) -> bool {
-        self.ordered
-            .as_ref()
-            .is_some_and(|(version, _)| *version == target.entry.version)
-    }
-
-    fn allows(&self, target: &Target, is_new: bool) -> bool {
-        let is_of_new = self.is_new(target);
-        match self.ordered.as_ref().map(|(_, verdict)| verdict) {
-            Some(Verdict::Running) => is_of_new == is_new,
-            Some(Verdict::Undone) => !is_of_new,
-            Some(Verdict::Done) if is_of_new => true,
-            _ => !self.unsettled.contains(&target.entry.version),
-        }
-    }
-}
-
-/// Versions of a service that came after its first one and were not there for long.
-fn unsettled(state: &State, service: &ServiceName) -> Vec<Version> {
-    let now = state.now();
-    let versions = state.versions.borrow();
-    let of_service = || versions.iter().filter(|((s, _), _)| s == service);
-    let first = of_service().map(|(_, at)| *at).min();
-    of_service()
-        .filter(|(_, at)| first != Some(**at) && now.since_us(**at) < NEW_VERSION_US)
-        .map(|((_, version), _)| version.clone())
-        .collect()
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/gateway/src/choose/tests.rs
+++ b/crates/gateway/src/choose/tests.rs
@@ -1,5 +1,5 @@
 use balance::TargetEntry;
-use model::Zone;
+use model::{Version, Zone};
 
 use super::*;
 use crate::example::state;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod settings;
 mod state;
 mod story;
+mod version_rule;
 
 pub use crate::{
     logs::init_logging,
