Gateway logs: lines about entries have a budget of their own

Cause: lines of all kinds shared 150 lines a second.

Change: each class of lines (requests that went as expected, failures, the rest) has a token bucket; lines_dropped has a time and the class. New lines entries_read, entries_sent, entries_update; sent states the offset and the age of the entries.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -2,13 +2,13 @@
 //! them and send updates to the others. An instance that receives no updates, or misses one, reads
 //! the store itself.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::{net::UdpSocket, task};
 use balance::TargetEntry;
 use model::{TargetId, Time};
 use platform::{Change, Listing, PlatformError, Store, Topic};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::{
     backoff::Backoff,
@@ -81,9 +81,7 @@
                     let both = last_sent
                         .take()
                         .map_or_else(|| update.clone(), |last| last.join(&update));
-                    for bytes in both.datagrams() {
-                        broadcast(&state, &socket, &bytes).await;
-                    }
+                    send_update(&state, &socket, both).await;
                     last_sent = Some(update);
                 }
             }
@@ -101,9 +99,28 @@
     }
 }
 
+/// Sends an update to all live instances.
+async fn send_update(state: &State, socket: &UdpSocket, update: EntriesUpdate) {
+    let start = state.now();
+    let (from, next, changes) = (update.from, update.next, update.changes.len());
+    let datagrams = update.datagrams();
+    for bytes in &datagrams {
+        broadcast(state, socket, bytes).await;
+    }
+    let took_ms = state.now().since_us(start) / 1_000;
+    info!(
+        event = "entries_sent",
+        from,
+        next,
+        changes,
+        datagrams = datagrams.len(),
+        took_ms
+    );
+}
+
 /// Whether the entries are so old that the instance with this rank reads the store for all.
 fn must_take_over(state: &State, rank: usize) -> bool {
-    let age = state.targets_read.get().map(|at| state.now().since_us(at));
+    let age = state.entries_age_us();
     knows_peers(state) && age.is_none_or(|age| age >= takeover_age_us(rank))
 }
 
@@ -141,18 +158,37 @@
         state.entries_gap.set(Some(now));
     }
     if !state.entries_failed.replace(true) {
-        let age_ms = state
-            .targets_read
-            .get()
-            .map_or(0, |t| now.since_us(t) / 1_000);
+        let age_ms = state.entries_age_us().unwrap_or_default() / 1_000;
         warn!(event = "store_lost", reader = "entries", %error, age_ms);
     }
 }
 
-/// Reads the store once and applies the result. Returns the update for the other instances.
+/// Reads the store once, applies the result and logs it. Returns the update for the other
+/// instances.
 async fn read(
     state: &Rc<State>,
     store: &mut Store,
+) -> Result<Option<EntriesUpdate>, PlatformError> {
+    let start = state.now();
+    let update = read_changes(state, store).await?;
+    let took_ms = state.now().since_us(start) / 1_000;
+    let (from, next, changes) = update
+        .as_ref()
+        .map_or((0, 0, 0), |u| (u.from, u.next, u.changes.len()));
+    info!(
+        event = "entries_read",
+        from,
+        next,
+        changes,
+        took_ms,
+        known = state.entries_next.get().unwrap_or_default()
+    );
+    Ok(update)
+}
+
+async fn read_changes(
+    state: &Rc<State>,
+    store: &mut Store,
 ) -> Result<Option<EntriesUpdate>, PlatformError> {
     let Some(from) = state.entries_next.get() else {
         return list(state, store, None).await;
@@ -220,11 +256,17 @@
     }
 }
 
-/// Applies an update that a reader sent.
-pub fn apply_update(state: &State, update: EntriesUpdate) {
+/// Applies an update that the reader `peer` sent.
+pub fn apply_update(state: &State, peer: SocketAddr, update: EntriesUpdate) {
     let Some(known_next) = state.entries_next.get() else {
         return;
     };
+    let (from, next, end, changes) = (update.from, update.next, update.end, update.changes.len());
+    if next > known_next {
+        info!(event = "entries_update", %peer, from, next, end, changes, known = known_next);
+    } else {
+        debug!(event = "entries_update", %peer, from, next, end, changes, known = known_next);
+    }
     if update.from <= known_next && update.next >= known_next {
         record_store_regained(state);
         state.entries_next.set(Some(update.next));
@@ -253,7 +295,7 @@
         return;
     }
     let now = state.now();
-    let age = state.targets_read.get().map(|at| now.since_us(at));
+    let age = state.entries_age_us();
     info!(
         event = "store_regained",
         reader = "entries",
--- a/crates/gateway/src/entries/tests.rs
+++ b/crates/gateway/src/entries/tests.rs
@@ -1,6 +1,10 @@
 use super::*;
 use crate::example::state;
 
+fn peer() -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, 36], 7_660))
+}
+
 fn update(from: u64, next: u64, end: u64) -> EntriesUpdate {
     EntriesUpdate {
         from,
@@ -16,13 +20,13 @@
 fn take_part_first_half_is_not_current() {
     let state = state(1_000.0);
     state.entries_next.set(Some(10));
-    apply_update(&state, update(4, 10, 20));
+    apply_update(&state, peer(), update(4, 10, 20));
     assert_eq!(state.targets_read.get(), None);
     assert!(state.entries_gap.get().is_some(), "the rest is awaited");
-    apply_update(&state, update(10, 15, 20));
+    apply_update(&state, peer(), update(10, 15, 20));
     assert_eq!(state.entries_next.get(), Some(15));
     assert_eq!(state.targets_read.get(), None);
-    apply_update(&state, update(15, 20, 20));
+    apply_update(&state, peer(), update(15, 20, 20));
     assert!(state.targets_read.get().is_some());
     assert_eq!(state.entries_gap.get(), None);
 }
@@ -31,12 +35,12 @@
 fn apply_update_old_or_ahead() {
     let state = state(1_000.0);
     state.entries_next.set(Some(10));
-    apply_update(&state, update(2, 8, 8));
+    apply_update(&state, peer(), update(2, 8, 8));
     assert_eq!(
         (state.entries_gap.get(), state.targets_read.get()),
         (None, None)
     );
-    apply_update(&state, update(12, 14, 14));
+    apply_update(&state, peer(), update(12, 14, 14));
     assert_eq!(state.entries_next.get(), Some(10));
     assert!(state.entries_gap.get().is_some());
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,6 +15,7 @@
     attempt_log::AttemptLog,
     attempt_permit::AttemptPermit,
     exchange::{ResponseError, SendResult},
+    line_class::REQUESTS,
     outcome::{claims_not_run, is_slow, record_outcome, record_processing_time, record_reports},
     selection::{Criteria, SelectedTarget, is_target_eligible, processing_ms, select_target},
     state::State,
@@ -167,11 +168,13 @@
             permit.consume();
         }
         self.tried.push(selected.id.clone());
-        info!(event = "sent", id = self.id().unwrap_or("-"), attempt = self.attempt_log.attempts,
-            target_id = %selected.id, service = %self.service,
+        info!(target: REQUESTS, event = "sent", id = self.id().unwrap_or("-"),
+            attempt = self.attempt_log.attempts, target_id = %selected.id, service = %self.service,
             expected_ms = selected.estimate.latency_ms.round(), free = selected.estimate.slot_free,
             pace = selected.slowdown_percent, load_age_us = selected.report_age_us,
-            new_version = selected.new_version, left_ms = self.remaining_ms().round());
+            new_version = selected.new_version, left_ms = self.remaining_ms().round(),
+            entries = self.state.entries_next.get().unwrap_or_default(),
+            entries_age_ms = self.state.entries_age_us().unwrap_or_default() / 1_000);
         Attempt::start(
             self.state,
             self.service,
@@ -256,7 +259,7 @@
         match result {
             SendResult::NotSent(error) => {
                 self.attempt_log.record(selected, "unsent", took_us);
-                info!(event = "target_unreachable", target_id = %selected.id, %error);
+                info!(target: REQUESTS, event = "target_unreachable", target_id = %selected.id, %error);
                 if is_target_eligible(self.state, &selected.id) {
                     self.state.record_refused_connection(&selected.id);
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,8 @@
 mod exchange;
 mod forward;
 mod heartbeat;
+mod line_budget;
+mod line_class;
 mod logs;
 mod metrics;
 mod operator_records;
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -3,21 +3,23 @@
 
 use std::{
     io::{self, Write},
-    sync::mpsc::{SyncSender, sync_channel},
+    sync::{
+        Mutex, PoisonError,
+        mpsc::{SyncSender, sync_channel},
+    },
     thread,
     time::{Duration, Instant},
 };
 
+use tracing::Metadata;
 use tracing_subscriber::{
     EnvFilter, fmt::MakeWriter, layer::SubscriberExt, util::SubscriberInitExt,
 };
 
+use crate::{line_budget::LineBudget, line_class::LineClass};
+
 /// Most lines in the queue; at 400 bytes each they take 400 KB.
 const QUEUE_LINES: usize = 1_024;
-/// Level of a line that is not a warning, as it is written.
-const INFO_LEVEL: &[u8] = b"level=info";
-/// Bytes at the start of a line in which its level is searched. The level follows the time.
-const LEVEL_SEARCH_BYTES: usize = 64;
 /// Time for which lines are collected before they are written at once.
 const BATCH_TIME: Duration = Duration::from_millis(50);
 
@@ -42,15 +44,10 @@
         eprintln!("cannot start the log thread: {error}");
         return;
     }
-    let queue = Queue {
-        sender,
-        lines,
-        prefix: format!("instance={instance} ").into_bytes(),
-    };
     let layer = tracing_logfmt::builder()
         .with_target(false)
         .layer()
-        .with_writer(queue);
+        .with_writer(Queue::new(sender, instance, lines));
     let _ = tracing_subscriber::registry()
         .with(filter)
         .with(layer)
@@ -61,55 +58,65 @@
 #[derive(Debug)]
 struct Queue {
     sender: SyncSender<Vec<u8>>,
-    lines: u32,
     prefix: Vec<u8>,
+    /// Budgets of the classes, by their numbers.
+    budgets: Mutex<[LineBudget; 3]>,
 }
 
-thread_local! {
-    /// Start of the current second, lines written in it, and lines dropped since the last one
-    /// written.
-    static LINE_COUNTS: std::cell::Cell<(Option<Instant>, u32, u64)> = const { std::cell::Cell::new((None, 0, 0)) };
+impl Queue {
+    fn new(sender: SyncSender<Vec<u8>>, instance: &str, lines: u32) -> Self {
+        let now = Instant::now();
+        Self {
+            sender,
+            prefix: format!("instance={instance} ").into_bytes(),
+            budgets: Mutex::new(LineClass::ALL.map(|class| LineBudget::new(class, lines, now))),
+        }
+    }
+
+    /// Adds a line, unless its class has no budget left or the queue is full. The line is preceded
+    /// by one that counts the lines of its class that were dropped before.
+    fn push(&self, class: LineClass, line: &[u8], now: Instant) {
+        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
+        let budget = &mut budgets[class as usize];
+        if !budget.take(now) {
+            return;
+        }
+        let dropped = budget.take_dropped();
+        if dropped > 0 && !self.try_send(&dropped_line(class, dropped, line)) {
+            budget.add_dropped(dropped);
+        }
+        if !self.try_send(line) {
+            budget.add_dropped(1);
+        }
+    }
+
+    fn try_send(&self, line: &[u8]) -> bool {
+        let line = [&self.prefix[..], line].concat();
+        self.sender.try_send(line).is_ok()
+    }
 }
 
-/// Writes one line into the queue, or drops it if the limit for this second is reached.
+/// Returns the line that counts dropped lines, with the time stamp of the line that follows it.
+fn dropped_line(class: LineClass, count: u64, following: &[u8]) -> Vec<u8> {
+    let mut fields = following.split_inclusive(|byte| *byte == b' ');
+    let time = fields.next().filter(|field| field.starts_with(b"ts="));
+    let text = format!(
+        "level=warn event=lines_dropped class={} count={count}\n",
+        class.name()
+    );
+    [time.unwrap_or_default(), text.as_bytes()].concat()
+}
+
+/// Writes one line into the queue.
 #[derive(Debug)]
 struct Line<'a> {
     queue: &'a Queue,
+    class: LineClass,
 }
 
 impl Write for Line<'_> {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let (start, used, dropped) = LINE_COUNTS.get();
-        let now = Instant::now();
-        let is_new_second = start.is_none_or(|at| now.duration_since(at) >= Duration::from_secs(1));
-        let (start, used) = if is_new_second {
-            (Some(now), 0)
-        } else {
-            (start, used)
-        };
-        // A quarter of the lines in each second is reserved for warnings and errors.
-        let is_info = bytes
-            .windows(INFO_LEVEL.len())
-            .take(LEVEL_SEARCH_BYTES)
-            .any(|w| w == INFO_LEVEL);
-        let limit = if is_info {
-            self.queue.lines - self.queue.lines / 4
-        } else {
-            self.queue.lines
-        };
-        if used >= limit {
-            LINE_COUNTS.set((start, used, dropped + 1));
-            return Ok(bytes.len());
-        }
-        if dropped > 0 {
-            let mut line = self.queue.prefix.clone();
-            line.extend(format!("level=warn event=lines_dropped count={dropped}\n").into_bytes());
-            // If the queue is full, the line below is dropped as well and counted.
-            let _ = self.queue.sender.try_send(line);
-        }
-        let line = [&self.queue.prefix[..], bytes].concat();
-        let is_full = self.queue.sender.try_send(line).is_err();
-        LINE_COUNTS.set((start, used + 1, u64::from(is_full)));
+        self.queue.push(self.class, bytes, Instant::now());
         Ok(bytes.len())
     }
 
@@ -122,6 +129,19 @@
     type Writer = Line<'a>;
 
     fn make_writer(&'a self) -> Self::Writer {
-        Line { queue: self }
+        Line {
+            queue: self,
+            class: LineClass::Warning,
+        }
+    }
+
+    fn make_writer_for(&'a self, metadata: &Metadata<'_>) -> Self::Writer {
+        Line {
+            queue: self,
+            class: LineClass::of(metadata),
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/logs/tests.rs
@@ -0,0 +1,44 @@
+use std::sync::mpsc::Receiver;
+
+use super::*;
+
+fn queue(lines: u32) -> (Queue, Receiver<Vec<u8>>) {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    (Queue::new(sender, "edge-1", lines), receiver)
+}
+
+fn texts(receiver: &Receiver<Vec<u8>>) -> Vec<String> {
+    let lines = receiver.try_iter();
+    lines.map(|l| String::from_utf8(l).unwrap()).collect()
+}
+
+/// Guards against lines that are lost without a trace, or whose loss has no time.
+#[test]
+fn push_counts_dropped_lines_of_class() {
+    let (queue, receiver) = queue(8);
+    let now = Instant::now();
+    for _ in 0..10 {
+        queue.push(LineClass::Request, b"ts=1 event=sent\n", now);
+    }
+    queue.push(LineClass::Belief, b"ts=2 event=target\n", now);
+    let before = texts(&receiver);
+    assert_eq!(before.len(), 5, "four requests, one belief: {before:?}");
+    let later = now + Duration::from_secs(1);
+    queue.push(LineClass::Request, b"ts=3 event=sent\n", later);
+    let expected = "instance=edge-1 ts=3 level=warn event=lines_dropped class=request count=6\n";
+    assert_eq!(texts(&receiver)[0], expected);
+}
+
+/// Guards against a count that is lost because the queue is full when it is written.
+#[test]
+fn push_full_queue_keeps_count() {
+    let (queue, receiver) = queue(100_000);
+    let now = Instant::now();
+    for _ in 0..QUEUE_LINES + 20 {
+        queue.push(LineClass::Belief, b"ts=1 event=target\n", now);
+    }
+    assert_eq!(texts(&receiver).len(), QUEUE_LINES);
+    queue.push(LineClass::Belief, b"ts=2 event=target\n", now);
+    let first = texts(&receiver).remove(0);
+    assert!(first.contains("class=belief count=20"), "{first}");
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -221,7 +221,7 @@
                         send_welcome(&state, &socket, from.into()).await;
                     }
                 } else if let Some(update) = EntriesUpdate::decode(bytes) {
-                    apply_update(&state, update);
+                    apply_update(&state, from, update);
                 } else {
                     debug!(event = "datagram_foreign", %from);
                 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -12,6 +12,7 @@
 use crate::{
     attempt_log::AttemptLog,
     forward::Forwarder,
+    line_class::REQUESTS,
     phase::Phase,
     response::{encode_forwarded, encode_refusal, status},
     state::State,
@@ -108,6 +109,7 @@
             );
         } else {
             info!(
+                target: REQUESTS,
                 event = "answered",
                 id,
                 route = name,
@@ -147,6 +149,7 @@
             .set(self.state.active_requests.get() - 1);
         if !self.is_ended {
             info!(
+                target: REQUESTS,
                 event = "caller_gone",
                 id = &*self.id,
                 took_ms = self.took_ms(),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -134,6 +134,12 @@
         self.clock.now()
     }
 
+    /// Returns the age of the entries of targets, in microseconds, if any were read.
+    pub fn entries_age_us(&self) -> Option<u64> {
+        let read = self.targets_read.get()?;
+        Some(self.now().since_us(read))
+    }
+
     /// Returns the name of this instance.
     pub fn instance_id(&self) -> &InstanceId {
         &self.settings.instance
