Updates of entries carry every change that they cover

Cause: a reader put into its update only those records of its page that changed its own view. If updates of another reader arrived while the read was pending, their changes were left out, but the update still covered their offsets from the start of the read. A receiver that got it first moved past these offsets and ignored the complete updates as old. Log of at edge-sk-central-c-24: `from=1484 next=1502 changes=0 known=1484`, then four updates with 18 changes, ignored. Removals were left out in the same way if the reader had removed the target before, after a 421 or a probe answered by another target.

Change: EntryLog keeps the latest changes of all sources in the order of their offsets. An update is a part of this log between two offsets, so it cannot cover what it does not carry. Removals are always told.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -12,6 +12,8 @@
 mod caller_limits;
 mod cold_limiter;
 mod duty_candidate;
+mod entry_change;
+mod entry_log;
 mod evidence;
 mod gateway_config;
 mod health;
@@ -38,6 +40,8 @@
     caller_limits::CallerLimits,
     cold_limiter::ColdLimiter,
     duty_candidate::DutyCandidate,
+    entry_change::EntryChange,
+    entry_log::EntryLog,
     evidence::{Evidence, Tally},
     gateway_config::GatewayConfig,
     health::Health,
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -5,14 +5,14 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::{net::UdpSocket, task};
-use balance::TargetEntry;
+use balance::{EntryChange, TargetEntry};
 use model::{TargetId, Time};
 use platform::{Change, Listing, PlatformError, Store, Topic};
 use tracing::{debug, info, warn};
 
 use crate::{
     backoff::Backoff,
-    entries_update::{EntriesUpdate, EntryChange},
+    entries_update::EntriesUpdate,
     peers::{broadcast, send_heartbeat},
     state::State,
 };
@@ -54,7 +54,7 @@
     let mut last_read = Time(0);
     let mut backoff = Backoff::default();
     let mut retry_at = Time(0);
-    let mut last_sent: Option<EntriesUpdate> = None;
+    let mut sent_from: Option<u64> = None;
     loop {
         sweep(&state);
         let rank = state.duty_rank("entries");
@@ -77,12 +77,9 @@
                 if (is_reader || takes_over)
                     && let Some(update) = update
                 {
-                    // Each update is sent twice, so that one lost datagram leaves no gap.
-                    let both = last_sent
-                        .take()
-                        .map_or_else(|| update.clone(), |last| last.join(&update));
-                    send_update(&state, &socket, both).await;
-                    last_sent = Some(update);
+                    // Each change is sent twice, so that one lost datagram leaves no gap.
+                    let from = sent_from.replace(update.from).unwrap_or(update.from);
+                    send_update(&state, &socket, update_since(&state, from)).await;
                 }
             }
             Err(error) => {
@@ -131,7 +128,7 @@
 
 /// Whether no entries were read yet.
 fn is_starting(state: &State) -> bool {
-    state.entries_next.get().is_none()
+    state.entries_next().is_none()
 }
 
 /// Whether changes that an update showed to exist have been missing for [`GAP_WAIT_US`].
@@ -181,7 +178,7 @@
         next,
         changes,
         took_ms,
-        known = state.entries_next.get().unwrap_or_default()
+        known = state.entries_next().unwrap_or_default()
     );
     Ok(update)
 }
@@ -190,7 +187,7 @@
     state: &Rc<State>,
     store: &mut Store,
 ) -> Result<Option<EntriesUpdate>, PlatformError> {
-    let Some(from) = state.entries_next.get() else {
+    let Some(from) = state.entries_next() else {
         return list(state, store, None).await;
     };
     let page = match store.read(Topic::Targets, from, 0).await {
@@ -201,29 +198,20 @@
         page => page?,
     };
     // Updates that arrived during the read may be further ahead.
-    let is_behind = state
-        .entries_next
-        .get()
-        .is_some_and(|next| next > page.next);
-    if is_behind {
+    let known = state.entries_next().unwrap_or_default();
+    if known > page.next {
         return Ok(None);
     }
-    record_current(state, page.next);
     log_malformed(&page.listing);
-    let changes = page
-        .listing
-        .changes
-        .into_iter()
-        .filter_map(|(at, c)| Some((at, entry_change(c)?)));
-    let applied: Vec<(u64, EntryChange)> = changes
+    let changes = page.listing.changes.into_iter();
+    let new = changes
+        .filter(|(offset, _)| *offset >= known)
+        .filter_map(|(offset, change)| Some((offset, entry_change(change)?)));
+    let applied: Vec<(u64, EntryChange)> = new
         .filter(|(offset, change)| apply_change(state, *offset, change))
         .collect();
-    Ok(Some(EntriesUpdate {
-        from,
-        next: page.next,
-        end: page.next,
-        changes: applied,
-    }))
+    record_current(state, page.next, applied);
+    Ok(Some(update_since(state, from)))
 }
 
 /// Reads all entries. If `from` states where reading would have continued, returns an update with
@@ -235,17 +223,25 @@
 ) -> Result<Option<EntriesUpdate>, PlatformError> {
     state.metrics.count("store_calls", 1);
     let newest = store.newest(Topic::Targets).await?;
-    record_current(state, newest.end);
     let changes = apply_listing(state, newest.listing);
     // The listing includes every record before its end, so its changes get the last of these
     // offsets.
     let last = newest.end.saturating_sub(1);
-    Ok(from.map(|from| EntriesUpdate {
+    record_current(state, newest.end, changes.into_iter().map(|c| (last, c)));
+    Ok(from.map(|from| update_since(state, from)))
+}
+
+/// Returns an update with all changes from offset `from` on.
+fn update_since(state: &State, from: u64) -> EntriesUpdate {
+    let entries = state.entries.borrow();
+    let (from, changes) = entries.since(from);
+    let next = entries.next().unwrap_or(from);
+    EntriesUpdate {
         from,
-        next: newest.end,
-        end: newest.end,
-        changes: changes.into_iter().map(|c| (last, c)).collect(),
-    }))
+        next,
+        end: next,
+        changes,
+    }
 }
 
 fn entry_change(change: Change) -> Option<EntryChange> {
@@ -258,7 +254,7 @@
 
 /// Applies an update that the reader `peer` sent.
 pub fn apply_update(state: &State, peer: SocketAddr, update: EntriesUpdate) {
-    let Some(known_next) = state.entries_next.get() else {
+    let Some(known_next) = state.entries_next() else {
         return;
     };
     let (from, next, end, changes) = (update.from, update.next, update.end, update.changes.len());
@@ -269,20 +265,18 @@
     }
     if update.from <= known_next && update.next >= known_next {
         record_store_regained(state);
-        state.entries_next.set(Some(update.next));
-        for (offset, change) in update.changes {
-            if offset >= known_next {
-                apply_change(state, offset, &change);
-            }
+        let new = update.changes.into_iter();
+        let new: Vec<_> = new.filter(|(offset, _)| *offset >= known_next).collect();
+        for (offset, change) in &new {
+            apply_change(state, *offset, change);
         }
         if update.next == update.end {
-            record_current(state, update.next);
+            record_current(state, update.next, new);
+        } else {
+            state.entries.borrow_mut().extend(update.next, new);
         }
     }
-    let is_behind = state
-        .entries_next
-        .get()
-        .is_some_and(|next| next < update.end);
+    let is_behind = state.entries_next().is_some_and(|next| next < update.end);
     if is_behind && state.entries_gap.get().is_none() {
         // A datagram was lost or reordered.
         state.entries_gap.set(Some(state.now()));
@@ -309,11 +303,12 @@
     }
 }
 
-/// Records that all entries before offset `next`, the end of the store's records, are known.
-fn record_current(state: &State, next: u64) {
+/// Records that all entries before offset `next`, the end of the store's records, are known, after
+/// `changes` were applied.
+fn record_current(state: &State, next: u64, changes: impl IntoIterator<Item = (u64, EntryChange)>) {
     record_store_regained(state);
     state.entries_gap.set(None);
-    state.entries_next.set(Some(next));
+    state.entries.borrow_mut().extend(next, changes);
     state.targets_read.set(Some(state.now()));
 }
 
@@ -341,22 +336,23 @@
         .collect()
 }
 
-/// Applies one change of an entry. Returns whether it changed a target.
+/// Applies one change of an entry. Returns whether other instances must be told of it. A removal is
+/// always told, since this instance may have removed the target for another reason.
 fn apply_change(state: &State, offset: u64, change: &EntryChange) -> bool {
     match change {
         EntryChange::Put(entry) => put(state, entry, offset),
-        EntryChange::Gone(id) => remove_missing(state, id, offset),
+        EntryChange::Gone(id) => {
+            remove_missing(state, id, offset);
+            true
+        }
     }
 }
 
-/// Handles the missing entry of a target. Returns whether the target was known.
-fn remove_missing(state: &State, id: &TargetId, offset: u64) -> bool {
-    let mut targets = state.targets.borrow_mut();
-    let is_known = targets.get(id).is_some();
-    if targets.handle_missing(id, state.now()) {
+/// Handles the missing entry of a target.
+fn remove_missing(state: &State, id: &TargetId, offset: u64) {
+    if state.targets.borrow_mut().handle_missing(id, state.now()) {
         info!(event = "target_gone", target_id = %id, offset);
     }
-    is_known
 }
 
 fn put(state: &State, entry: &TargetEntry, offset: u64) -> bool {
--- a/crates/gateway/src/entries_update.rs
+++ b/crates/gateway/src/entries_update.rs
@@ -1,11 +1,10 @@
 //! Datagram with changes of targets, sent to the other instances by one that reads the store.
 
-use balance::TargetEntry;
+use balance::EntryChange;
 use bincode::{
     config::standard,
     serde::{decode_from_slice, encode_to_vec},
 };
-use model::TargetId;
 use serde::{Deserialize, Serialize};
 
 use crate::heartbeat::MAX_BYTES;
@@ -13,15 +12,6 @@
 /// First byte of a datagram, different from that of heartbeats.
 const FORMAT: u8 = 4;
 
-/// Change of one target.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum EntryChange {
-    /// The target wrote a new or changed entry.
-    Put(TargetEntry),
-    /// The entry of the target is not in the store any more.
-    Gone(TargetId),
-}
-
 /// All changes of targets between two offsets of the store's records.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EntriesUpdate {
@@ -37,18 +27,6 @@
 }
 
 impl EntriesUpdate {
-    /// Merges this update with the one that follows it. Returns `next` alone if there is a gap
-    /// between them.
-    pub fn join(mut self, next: &Self) -> Self {
-        if self.next != next.from {
-            return next.clone();
-        }
-        self.next = next.next;
-        self.end = next.end;
-        self.changes.extend_from_slice(&next.changes);
-        self
-    }
-
     /// Encodes the update, split into datagrams of at most [`MAX_BYTES`]. A single change is never
     /// split.
     pub fn datagrams(self) -> Vec<Vec<u8>> {
--- a/crates/gateway/src/entries_update/tests.rs
+++ b/crates/gateway/src/entries_update/tests.rs
@@ -1,3 +1,5 @@
+use model::TargetId;
+
 use super::*;
 
 fn gone(at: u64) -> (u64, EntryChange) {
@@ -16,19 +18,6 @@
     }
 }
 
-/// Guards against one lost datagram that makes every receiver read the store.
-#[test]
-fn join_covers_both_updates() {
-    let first = update(1, 4, vec![gone(2)]);
-    let second = update(4, 9, vec![gone(5)]);
-    assert_eq!(
-        first.clone().join(&second),
-        update(1, 9, vec![gone(2), gone(5)])
-    );
-    let later = update(7, 9, vec![gone(8)]);
-    assert_eq!(first.join(&later), later, "updates with a gap between them");
-}
-
 #[test]
 fn datagrams_cover_all_offsets_in_order() {
     let changes: Vec<_> = (10..500).map(gone).collect();
--- a/crates/gateway/src/example.rs
+++ b/crates/gateway/src/example.rs
@@ -22,9 +22,15 @@
 probes_per_s = 60
 "#;
 
+/// Returns the settings of the example.
+pub fn settings() -> Settings {
+    Settings::parse("example", EXAMPLE).expect("the example is valid")
+}
+
 /// Returns the state of an instance that has just started, with a bandwidth of `link_mbps`.
 pub fn state(link_mbps: f64) -> Rc<State> {
-    let mut settings = Settings::parse("example", EXAMPLE).expect("the example is valid");
-    settings.link_mbps = link_mbps;
-    State::new(settings)
+    State::new(Settings {
+        link_mbps,
+        ..settings()
+    })
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -173,7 +173,7 @@
             expected_ms = selected.estimate.latency_ms.round(), free = selected.estimate.slot_free,
             pace = selected.slowdown_percent, load_age_us = selected.report_age_us,
             new_version = selected.new_version, left_ms = self.remaining_ms().round(),
-            entries = self.state.entries_next.get().unwrap_or_default(),
+            entries = self.state.entries_next().unwrap_or_default(),
             entries_age_ms = self.state.entries_age_us().unwrap_or_default() / 1_000);
         Attempt::start(
             self.state,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,8 +10,8 @@
 
 use async_std::channel::{Receiver, Sender, bounded};
 use balance::{
-    DutyCandidate, GatewayConfig, Members, PeerUsage, ProcessingTimes, ResponseSizes, RetryBudget,
-    Rollout, Targets,
+    DutyCandidate, EntryLog, GatewayConfig, Members, PeerUsage, ProcessingTimes, ResponseSizes,
+    RetryBudget, Rollout, Targets,
 };
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
@@ -65,8 +65,8 @@
     pub operator_next: Cell<u64>,
     /// Time at which the entries of targets were last known to be up to date.
     pub targets_read: Cell<Option<Time>>,
-    /// Offset of the next record of a target's entry; `None` until all entries were listed.
-    pub entries_next: Cell<Option<u64>>,
+    /// Latest changes of the targets' entries, and up to where they are known.
+    pub entries: RefCell<EntryLog>,
     /// Latest records of the operator, for peers that fetch them here.
     pub relay: RefCell<Relay>,
     /// Time since which changes of entries are missing.
@@ -116,7 +116,7 @@
             targets_read: Cell::new(None),
             fresh_since: Cell::new(clock.now()),
             confirmed_until: Cell::new(Time(0)),
-            entries_next: Cell::new(None),
+            entries: RefCell::default(),
             relay: RefCell::default(),
             entries_gap: Cell::new(None),
             has_store: Cell::new(true),
@@ -134,6 +134,12 @@
         self.clock.now()
     }
 
+    /// Returns the offset of the next record of a target's entry; `None` until all entries were
+    /// listed.
+    pub fn entries_next(&self) -> Option<u64> {
+        self.entries.borrow().next()
+    }
+
     /// Returns the age of the entries of targets, in microseconds, if any were read.
     pub fn entries_age_us(&self) -> Option<u64> {
         let read = self.targets_read.get()?;
