A listing of entries that is older than the known ones is ignored

Cause: listing the newest records takes several calls. Updates that arrived meanwhile were undone: the listing put back older entries and set the known offset back, so that a target that had left got requests until the next read. Found by looking for other places where the view of one source and the offsets of another are mixed; no play shows it.

Change: a listing that ends before the known offset is not applied, as it was for reads.

Measured: read_listing_older_than_updates_is_ignored fails on (the removed target is back) and passes now.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -223,6 +223,9 @@
 ) -> Result<Option<EntriesUpdate>, PlatformError> {
     state.metrics.count("store_calls", 1);
     let newest = store.newest(Topic::Targets).await?;
+    if state.entries_next().is_some_and(|known| known > newest.end) {
+        return Ok(None);
+    }
     let changes = apply_listing(state, newest.listing);
     // The listing includes every record before its end, so its changes get the last of these
     // offsets.
--- a/crates/gateway/src/entries/tests.rs
+++ b/crates/gateway/src/entries/tests.rs
@@ -129,3 +129,26 @@
         assert_eq!(ids(&update), ["i-1"]);
     });
 }
+
+/// Guards against entries that go back to older ones: updates arrive while a listing is read that
+/// was made before them.
+#[test]
+fn read_listing_older_than_updates_is_ignored() {
+    task::block_on(async {
+        let fleet = FleetStore::start().await.unwrap();
+        register(&fleet, "i-1", "ready");
+        let (state, mut store) = reader_of(&fleet);
+        read(&state, &mut store).await.unwrap();
+        let mut listing = Box::pin(list(&state, &mut store, Some(1)));
+        assert!(listing.as_mut().now_or_never().is_none(), "pending");
+        let gone = (1, EntryChange::Gone(TargetId::new("i-1")));
+        let gone = EntriesUpdate {
+            changes: vec![gone],
+            ..update(1, 2, 2)
+        };
+        apply_update(&state, peer(), gone);
+        assert_eq!(listing.await.unwrap(), None);
+        assert_eq!(state.targets.borrow().len(), 0);
+        assert_eq!(state.entries_next(), Some(2));
+    });
+}
