Changes with one offset are not split between datagrams

Cause: after the store has dropped its history, a reader tells the others what a listing changed. All these changes had the last offset. Split into datagrams, the second one began at that offset, so that a receiver that knew all records before it could take it for all changes and ignore the first one.

Change: entries from a listing keep their own offsets; removals, whose offsets are not known, have the last one and stay in one datagram.

Measured: datagrams_keep_changes_of_one_offset_together and read_listing_after_dropped_records_keeps_offsets; the second fails on (all changes at offset 4).

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -2,7 +2,7 @@
 //! them and send updates to the others. An instance that receives no updates, or misses one, reads
 //! the store itself.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::{net::UdpSocket, task};
 use balance::{EntryChange, TargetEntry};
@@ -226,11 +226,8 @@
     if state.entries_next().is_some_and(|known| known > newest.end) {
         return Ok(None);
     }
-    let changes = apply_listing(state, newest.listing);
-    // The listing includes every record before its end, so its changes get the last of these
-    // offsets.
-    let last = newest.end.saturating_sub(1);
-    record_current(state, newest.end, changes.into_iter().map(|c| (last, c)));
+    let changes = apply_listing(state, newest.listing, newest.end);
+    record_current(state, newest.end, changes);
     Ok(from.map(|from| update_since(state, from)))
 }
 
@@ -321,22 +318,31 @@
     }
 }
 
-/// Replaces the targets by those of a complete listing. Returns the changes.
-fn apply_listing(state: &State, listing: Listing) -> Vec<EntryChange> {
+/// Replaces the targets by those of a complete listing of all records before offset `end`. Returns
+/// the changes in the order of their offsets. The offsets of removals are not known; they get the
+/// last one, at which they have happened in any case.
+fn apply_listing(state: &State, listing: Listing, end: u64) -> Vec<(u64, EntryChange)> {
     log_malformed(&listing);
+    let last = end.saturating_sub(1);
     let mut entries: Vec<TargetEntry> = Vec::new();
-    for (_, change) in listing.changes {
+    let mut offsets: HashMap<TargetId, u64> = HashMap::new();
+    for (offset, change) in listing.changes {
         if let Change::Target(entry) = change {
             record_version(state, &entry);
+            offsets.insert(entry.id.clone(), offset.min(last));
             entries.push(entry);
         }
     }
     info!(event = "targets", count = entries.len());
-    let (changed, missing) = state.targets.borrow_mut().replace_all(entries, state.now());
-    let changed = changed.into_iter().map(EntryChange::Put);
-    changed
-        .chain(missing.into_iter().map(EntryChange::Gone))
-        .collect()
+    let (updated, missing) = state.targets.borrow_mut().replace_all(entries, state.now());
+    let offset_of = |entry: &TargetEntry| offsets.get(&entry.id).copied().unwrap_or(last);
+    let mut changes: Vec<(u64, EntryChange)> = updated
+        .into_iter()
+        .map(|entry| (offset_of(&entry), EntryChange::Put(entry)))
+        .collect();
+    changes.sort_by_key(|(offset, _)| *offset);
+    changes.extend(missing.into_iter().map(|id| (last, EntryChange::Gone(id))));
+    changes
 }
 
 /// Applies one change of an entry. Returns whether other instances must be told of it. A removal is
--- a/crates/gateway/src/entries/tests.rs
+++ b/crates/gateway/src/entries/tests.rs
@@ -152,3 +152,29 @@
         assert_eq!(state.entries_next(), Some(2));
     });
 }
+
+/// Guards against a listing whose changes all have one offset, so that an update with them is larger
+/// than a datagram can be.
+#[test]
+fn read_listing_after_dropped_records_keeps_offsets() {
+    task::block_on(async {
+        let fleet = FleetStore::start().await.unwrap();
+        register(&fleet, "i-1", "ready");
+        let (state, mut store) = reader_of(&fleet);
+        read(&state, &mut store).await.unwrap();
+        fleet.put("keyed.servers", "i-1", "");
+        register(&fleet, "i-3", "ready");
+        register(&fleet, "i-2", "ready");
+        fleet.put("keyed.servers", "i-4", "");
+        fleet.discard_records("keyed.servers");
+        let update = read(&state, &mut store).await.unwrap().unwrap();
+        let offsets: Vec<u64> = update.changes.iter().map(|(offset, _)| *offset).collect();
+        assert_eq!((update.from, update.next), (1, 5));
+        assert_eq!(ids(&update), ["i-3", "i-2", "i-1"]);
+        assert_eq!(
+            offsets,
+            [2, 3, 4],
+            "the removal may have any offset before the end"
+        );
+    });
+}
--- a/crates/gateway/src/entries_update.rs
+++ b/crates/gateway/src/entries_update.rs
@@ -27,16 +27,16 @@
 }
 
 impl EntriesUpdate {
-    /// Encodes the update, split into datagrams of at most [`MAX_BYTES`]. A single change is never
-    /// split.
+    /// Encodes the update, split into datagrams of at most [`MAX_BYTES`]. Changes with the same
+    /// offset are never split, since a receiver of one part could not tell that others are missing.
     pub fn datagrams(self) -> Vec<Vec<u8>> {
         let mut bytes = vec![FORMAT];
         bytes.extend(encode_to_vec(&self, standard()).unwrap_or_default());
-        if bytes.len() <= MAX_BYTES || self.changes.len() < 2 {
+        let Some(split) = self.split_index().filter(|_| bytes.len() > MAX_BYTES) else {
             return vec![bytes];
-        }
+        };
         let mut left = self.changes;
-        let right = left.split_off(left.len() / 2);
+        let right = left.split_off(split);
         let middle = right[0].0;
         let (left, right) = (
             Self {
@@ -57,6 +57,14 @@
         datagrams
     }
 
+    /// Returns the index nearest to the middle at which the changes can be split.
+    fn split_index(&self) -> Option<usize> {
+        let middle = self.changes.len() / 2;
+        let splits = (1..self.changes.len())
+            .filter(|index| self.changes[index - 1].0 != self.changes[*index].0);
+        splits.min_by_key(|index| index.abs_diff(middle))
+    }
+
     /// Decodes a datagram. Returns `None` if it is not a valid update.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let (format, rest) = bytes.split_first()?;
--- a/crates/gateway/src/entries_update/tests.rs
+++ b/crates/gateway/src/entries_update/tests.rs
@@ -36,6 +36,21 @@
     assert_eq!((next, seen), (600, changes));
 }
 
+/// Guards against a receiver that gets only the second of two parts with the same offset, and takes
+/// it for all changes at that offset.
+#[test]
+fn datagrams_keep_changes_of_one_offset_together() {
+    let mut changes: Vec<_> = (10..100).map(gone).collect();
+    changes.extend(vec![gone(150); 200]);
+    let datagrams = update(7, 151, changes).datagrams();
+    let updates = datagrams.iter().map(|d| EntriesUpdate::decode(d).unwrap());
+    let last: Vec<_> = updates
+        .map(|u| u.changes.iter().filter(|(o, _)| *o == 150).count())
+        .filter(|count| *count > 0)
+        .collect();
+    assert_eq!(last, [200]);
+}
+
 #[test]
 fn decode_rejects_foreign_datagrams() {
     let bytes = update(1, 2, vec![gone(1)]).datagrams().remove(0);
