The end of an outage is recorded before what was read is applied

Cause: moved the end of an outage behind the changes of the first read after it, so that targets whose entries lapsed in the outage were removed at once instead of being kept for 2 s.

Change: the order is as before, and a test guards it.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -202,6 +202,7 @@
     if known > page.next {
         return Ok(None);
     }
+    record_store_regained(state);
     log_malformed(&page.listing);
     let changes = page.listing.changes.into_iter();
     let new = changes
@@ -226,6 +227,7 @@
     if state.entries_next().is_some_and(|known| known > newest.end) {
         return Ok(None);
     }
+    record_store_regained(state);
     let changes = apply_listing(state, newest.listing, newest.end);
     record_current(state, newest.end, changes);
     Ok(from.map(|from| update_since(state, from)))
@@ -283,7 +285,8 @@
     }
 }
 
-/// Records that the entries in the store can be read again after a failure.
+/// Records that the entries in the store can be read again after a failure. Must be called before
+/// what was read is applied, since entries that lapsed in an outage are kept for a while.
 fn record_store_regained(state: &State) {
     if !state.entries_failed.replace(false) {
         return;
@@ -306,7 +309,6 @@
 /// Records that all entries before offset `next`, the end of the store's records, are known, after
 /// `changes` were applied.
 fn record_current(state: &State, next: u64, changes: impl IntoIterator<Item = (u64, EntryChange)>) {
-    record_store_regained(state);
     state.entries_gap.set(None);
     state.entries.borrow_mut().extend(next, changes);
     state.targets_read.set(Some(state.now()));
--- a/crates/gateway/src/entries/tests.rs
+++ b/crates/gateway/src/entries/tests.rs
@@ -178,3 +178,22 @@
         );
     });
 }
+
+/// Guards against targets that lapsed in an outage of the store and get no requests after its return,
+/// although they live and write their entries again within 2 s.
+#[test]
+fn read_after_outage_keeps_lapsed_target() {
+    task::block_on(async {
+        let fleet = FleetStore::start().await.unwrap();
+        register(&fleet, "i-1", "ready");
+        let (state, mut store) = reader_of(&fleet);
+        read(&state, &mut store).await.unwrap();
+        state.entries_failed.set(true);
+        let outage = Time(state.now().0 - OUTAGE_US - 1);
+        state.targets_read.set(Some(outage));
+        fleet.put("keyed.servers", "i-1", "");
+        read(&state, &mut store).await.unwrap();
+        assert_eq!(state.targets.borrow().len(), 1);
+        assert!(state.targets.borrow().has_lapsed());
+    });
+}
