A request is held while the entries are old and can be read

Cause: an instance that nobody had told, that stood still or was short of processor time sent requests on entries of any age.

Change: as the last step before the bytes are written, entries older than leave_s (new in the settings, from the deployment's bound) less 0.25 s are read first. The request waits for at most 0.25 s for the store's answer and goes without it if reads fail. Limits hold from 3 s after the start; until then only readers read again, so that a hundred instances do not all read at 2.5 s.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use platform::headers;
 
 use crate::{
+    entries_wait::await_recent_entries,
     exchange::{EncodedRequest, SendResult, exchange},
     selection::{SelectedTarget, is_target_eligible},
     state::State,
@@ -48,7 +49,8 @@
                 id: id.as_deref(),
                 bytes: &bytes,
             };
-            exchange(&state, addr, request, deadline, || {
+            exchange(&state, addr, request, deadline, async || {
+                await_recent_entries(&state).await;
                 is_target_eligible(&state, &target)
             })
             .await
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -3,7 +3,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use async_std::{channel::Sender, net::UdpSocket, task};
+use async_std::{channel::Sender, future::timeout, net::UdpSocket};
 use balance::ReadSchedule;
 use model::Time;
 use platform::{PlatformError, Store, Topic};
@@ -46,14 +46,19 @@
         let schedule = ReadSchedule { rank, draw };
         let wait_us = read_wait_us(&state, schedule, last_read, retry_at);
         if wait_us > 0 {
-            task::sleep(Duration::from_micros(wait_us.min(CHECK_INTERVAL_US))).await;
-            continue;
+            let wait = Duration::from_micros(wait_us.min(CHECK_INTERVAL_US));
+            if timeout(wait, state.entries_wanted()).await.is_err() {
+                continue;
+            }
         }
         last_read = state.now();
         draw = rand::rng().random_range(ReadSchedule::DRAWS);
         state.metrics.count("store_calls", 1);
         let known = state.entries_next();
-        match read(&state, &mut store).await {
+        state.entries_asked.set(Some(last_read));
+        let result = read(&state, &mut store).await;
+        state.entries_asked.set(None);
+        match result {
             Ok(()) => {
                 state.has_store.set(true);
                 backoff.reset();
@@ -89,6 +94,7 @@
     let scheduled = match state.entries_as_of.get() {
         None => Some(Time(0)),
         Some(_) if !state.knows_peers() => None,
+        Some(_) if !schedule.is_reader() && !state.is_settled() => None,
         Some(as_of) => {
             let at = as_of.plus_us(schedule.read_age_us(state.entries_are_own.get()));
             let has_lapsed = schedule.is_reader() && state.targets.borrow().has_lapsed();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -65,7 +65,7 @@
     addr: SocketAddr,
     request: EncodedRequest<'_>,
     deadline: Time,
-    is_eligible: impl Fn() -> bool,
+    is_eligible: impl AsyncFn() -> bool,
 ) -> SendResult {
     let now = state.now();
     let pooled = state.pool.take(addr, now);
@@ -80,7 +80,7 @@
             Err(error) => return SendResult::NotSent(error),
         },
     };
-    if !is_eligible() {
+    if !is_eligible().await {
         return SendResult::NotSent(std::io::Error::other("the target is leaving"));
     }
     let left = Duration::from_micros(deadline.since_us(state.now()));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod entries_apply;
 mod entries_sender;
 mod entries_update;
+mod entries_wait;
 #[cfg(test)]
 mod example;
 mod exchange;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -84,7 +84,14 @@
         bytes: &bytes,
     };
     let now = state.now();
-    let result = exchange(state, addr, request, now.plus_ms(FIRST_TIMEOUT_MS), || true).await;
+    let result = exchange(
+        state,
+        addr,
+        request,
+        now.plus_ms(FIRST_TIMEOUT_MS),
+        async || true,
+    )
+    .await;
     let response = match result {
         SendResult::Response(response) => response,
         SendResult::NotSent(_) => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of a gateway instance, read from a TOML file.
 
-use std::net::{SocketAddr, SocketAddrV4};
+use std::{
+    net::{SocketAddr, SocketAddrV4},
+    time::Duration,
+};
 
 use model::{InstanceId, Zone, is_valid_id};
 use serde::Deserialize;
@@ -31,6 +34,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Time allowed for a planned stop, in seconds.
     pub stop_s: f64,
+    /// Time after which a target whose entry says that it leaves must get no requests, in seconds.
+    #[serde(default = "default_leave_s")]
+    pub leave_s: f64,
     /// Extra attempts (retries and hedges) allowed for each request, over all instances.
     pub retry_ratio: f64,
     /// Extra attempts allowed in addition in each window, over all instances.
@@ -47,6 +53,11 @@
     pub log_lines: u32,
 }
 
+/// Default time for a leaving target, in seconds: the shortest one that the platform requires.
+fn default_leave_s() -> f64 {
+    2.0
+}
+
 /// Default bandwidth, in Mbit/s: that of a usual server.
 fn default_link_mbps() -> f64 {
     1_000.0
@@ -82,7 +93,7 @@
     },
 }
 
-/// Longest time for a planned stop, in seconds.
+/// Longest time for a planned stop or for a leaving target, in seconds.
 const MAX_STOP_S: f64 = 600.0;
 
 impl Settings {
@@ -100,6 +111,13 @@
         Ok(settings)
     }
 
+    /// Returns the time after which a leaving target must get no requests, in microseconds.
+    #[must_use]
+    pub fn leave_us(&self) -> u64 {
+        let time = Duration::from_secs_f64(self.leave_s);
+        u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+    }
+
     fn check(&self, file: &str) -> Result<(), SettingsError> {
         let value = |key, value: String, allowed| {
             Err(SettingsError::Value {
@@ -121,12 +139,10 @@
                 );
             }
         }
-        if !(self.stop_s > 0.0 && self.stop_s <= MAX_STOP_S) {
-            return value(
-                "stop_s",
-                self.stop_s.to_string(),
-                "a number above 0 and at most 600",
-            );
+        for (key, time) in [("stop_s", self.stop_s), ("leave_s", self.leave_s)] {
+            if !(time > 0.0 && time <= MAX_STOP_S) {
+                return value(key, time.to_string(), "a number above 0 and at most 600");
+            }
         }
         let rates = [
             ("retry_ratio", self.retry_ratio),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -71,6 +71,8 @@
     pub entries: RefCell<EntryLog>,
     /// Latest records of the operator, for peers that fetch them here.
     pub relay: RefCell<Relay>,
+    /// Time at which the pending read of the entries was started.
+    pub entries_asked: Cell<Option<Time>>,
     /// Time since which changes of entries are missing, and the offset up to which they are.
     pub entries_gap: Cell<Option<(Time, u64)>>,
     /// Pace of the datagrams with changes of entries.
@@ -91,6 +93,7 @@
     pub idle_closed: Receiver<()>,
     idle_guard: RefCell<Option<Sender<()>>>,
     probe_tokens: Cell<(Time, f64)>,
+    entries_requests: (Sender<()>, Receiver<()>),
 }
 
 impl State {
@@ -125,6 +128,7 @@
             confirmed_until: Cell::new(Time(0)),
             entries: RefCell::default(),
             relay: RefCell::default(),
+            entries_asked: Cell::new(None),
             entries_gap: Cell::new(None),
             update_pace: RefCell::default(),
             heartbeat_pace: RefCell::default(),
@@ -134,6 +138,7 @@
             idle_closed,
             idle_guard: RefCell::new(Some(idle_guard)),
             probe_tokens: Cell::new((clock.now(), 0.0)),
+            entries_requests: bounded(1),
             settings,
         })
     }
@@ -155,13 +160,32 @@
         Some(self.now().since_us(as_of))
     }
 
+    /// Asks for a read of the entries at once.
+    pub fn request_entries(&self) {
+        // If the channel is full, a read is requested already.
+        let _ = self.entries_requests.0.try_send(());
+    }
+
+    /// Waits until a read of the entries is requested.
+    pub async fn entries_wanted(&self) {
+        // The state holds the sender, so that the channel never closes.
+        let _ = self.entries_requests.1.recv().await;
+    }
+
     /// Whether the instance has run long enough to know its peers. Until then it reads only its
-    /// first listing of entries. The limits on the age of the entries hold from 3 s after the start.
+    /// first listing of entries.
     pub fn knows_peers(&self) -> bool {
         const DISCOVERY_US: u64 = 2_500_000;
         self.now().since_us(self.started) >= DISCOVERY_US
     }
 
+    /// Whether the instance has run long enough to be told of changes. When all instances start at
+    /// the same time, the first readers need some time after they know their peers.
+    pub fn is_settled(&self) -> bool {
+        const SETTLE_US: u64 = 3_000_000;
+        self.now().since_us(self.started) >= SETTLE_US
+    }
+
     /// Returns the name of this instance.
     pub fn instance_id(&self) -> &InstanceId {
         &self.settings.instance
--- a/crates/node/tests/gateway_fleet.rs
+++ b/crates/node/tests/gateway_fleet.rs
@@ -7,6 +7,7 @@
 };
 
 use async_std::task;
+use futures::future::{join, join_all};
 use serde_json::json;
 use testkit::fleet::{
     FleetProxy, FleetRig, GatewayProcess, ProxyMode, RigSpec, StoreFault, TargetSpec,
@@ -437,3 +438,36 @@
         }
     });
 }
+
+/// Guards against requests to a target that has left while the instance stood still. Callers'
+/// requests wait in its sockets, and the store takes 60 ms to answer: the instance must read the
+/// entries before it sends the first request.
+#[test]
+fn frozen_instance_reads_entries_before_it_sends() {
+    task::block_on(async {
+        let (rig, proxies) = rig_with_proxies(1).await;
+        proxies[0].set_mode(ProxyMode::Delay);
+        // Limits on the age of the entries hold from 3 s after the start.
+        task::sleep(Duration::from_secs(3)).await;
+        let frozen = &rig.instances[0];
+        frozen.signal("STOP").unwrap();
+        let start = Instant::now();
+        rig.targets[0].drain();
+        task::sleep(APPLY_TIMEOUT + Duration::from_millis(100)).await;
+        let requests: Vec<_> = (0..5).map(|_| rig.request(false)).collect();
+        let sent = join_all(requests.iter().map(|r| send(frozen.caller_addr(), r)));
+        let thaw = async {
+            task::sleep(Duration::from_millis(100)).await;
+            frozen.signal("CONT").unwrap();
+        };
+        let (results, ()) = join(sent, thaw).await;
+        let served = results.iter().zip(&requests);
+        let served = served.filter(|(result, r)| result.is_served(&r.id)).count();
+        let late_requests = rig.targets[0]
+            .arrivals()
+            .iter()
+            .filter(|at| **at > start + APPLY_TIMEOUT)
+            .count();
+        assert_eq!((late_requests, served), (0, requests.len()));
+    });
+}
