Duties go to instances with fast links

Cause: readers were chosen without regard to their links. With several lost updates in turn the last instances knew 0.97 to 1.27 s after the first, and read the store for themselves.

Change: heartbeats state the bandwidth of the link; instances with the store come first, then those with the faster link by powers of two, then the zones in turn. Updates repeat up to 150 changes of the one before, and are sent without relays if that takes up to 100 ms. The format of heartbeats changes with it.

Test: duty_rank_prefers_fast_links (there was no such rank before).

--- a/crates/balance/src/fan_out.rs
+++ b/crates/balance/src/fan_out.rs
@@ -6,7 +6,7 @@
 use crate::{Member, Presence};
 
 /// Time in which a datagram may be sent to all instances without groups, in microseconds.
-const MAX_DIRECT_US: u64 = 50_000;
+const MAX_DIRECT_US: u64 = 100_000;
 
 /// An instance that is sent a datagram, and those that it forwards it to.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/balance/src/members.rs
+++ b/crates/balance/src/members.rs
@@ -1,6 +1,6 @@
 //! Membership: the other instances of the system, their state, and which instance has a duty.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{cmp::Reverse, collections::BTreeMap, net::SocketAddr};
 
 use model::{InstanceId, Time, Zone, rendezvous};
 
@@ -52,6 +52,8 @@
     pub presence: Presence,
     /// Whether its latest call to the store succeeded.
     pub has_store: bool,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: u32,
     /// Time of its latest heartbeat; `None` if it is only known from the list of instances in the
     /// store.
     pub last_heard: Option<Time>,
@@ -141,8 +143,8 @@
             .collect()
     }
 
-    /// Returns the number of live instances that rank before `own` for `duty`. Instances that
-    /// cannot reach the store rank last. Among the others, the first instance of each zone ranks
+    /// Returns the number of live instances that rank before `own` for `duty`. The fitter
+    /// ones come first ([`DutyCandidate::fitness`]). Among equally fit ones, the first instance of each zone ranks
     /// before the second one of any zone, so that the loss of a zone leaves one of the first few
     /// instances.
     #[must_use]
@@ -154,12 +156,13 @@
                 name: &m.name,
                 zone: &m.zone,
                 has_store: m.has_store,
+                link_mbps: m.link_mbps,
             });
-        let mut candidates: Vec<(bool, u64, &InstanceId, &Zone)> = others
+        let mut candidates: Vec<((bool, u32), u64, &InstanceId, &Zone)> = others
             .chain([*own])
             .map(|c| {
                 (
-                    c.has_store,
+                    c.fitness(),
                     rendezvous(duty, c.name.as_str()),
                     c.name,
                     c.zone,
@@ -168,16 +171,16 @@
             .collect();
         candidates.sort_unstable_by(|a, b| b.cmp(a));
         let own = own.name;
-        let mut zone_counts: BTreeMap<(bool, &Zone), usize> = BTreeMap::new();
-        let mut ranked: Vec<((bool, usize), bool)> = Vec::with_capacity(candidates.len());
-        for (has_store, _, name, zone) in candidates {
-            let zone_rank = zone_counts.entry((has_store, zone)).or_default();
-            ranked.push(((!has_store, *zone_rank), name == own));
+        let mut zone_counts: BTreeMap<((bool, u32), &Zone), usize> = BTreeMap::new();
+        let mut ranked = Vec::with_capacity(candidates.len());
+        for (fitness, _, name, zone) in candidates {
+            let zone_rank = zone_counts.entry((fitness, zone)).or_default();
+            ranked.push((Reverse(fitness), *zone_rank, name == own));
             *zone_rank += 1;
         }
         // The sort is stable: instances of the same rank within their zones stay ordered by hash.
-        ranked.sort_by_key(|(rank, _)| *rank);
-        ranked.iter().take_while(|(_, is_own)| !is_own).count()
+        ranked.sort_by_key(|(fitness, zone_rank, _)| (*fitness, *zone_rank));
+        ranked.iter().take_while(|(_, _, is_own)| !is_own).count()
     }
 
     /// Returns the names of the live instances that are not leaving, for rendezvous hashing.
--- a/crates/balance/src/members/tests.rs
+++ b/crates/balance/src/members/tests.rs
@@ -9,6 +9,7 @@
         peer_addr: "10.0.0.1:7000".parse().unwrap(),
         presence,
         has_store: true,
+        link_mbps: 1_000,
         last_heard,
     }
 }
@@ -82,6 +83,7 @@
             name: &InstanceId::new(&names[own]),
             zone: &zone_of(own),
             has_store: true,
+            link_mbps: 1_000,
         };
         members.duty_rank(duty, &candidate, START)
     };
@@ -120,6 +122,7 @@
             name: &name,
             zone: &zone,
             has_store,
+            link_mbps: 1_000,
         };
         members.duty_rank("orders", &own, START)
     };
@@ -132,10 +135,40 @@
             &DutyCandidate {
                 name: &name,
                 zone: &zone,
-                has_store: false
+                has_store: false,
+                link_mbps: 1_000
             },
             later
         ),
         0
     );
 }
+
+/// Guards against news for all instances that is sent over a slow link although another instance has
+/// a fast one, and against duties that all stay with the fast ones of one zone.
+#[test]
+fn duty_rank_prefers_fast_links() {
+    let mut members = Members::default();
+    for n in 0..9 {
+        members.record_report(Member {
+            name: InstanceId::new(&format!("edge-{n}")),
+            zone: Zone::new(["a", "b", "c"][n % 3]),
+            peer_addr: format!("10.0.0.{}:7000", n + 1).parse().unwrap(),
+            link_mbps: if n < 2 { 200 } else { 10 },
+            ..member(1, Presence::Ready, Some(START))
+        });
+    }
+    let rank = |link_mbps, has_store| {
+        let own = DutyCandidate {
+            name: &InstanceId::new("own"),
+            zone: &Zone::new("c"),
+            has_store,
+            link_mbps,
+        };
+        members.duty_rank("entries", &own, START)
+    };
+    assert!(rank(200, true) <= 2 && rank(250, true) <= 2);
+    assert_eq!(rank(1_000, true), 0);
+    assert!(rank(10, true) >= 2);
+    assert_eq!(rank(1_000, false), 9, "it cannot reach the store");
+}
--- a/crates/balance/tests/entries_spread.rs
+++ b/crates/balance/tests/entries_spread.rs
@@ -93,6 +93,7 @@
         peer_addr: addr,
         presence: Presence::Ready,
         has_store: true,
+        link_mbps: 1_000,
         last_heard: Some(Time(1)),
     }
 }
--- a/crates/gateway/src/entries_sender.rs
+++ b/crates/gateway/src/entries_sender.rs
@@ -18,9 +18,9 @@
 /// Time after which an earlier update of this instance does not matter to a new one, in
 /// microseconds. The other instances have heard from other readers since then.
 const MAX_SENT_AGE_US: u64 = 2_500_000;
-/// Most changes with which an update repeats those of the update before it. They fit into one or
-/// two datagrams.
-const MAX_REPEATED: usize = 60;
+/// Most changes with which an update repeats those of the update before it. They fit into a few
+/// datagrams.
+const MAX_REPEATED: usize = 150;
 
 /// Sends updates until the process ends. `wanted` yields the offset up to which the others know the
 /// entries. What is read while an update is sent becomes part of the next one.
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -13,7 +13,7 @@
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 3;
+const FORMAT: u8 = 4;
 
 /// Report of an instance to its peers. The order and the types of the fields are the wire format.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,6 +30,8 @@
     pub presence: u8,
     /// Whether its latest call to the store succeeded.
     pub has_store: bool,
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: u32,
     /// Offset of the next record of the operator that it reads.
     pub operator_next: u64,
     /// Time for which its entries of targets have been up to date without an outage of the store,
--- a/crates/gateway/src/heartbeat/tests.rs
+++ b/crates/gateway/src/heartbeat/tests.rs
@@ -8,6 +8,7 @@
         caller_addr: "10.0.0.1:80".parse().unwrap(),
         presence: 1,
         has_store: true,
+        link_mbps: 200,
         operator_next: 12,
         fresh_ms: 900,
         known_addrs: vec!["10.0.0.2:7000".parse().unwrap()],
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -157,6 +157,7 @@
             Phase::Leaving => 2,
         },
         has_store: state.has_store.get(),
+        link_mbps: state.settings.whole_link_mbps(),
         operator_next: state.operator_next.get(),
         fresh_ms: fresh_ms(state),
         known_addrs: sample_peers(state, addr_count),
@@ -312,6 +313,7 @@
         peer_addr: from.into(),
         presence,
         has_store: heartbeat.has_store,
+        link_mbps: heartbeat.link_mbps,
         last_heard: Some(now),
     });
     is_new
@@ -330,6 +332,7 @@
         peer_addr: entry.peer_addr,
         presence: Presence::Starting,
         has_store: true,
+        link_mbps: 1,
         last_heard: None,
     });
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -111,6 +111,17 @@
         Ok(settings)
     }
 
+    /// Returns the bandwidth of the machine's link in whole Mbit/s, at least 1.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the value is positive and the conversion saturates"
+    )]
+    pub fn whole_link_mbps(&self) -> u32 {
+        self.link_mbps.max(1.0) as u32
+    }
+
     /// Returns the time after which a leaving target must get no requests, in microseconds.
     #[must_use]
     pub fn leave_us(&self) -> u64 {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -211,6 +211,7 @@
             name: self.instance_id(),
             zone: &self.settings.zone,
             has_store: self.has_store.get(),
+            link_mbps: self.settings.whole_link_mbps(),
         };
         members.duty_rank(duty, &own, self.now())
     }
