Bytes without end from a target do not stop the instance

Targets that send informational responses, or responses to other requests, one after the other stop the whole instance: no caller gets an answer, also after the deadline. Bodies without end took 121 MB of memory for 12 requests; the smallest machines have 160 MB.

Cause: a read that always has the next bytes ready never gives other tasks a turn, on an instance with one thread; the deadline is one of these tasks. Nothing limited the responses before the final one, nor the memory of all responses together.

Change: at most 16 informational responses and 8 responses to other requests; a turn for other tasks after each 64 KB; a response may take half of what the others leave of 32 MiB, so 16 MiB instead of 32 MiB at most.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -6,6 +6,7 @@
     future::timeout,
     io::{ReadExt, WriteExt},
     net::TcpStream,
+    task,
 };
 use futures::{
     FutureExt, StreamExt, future::LocalBoxFuture, select_biased, stream::FuturesOrdered,
@@ -222,8 +223,12 @@
         }
         let mut stream = &self.stream;
         let mut chunk = vec![0; READ_BYTES];
-        let drain =
-            async { while matches!(stream.read(&mut chunk).await, Ok(count) if count > 0) {} };
+        let drain = async {
+            while matches!(stream.read(&mut chunk).await, Ok(count) if count > 0) {
+                // Otherwise a caller that sends without end would keep the time from being checked.
+                task::yield_now().await;
+            }
+        };
         let _ = timeout(LINGER_LIMIT, drain).await;
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
     future::timeout,
     io::{ReadExt, WriteExt},
     net::TcpStream,
+    task,
 };
 use futures::{
     future::{Either, select},
@@ -21,7 +22,13 @@
 const READ_BYTES: usize = 16 * 1_024;
 /// Largest response body, in bytes. Responses are buffered whole, so that a retry can replace one
 /// that breaks off.
-const MAX_BODY_BYTES: u64 = 32 * 1_024 * 1_024;
+const MAX_BODY_BYTES: u64 = 16 * 1_024 * 1_024;
+
+/// Most responses to other requests before the one to this request.
+const MAX_STRAY: usize = 8;
+/// Reads in a row after which other tasks get their turn. A target that sends without end always has
+/// the next bytes ready, and the deadline is not checked meanwhile.
+const READS_PER_TURN: usize = 4;
 
 /// Result of sending a request to a target.
 #[derive(Debug)]
@@ -84,7 +91,7 @@
         return SendResult::NotSent(std::io::Error::other("the target is leaving"));
     }
     let left = Duration::from_micros(deadline.since_us(state.now()));
-    let result = match timeout(left, run(&stream, request)).await {
+    let result = match timeout(left, run(state, &stream, request)).await {
         Ok(result) => result,
         Err(_) => Err(ResponseError::Timeout),
     };
@@ -121,12 +128,13 @@
 /// Writes the request while reading the response. Also returns whether the connection can be
 /// reused.
 async fn run(
+    state: &State,
     stream: &TcpStream,
     request: EncodedRequest<'_>,
 ) -> Result<(Response, bool), ResponseError> {
     let mut writer = stream;
     let write = writer.write_all(request.bytes);
-    let read = read_response(stream, request);
+    let read = read_response(state, stream, request);
     pin_mut!(write, read);
     match select(write, read).await {
         // A target may respond and close before it has read the whole request.
@@ -136,36 +144,46 @@
 }
 
 async fn read_response(
+    state: &State,
     mut stream: &TcpStream,
     request: EncodedRequest<'_>,
 ) -> Result<(Response, bool), ResponseError> {
     let mut decoder = ResponseDecoder::new(request.method, MAX_BODY_BYTES);
+    let mut share = state.response_buffers.begin();
     let mut input = Vec::new();
     let mut chunk = vec![0; READ_BYTES];
-    let mut is_clean = true;
-    loop {
+    let mut stray = 0;
+    for read in 1.. {
         while let Some(response) = decoder.feed(&mut input).map_err(ResponseError::Malformed)? {
             if matches_request(&response, request.id) {
-                return Ok((response, is_clean && input.is_empty()));
+                return Ok((response, stray == 0 && input.is_empty()));
             }
             // This is a late response to an earlier request; the one to this request follows.
-            is_clean = false;
+            stray += 1;
+            if stray > MAX_STRAY {
+                return Err(ResponseError::Malformed(MessageError::TooManyResponses));
+            }
             decoder = ResponseDecoder::new(request.method, MAX_BODY_BYTES);
         }
+        if read % READS_PER_TURN == 0 {
+            task::yield_now().await;
+        }
         let count = stream
             .read(&mut chunk)
             .await
             .map_err(|_| ResponseError::Closed)?;
         if count == 0 {
-            let response = decoder.finish().map_err(|_| ResponseError::Closed)?;
-            return if matches_request(&response, request.id) {
-                Ok((response, false))
-            } else {
-                Err(ResponseError::Closed)
-            };
+            break;
         }
+        share.take(count as u64).map_err(ResponseError::Malformed)?;
         input.extend_from_slice(&chunk[..count]);
     }
+    let response = decoder.finish().map_err(|_| ResponseError::Closed)?;
+    if matches_request(&response, request.id) {
+        Ok((response, false))
+    } else {
+        Err(ResponseError::Closed)
+    }
 }
 
 /// Whether a response may belong to the request: it carries the same request id or none.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt_log;
 mod attempt_permit;
 mod backoff;
+mod buffer_share;
 mod caller;
 mod clock;
 mod datagrams;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -36,6 +36,8 @@
 const CONFIRMED_US: u64 = 2_000_000;
 /// Largest datagram that UDP allows, in bytes.
 const MAX_DATAGRAM: usize = 65_535;
+/// Datagrams in a row after which other tasks get their turn.
+const DATAGRAMS_PER_TURN: u32 = 32;
 /// Addresses of peers in one heartbeat. A hundred instances all know each other after some
 /// heartbeats.
 const HEARTBEAT_ADDRS: usize = 6;
@@ -181,19 +183,28 @@
     // frame.
     let mut buffer = vec![0; MAX_DATAGRAM];
     let mut empty_at = state.now();
+    let mut in_turn = 0;
     loop {
         // A datagram that is there already may have waited since the socket was last seen empty.
         let received = {
             let receiving = socket.recv_from(&mut buffer);
             pin_mut!(receiving);
             match poll!(&mut receiving) {
-                Poll::Ready(received) => received,
+                Poll::Ready(received) => {
+                    in_turn += 1;
+                    received
+                }
                 Poll::Pending => {
                     empty_at = state.now();
+                    in_turn = 0;
                     receiving.await
                 }
             }
         };
+        if in_turn >= DATAGRAMS_PER_TURN {
+            in_turn = 0;
+            task::yield_now().await;
+        }
         match received {
             Ok((count, from)) => {
                 let bytes = &buffer[..count];
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -16,7 +16,10 @@
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
 
-use crate::{clock::Clock, metrics::Metrics, phase::Phase, pool::Pool, settings::Settings};
+use crate::{
+    buffer_share::ResponseBuffers, clock::Clock, metrics::Metrics, phase::Phase, pool::Pool,
+    settings::Settings,
+};
 
 /// Shared state of one instance.
 #[derive(Debug)]
@@ -49,6 +52,8 @@
     pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Usage of these budgets by the other instances.
     pub peer_usage: RefCell<PeerUsage>,
+    /// Memory for the responses that targets are sending.
+    pub response_buffers: ResponseBuffers,
     /// Idle connections to targets.
     pub pool: Pool,
     /// Counters and histograms of the instance.
@@ -116,6 +121,7 @@
             response_sizes: RefCell::default(),
             budgets: RefCell::default(),
             peer_usage: RefCell::default(),
+            response_buffers: ResponseBuffers::default(),
             pool: Pool::default(),
             phase: Cell::new(Phase::Starting),
             caller_connections: Cell::new(0),
--- a/crates/h1/src/error.rs
+++ b/crates/h1/src/error.rs
@@ -21,6 +21,9 @@
     /// The body is larger than allowed.
     #[error("message body too large")]
     BodyTooLarge,
+    /// Too many responses came before the final one to the request.
+    #[error("too many responses before the final one")]
+    TooManyResponses,
     /// The connection ended before the end of the message.
     #[error("connection ended before the end of the message")]
     Truncated,
--- a/crates/h1/src/response.rs
+++ b/crates/h1/src/response.rs
@@ -4,6 +4,8 @@
 
 /// Largest response head (status line and header lines), in bytes; a usual limit of HTTP clients.
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
+/// Most informational responses before the final one. Servers send one or two.
+const MAX_INTERIM: usize = 16;
 
 /// A complete response.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +28,8 @@
     /// Whether the request has the method `HEAD`.
     is_head: bool,
     max_body: u64,
+    /// Informational responses that were skipped.
+    interim: usize,
     pending: Option<(Response, BodyDecoder)>,
 }
 
@@ -37,6 +41,7 @@
         Self {
             is_head: method == "HEAD",
             max_body,
+            interim: 0,
             pending: None,
         }
     }
@@ -60,6 +65,11 @@
             };
             if response.status >= 200 {
                 self.pending = Some((response, BodyDecoder::new(framing, self.max_body)?));
+                break;
+            }
+            self.interim += 1;
+            if self.interim > MAX_INTERIM {
+                return Err(MessageError::TooManyResponses);
             }
         }
         let Some((mut response, mut body)) = self.pending.take() else {
--- a/crates/node/tests/gateway_answers.rs
+++ b/crates/node/tests/gateway_answers.rs
@@ -2,9 +2,13 @@
 //! services. The tests named `fault_…` make targets fail in one way and check the responses to the
 //! caller.
 
-use std::{path::Path, time::Duration};
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
 
 use async_std::task;
+use futures::future::join_all;
 use testkit::fleet::{FleetResult, FleetRig, RigSpec, TargetFault, fetch, send};
 
 const RIG_SPEC: RigSpec = RigSpec {
@@ -343,3 +347,66 @@
         assert_eq!(rig.run_count("evil"), 0);
     });
 }
+
+/// Largest resident memory of an instance while targets send without end, in kilobytes. The smallest
+/// machines have 160 MB.
+const MAX_MEMORY_KB: u64 = 120_000;
+
+/// Sends reads and writes at the same time to one instance while all targets show `fault`, which is
+/// to send bytes without end. Checks that no request succeeds or is held past its deadline, that the
+/// connections are closed, and that the instance does not collect the bytes.
+fn check_endless(fault: TargetFault) {
+    task::block_on(async {
+        let rig = start_rig().await;
+        for target in &rig.targets {
+            target.set_fault(fault);
+        }
+        let requests: Vec<_> = (0..12).map(|n| rig.request(n % 3 == 0)).collect();
+        let start = Instant::now();
+        let addr = rig.instances[0].caller_addr();
+        let results = join_all(requests.iter().map(|r| send(addr, r))).await;
+        let took = start.elapsed();
+        let statuses: Vec<u16> = results.iter().map(FleetResult::status).collect();
+        assert!(
+            statuses.iter().all(|s| matches!(s, 502..=504)),
+            "{fault:?}: {statuses:?}"
+        );
+        let limit = Duration::from_millis(requests[0].deadline_ms + 500);
+        assert!(took < limit, "{fault:?}: {took:?}");
+        let memory_kb = rig.instances[0].peak_memory_kb().unwrap();
+        assert!(memory_kb < MAX_MEMORY_KB, "{fault:?}: {memory_kb} kB");
+        for target in &rig.targets {
+            target.set_fault(TargetFault::None);
+        }
+        task::sleep(Duration::from_secs(1)).await;
+        let request = rig.request(false);
+        let response = send(addr, &request).await;
+        assert!(response.is_served(&request.id), "{fault:?}: {response:?}");
+    });
+}
+
+/// Guards against a response head without end that fills the memory.
+#[test]
+fn fault_endless_head_is_no_response() {
+    check_endless(TargetFault::EndlessHead);
+}
+
+/// Guards against informational responses without end that take all processor time until the
+/// deadline.
+#[test]
+fn fault_endless_interim_is_no_response() {
+    check_endless(TargetFault::EndlessInterim);
+}
+
+/// Guards against responses to other requests without end, which take all processor time until the
+/// deadline.
+#[test]
+fn fault_endless_stray_is_no_response() {
+    check_endless(TargetFault::EndlessStray);
+}
+
+/// Guards against bodies without end that fill the memory, so that the process is killed.
+#[test]
+fn fault_endless_body_is_no_response() {
+    check_endless(TargetFault::EndlessBody);
+}
--- a/crates/testkit/src/fleet/gateway.rs
+++ b/crates/testkit/src/fleet/gateway.rs
@@ -138,6 +138,18 @@
         self.child.try_wait()
     }
 
+    /// Returns the largest resident memory of the process so far, in kilobytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the status of the process cannot be read.
+    pub fn peak_memory_kb(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let number = peak.and_then(|text| text.split_whitespace().next()?.parse().ok());
+        number.ok_or_else(|| io::Error::other("no VmHWM in the status of the process"))
+    }
+
     /// Returns the text that the process has logged so far.
     ///
     /// # Errors
--- a/crates/testkit/src/fleet/target.rs
+++ b/crates/testkit/src/fleet/target.rs
@@ -55,6 +55,14 @@
     NoLength,
     /// Runs requests and sends nothing for 20 s, then closes the connection.
     Mute,
+    /// Answers with a head that never ends.
+    EndlessHead,
+    /// Answers with one informational response after the other.
+    EndlessInterim,
+    /// Answers with one complete response to another request after the other.
+    EndlessStray,
+    /// Answers with a body that has no length and never ends.
+    EndlessBody,
 }
 
 /// Specification of a target.
@@ -354,8 +362,34 @@
             send_raw(String::from_utf8_lossy(&body).into_owned()).await;
             false
         }
+        TargetFault::EndlessHead => {
+            send_endlessly(stream, "HTTP/1.1 200 OK\r\n", "X-Filler: 0123456789\r\n").await
+        }
+        TargetFault::EndlessInterim => {
+            send_endlessly(stream, "", "HTTP/1.1 103 Early Hints\r\n\r\n").await
+        }
+        TargetFault::EndlessStray => {
+            let stray = "HTTP/1.1 200 OK\r\nX-Hibiscusway-Request-Id: another-request\r\n\
+                Content-Length: 0\r\n\r\n";
+            send_endlessly(stream, "", stray).await
+        }
+        TargetFault::EndlessBody => {
+            let head = format!("HTTP/1.1 200 OK\r\n{signed_headers}\r\n");
+            send_endlessly(stream, &head, "endless ").await
+        }
         TargetFault::None | TargetFault::Shed => {
             respond(stream, 200, &signed_headers, &body).await.is_ok()
         }
     }
 }
+
+/// Sends `first`, then `repeated` until the other side closes the connection. Returns `false`: the
+/// connection cannot carry further requests.
+async fn send_endlessly(mut stream: &TcpStream, first: &str, repeated: &str) -> bool {
+    let block = repeated.repeat(64 * 1_024 / repeated.len());
+    let mut is_open = stream.write_all(first.as_bytes()).await.is_ok();
+    while is_open {
+        is_open = stream.write_all(block.as_bytes()).await.is_ok();
+    }
+    false
+}
