Limits that targets state are read and logged

The logs could not tell when an instance learns of a limit. Responses to probes and to requests are read, in both spellings of the header; a value that is no number of at least 0, or two different ones, gets a line and changes nothing. No decision uses the limits yet.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -32,6 +32,7 @@
 mod route;
 mod send_pace;
 mod service_config;
+mod stated_limit;
 mod target_entry;
 mod targets;
 mod weighted_service;
@@ -63,6 +64,7 @@
     route::Route,
     send_pace::SendPace,
     service_config::ServiceConfig,
+    stated_limit::StatedLimit,
     target_entry::TargetEntry,
     targets::{Target, Targets},
     weighted_service::{WeightedService, choose_service},
--- a/crates/balance/src/targets.rs
+++ b/crates/balance/src/targets.rs
@@ -8,7 +8,7 @@
 
 use model::{ServiceName, TargetId, Time};
 
-use crate::{ColdLimiter, EntryChange, Health, Load, TargetEntry};
+use crate::{ColdLimiter, EntryChange, Health, Load, StatedLimit, TargetEntry};
 
 /// Time after the end of a store outage for which targets without an entry are kept, in
 /// microseconds. The platform states that live targets write their entries again within 2 s.
@@ -27,6 +27,8 @@
     pub load: Option<Load>,
     /// Recent outcomes and ejection.
     pub health: Health,
+    /// Limit on requests that the target states.
+    pub limit: StatedLimit,
     /// Limit on requests while the target is cold.
     pub cold_limiter: ColdLimiter,
     /// Requests of this instance that wait for the target's response.
@@ -46,6 +48,7 @@
             first_seen: now,
             load: None,
             health: Health::default(),
+            limit: StatedLimit::default(),
             cold_limiter: ColdLimiter::default(),
             in_flight: 0,
             unreported: 0,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,6 +19,7 @@
     outcome::{claims_not_run, is_slow, record_outcome, record_processing_time, record_reports},
     selection::{Criteria, SelectedTarget, is_target_eligible, processing_ms, select_target},
     state::State,
+    target_limits::record_stated_limit,
 };
 
 /// Failed connection attempts after which a request is refused. They do not count towards the
@@ -310,6 +311,11 @@
         took_us: u64,
     ) -> Option<Result<Response, Code>> {
         record_reports(self.state, selected, &response);
+        let is_signed = response.headers.has(headers::SIGNATURE);
+        let has_own_id = response.headers.single_value(headers::REQUEST_ID) == self.id();
+        if has_own_id && (is_signed || response.headers.has(headers::NOT_RUN)) {
+            record_stated_limit(self.state, &selected.id, &response, "response");
+        }
         if response.headers.has(headers::NOT_RUN) || response.status == 421 {
             self.attempt_log.record(selected, "shed", took_us);
             self.state.metrics.count("sheds", 1);
@@ -324,8 +330,6 @@
                 self.failure_code(Code::UpstreamRefused, Code::UpstreamClosed)
             ));
         }
-        let is_signed = response.headers.has(headers::SIGNATURE);
-        let has_own_id = response.headers.single_value(headers::REQUEST_ID) == self.id();
         let is_valid = is_signed && has_own_id && !response.headers.has("content-encoding");
         self.may_have_run = true;
         let claims_not_run = claims_not_run(response.status);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,6 +43,7 @@
 mod selection;
 mod settings;
 mod state;
+mod target_limits;
 mod version_filter;
 
 pub use crate::{
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -12,6 +12,7 @@
 use crate::{
     exchange::{EncodedRequest, SendResult, exchange},
     state::State,
+    target_limits::record_stated_limit,
 };
 
 /// Time for the responses, in milliseconds. They arrive within 2 ms across zones; a target that
@@ -129,6 +130,11 @@
     if response.status != 200 {
         target.health.record(now, 0, 1);
     }
+    drop(targets);
+    // A response without the id may come from another target that has the address now.
+    if response.headers.has(headers::TARGET) {
+        record_stated_limit(state, id, response, "probe");
+    }
 }
 
 /// Returns the address of a target and the path of its health check.
--- a/crates/testkit/src/fleet/target.rs
+++ b/crates/testkit/src/fleet/target.rs
@@ -87,6 +87,8 @@
 struct TargetState {
     spec: TargetSpec,
     fault: Mutex<TargetFault>,
+    /// Value of the header that limits the requests from all instances together, if it is sent.
+    limit: Mutex<Option<String>>,
     run_counts: Mutex<HashMap<String, u32>>,
     arrivals: Mutex<Vec<Instant>>,
     cancelled: AtomicU32,
@@ -115,6 +117,7 @@
         let shared = Arc::new(TargetState {
             spec,
             fault: Mutex::new(TargetFault::None),
+            limit: Mutex::default(),
             run_counts: Mutex::default(),
             arrivals: Mutex::default(),
             cancelled: AtomicU32::new(0),
@@ -146,6 +149,11 @@
         *lock(&self.shared.fault) = fault;
     }
 
+    /// Makes the target state this limit in its responses from now on, or none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        *lock(&self.shared.limit) = limit.map(str::to_owned);
+    }
+
     /// Writes the state `draining` to the target's entry.
     pub fn drain(&self) {
         self.shared.draining.store(true, Ordering::Release);
@@ -252,12 +260,15 @@
     }
 }
 
-/// Returns the header line that reports the target's load.
+/// Returns the header lines that report the target's load and its limit.
 fn load_header(shared: &TargetState) -> String {
     let running = shared.running.load(Ordering::Acquire);
+    let limit = lock(&shared.limit).clone();
+    let limit = limit.map(|value| format!("Server-Limit: {value}\r\n"));
     format!(
-        "X-Hibiscusway-Server-Load: {running},0,{},100\r\n",
-        shared.spec.slots
+        "X-Hibiscusway-Server-Load: {running},0,{},100\r\n{}",
+        shared.spec.slots,
+        limit.unwrap_or_default()
     )
 }
 
