--- a/crates/node/tests/gateway_fleet.rs
+++ b/crates/node/tests/gateway_fleet.rs
@@ -471,3 +471,49 @@
         assert_eq!((late_requests, served), (0, requests.len()));
     });
 }
+
+/// Returns the most requests that a target got in any 4 s, of those that arrived from `start` on.
+fn most_in_four_seconds(target: &testkit::fleet::FleetTarget, start: Instant) -> usize {
+    let arrivals = target.arrivals();
+    let counted: Vec<_> = arrivals.into_iter().filter(|at| *at >= start).collect();
+    let window = |first: &Instant| {
+        let in_window = |at: &&Instant| *at >= first && at.duration_since(*first).as_secs() < 4;
+        counted.iter().filter(in_window).count()
+    };
+    counted.iter().map(window).max().unwrap_or_default()
+}
+
+/// Guards against instances that together send a target far more requests than the limit that it
+/// states in its responses, and against targets that get no requests after they have stated no
+/// limit any more.
+#[test]
+fn limited_target_gets_no_more_than_it_states() {
+    task::block_on(async {
+        let rig = start_rig(6, 5).await;
+        let limited = &rig.targets[..3];
+        let limits = [1.0, 2.0, 4.0];
+        for (target, limit) in limited.iter().zip(limits) {
+            target.set_limit(Some(&limit.to_string()));
+        }
+        served_fraction(&rig, 250).await;
+        // The platform allows 3 s from the first response that states the limit.
+        let start = Instant::now() + Duration::from_secs(1);
+        assert!(served_fraction(&rig, 900).await > 0.99);
+        for (target, limit) in limited.iter().zip(limits) {
+            let most = most_in_four_seconds(target, start);
+            let allowed = 1.5 * 4.0 * limit + 5.0;
+            #[expect(clippy::cast_precision_loss, reason = "counts of requests")]
+            let is_within = most as f64 <= allowed;
+            assert!(is_within, "{most} requests, limit {limit} a second");
+        }
+        for target in limited {
+            target.set_limit(None);
+        }
+        let before: Vec<_> = limited.iter().map(|t| t.arrivals().len()).collect();
+        served_fraction(&rig, 500).await;
+        for (target, before) in limited.iter().zip(before) {
+            let count = target.arrivals().len() - before;
+            assert!(count > 30, "{count} requests in 4 s without a limit");
+        }
+    });
+}
