Targets get no more requests than the limit that they state

Callers saw targets in need overrun: a target that took 2.4 requests a second from all instances got 31 in 4 s. Cause: nothing read the limit, so each instance sent as before. Class: a limit for all instances together that each instance would have to keep by itself.

Change: limits travel in heartbeats with their age, and one limiter keeps to them and to the rate of cold targets. Two or more instances by rendezvous hash may send to such a target, one for each 3 requests a second, at equal shares of the whole rate; a turn that is used late makes the next one come earlier; turns are reserved for more urgent requests for a sixth of a turn for each rank. Hedges go elsewhere. If all usable targets are limited, a request is refused at once (3004) with Retry-After. Limits are forgotten 10 s after the last word, or with another process of the target. The header is not passed on. Cold targets keep 0.75 of their rate, shared by four instances at 11 a second as before.

Why it works: shares add up to the rate in one view of the membership, and to 1.5 times with one more sender; the rule allows that and 5 more.

--- a/crates/balance/src/gateway_config.rs
+++ b/crates/balance/src/gateway_config.rs
@@ -1,6 +1,9 @@
 //! The gateway's configuration: routes, services and limits on callers.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use model::ServiceName;
 
@@ -15,6 +18,8 @@
     pub limits: CallerLimits,
     /// Priority number of the most urgent routes.
     top_priority: u32,
+    /// Priority numbers of the routes to each service.
+    service_priorities: HashMap<ServiceName, BTreeSet<u32>>,
     services: HashMap<ServiceName, ServiceConfig>,
     /// Routes by host and path prefix.
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>>,
@@ -32,8 +37,13 @@
     ) -> Self {
         let mut hosts: HashMap<Arc<str>, HashMap<Arc<str>, Arc<Route>>> = HashMap::new();
         let mut top_priority = u32::MAX;
+        let mut service_priorities: HashMap<ServiceName, BTreeSet<u32>> = HashMap::new();
         for route in routes {
             top_priority = top_priority.min(route.priority);
+            for part in &route.split {
+                let priorities = service_priorities.entry(part.service.clone());
+                priorities.or_default().insert(route.priority);
+            }
             let by_prefix = hosts.entry(Arc::clone(&route.host)).or_default();
             by_prefix.insert(Arc::clone(&route.path_prefix), Arc::new(route));
         }
@@ -41,6 +51,7 @@
             version,
             limits,
             top_priority,
+            service_priorities,
             services: services.into_iter().map(|s| (s.name.clone(), s)).collect(),
             hosts,
         }
@@ -61,6 +72,13 @@
         route.priority <= self.top_priority
     }
 
+    /// Returns how many priorities of routes to `service` are more urgent than that of `route`.
+    #[must_use]
+    pub fn urgency_rank(&self, route: &Route, service: &ServiceName) -> usize {
+        let priorities = self.service_priorities.get(service);
+        priorities.map_or(0, |p| p.range(..route.priority).count())
+    }
+
     /// Returns the settings of a service.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceConfig> {
--- a/crates/balance/src/gateway_config/tests.rs
+++ b/crates/balance/src/gateway_config/tests.rs
@@ -46,3 +46,19 @@
     assert!(config.route("h", "/").is_some());
     assert!(config.route("h", "/deep/er").is_some());
 }
+
+/// Guards against routes of a service that count as less urgent because of a route of another one.
+#[test]
+fn urgency_rank_compares_routes_of_service() {
+    let other = ServiceName::new("other");
+    let mut urgent = route("a", "h", "/a/");
+    urgent.priority = 0;
+    urgent.split[0].service = other.clone();
+    let mut bulk = route("c", "h", "/c/");
+    bulk.priority = 2;
+    let (middle, service) = (route("b", "h", "/b/"), ServiceName::new("s"));
+    let config = config(vec![urgent.clone(), middle.clone(), bulk.clone()]);
+    assert_eq!(config.urgency_rank(&urgent, &other), 0);
+    assert_eq!(config.urgency_rank(&middle, &service), 0);
+    assert_eq!(config.urgency_rank(&bulk, &service), 1);
+}
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -1,5 +1,5 @@
 //! Decisions of the gateway, without I/O or clocks: routing, admission, retry budgets, limits on
-//! cold targets, rollouts and membership. Callers pass in the current time.
+//! the rate of requests to a target, rollouts and membership. Callers pass in the current time.
 
 #![expect(
     clippy::cast_precision_loss,
@@ -10,7 +10,6 @@
 mod budget;
 mod budget_usage;
 mod caller_limits;
-mod cold_limiter;
 mod duty_candidate;
 mod entry_change;
 mod entry_log;
@@ -30,7 +29,9 @@
 mod rollout;
 mod rollout_order;
 mod route;
+mod send_limiter;
 mod send_pace;
+mod senders;
 mod service_config;
 mod stated_limit;
 mod target_entry;
@@ -42,7 +43,6 @@
     budget::RetryBudget,
     budget_usage::BudgetUsage,
     caller_limits::CallerLimits,
-    cold_limiter::ColdLimiter,
     duty_candidate::DutyCandidate,
     entry_change::EntryChange,
     entry_log::EntryLog,
@@ -62,7 +62,9 @@
     rollout::{Rollout, Stage},
     rollout_order::{RolloutOrder, Verdict},
     route::Route,
+    send_limiter::SendLimiter,
     send_pace::SendPace,
+    senders::Senders,
     service_config::ServiceConfig,
     stated_limit::StatedLimit,
     target_entry::TargetEntry,
--- a/crates/balance/src/targets.rs
+++ b/crates/balance/src/targets.rs
@@ -8,8 +8,11 @@
 
 use model::{ServiceName, TargetId, Time};
 
-use crate::{ColdLimiter, EntryChange, Health, Load, StatedLimit, TargetEntry};
+use crate::{EntryChange, Health, Load, SendLimiter, Senders, StatedLimit, TargetEntry};
 
+/// Fraction of the rate of a cold target that is used. A cold target crashes above its rate, and
+/// instances with different views of the membership send more.
+const COLD_FRACTION: f64 = 0.75;
 /// Time after the end of a store outage for which targets without an entry are kept, in
 /// microseconds. The platform states that live targets write their entries again within 2 s.
 const LAPSE_GRACE_US: u64 = 2_000_000;
@@ -29,8 +32,8 @@
     pub health: Health,
     /// Limit on requests that the target states.
     pub limit: StatedLimit,
-    /// Limit on requests while the target is cold.
-    pub cold_limiter: ColdLimiter,
+    /// Keeps this instance to its share of the limited rate.
+    pub limiter: SendLimiter,
     /// Requests of this instance that wait for the target's response.
     pub in_flight: u32,
     /// Requests that this instance sent after the latest load report.
@@ -49,7 +52,7 @@
             load: None,
             health: Health::default(),
             limit: StatedLimit::default(),
-            cold_limiter: ColdLimiter::default(),
+            limiter: SendLimiter::default(),
             in_flight: 0,
             unreported: 0,
             kept_until: None,
@@ -62,6 +65,40 @@
         now < self.cold_until
     }
 
+    /// Returns the requests a second that the target takes from all instances together; `None` if
+    /// they are not limited. `cold_rate` holds while it is cold.
+    #[must_use]
+    pub fn allowed_rate(&self, now: Time, cold_rate: f64) -> Option<f64> {
+        let cold = self.is_cold(now).then_some(cold_rate * COLD_FRACTION);
+        let rates = cold.into_iter().chain(self.limit.rate(now));
+        rates.min_by(f64::total_cmp)
+    }
+
+    /// Returns whether the limits on the rate allow this instance a request now.
+    #[must_use]
+    pub fn allows_request(
+        &self,
+        now: Time,
+        cold_rate: f64,
+        senders: &Senders,
+        urgency_rank: usize,
+    ) -> bool {
+        let Some(rate) = self.allowed_rate(now, cold_rate) else {
+            return true;
+        };
+        self.limiter
+            .allows(now, &self.entry.id, rate, senders, urgency_rank)
+    }
+
+    /// Counts a request of this instance that is sent now.
+    pub fn record_request(&mut self, now: Time, cold_rate: f64, senders: &Senders) {
+        self.in_flight += 1;
+        self.unreported += 1;
+        if let Some(rate) = self.allowed_rate(now, cold_rate) {
+            self.limiter.record_request(now, rate, senders);
+        }
+    }
+
     /// Records a load report.
     pub fn record_load(&mut self, load: Load) {
         self.load = Some(load);
@@ -242,6 +279,11 @@
         self.services.values().flat_map(BTreeMap::values)
     }
 
+    /// Returns all targets for modification.
+    pub fn all_mut(&mut self) -> impl Iterator<Item = &mut Target> {
+        self.services.values_mut().flat_map(BTreeMap::values_mut)
+    }
+
     /// Returns whether any target has this address.
     #[must_use]
     pub fn has_address(&self, addr: SocketAddr) -> bool {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
     entries_wait::await_recent_entries,
     exchange::{EncodedRequest, SendResult, exchange},
     selection::{SelectedTarget, is_target_eligible},
+    send_limits::SendLimits,
     state::State,
 };
 
@@ -86,20 +87,9 @@
 
 impl InFlightGuard {
     fn start(state: &Rc<State>, selected: &SelectedTarget, service: &ServiceName) -> Self {
-        let now = state.now();
+        let limits = SendLimits::of(state, service);
         if let Some(target) = state.targets.borrow_mut().get_mut(&selected.id) {
-            target.in_flight += 1;
-            target.unreported += 1;
-            if target.is_cold(now) {
-                let config = state.config();
-                let service_config = config.as_ref().and_then(|m| m.service(service));
-                let instances = state.instances().len();
-                target.cold_limiter.record_request(
-                    now,
-                    service_config.map_or(1.0, |s| s.cold_rate),
-                    instances,
-                );
-            }
+            limits.record_request(target);
         }
         Self {
             state: Rc::clone(state),
--- a/crates/gateway/src/attempt/tests.rs
+++ b/crates/gateway/src/attempt/tests.rs
@@ -25,6 +25,7 @@
             slot_free: true,
         },
         new_version: false,
+        limit: None,
     }
 }
 
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -88,7 +88,7 @@
             if self.responses.is_empty()
                 && let Some(code) = self.failure
             {
-                let bytes = encode_refusal(code, None, true);
+                let bytes = encode_refusal(code.into(), None, true);
                 if self.write(&bytes).await {
                     self.lingering_close().await;
                 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -68,6 +68,9 @@
     let mut budgets = state.budgets.borrow_mut();
     let usage = budgets.values_mut().map(|b| b.usage(now));
     let extra_attempts = usage.map(|usage| u64::from(usage.extra_attempts)).sum();
+    let targets = state.targets.borrow();
+    let is_limited = |t: &&balance::Target| t.limit.rate(now).is_some();
+    let limited_targets = targets.all().filter(is_limited).count();
     vec![
         ("config_version", state.config().map_or(0, |m| m.version)),
         ("orders_age_ms", age_ms(state.operator_read.get())),
@@ -75,7 +78,8 @@
             "targets_age_ms",
             state.entries_as_of.get().map_or(0, age_ms),
         ),
-        ("targets", state.targets.borrow().len() as u64),
+        ("targets", targets.len() as u64),
+        ("limited_targets", limited_targets as u64),
         ("peers", state.members.borrow().live(now).count() as u64),
         ("caller_connections", state.caller_connections.get() as u64),
         ("requests_in_progress", state.active_requests.get() as u64),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,6 +18,7 @@
     line_class::REQUESTS,
     outcome::{claims_not_run, is_slow, record_outcome, record_processing_time, record_reports},
     selection::{Criteria, SelectedTarget, is_target_eligible, processing_ms, select_target},
+    send_limits::limited_rate,
     state::State,
     target_limits::record_stated_limit,
 };
@@ -52,6 +53,8 @@
     pub arrived: Time,
     /// Whether no other route has a more urgent priority.
     pub is_urgent: bool,
+    /// Number of priorities of the service that are more urgent.
+    pub urgency_rank: usize,
     /// Whether the request is assigned to the new version of a rollout.
     pub new_version: bool,
     /// Permit for the next extra attempt, if one was taken from the retry budget.
@@ -114,12 +117,17 @@
         )
     }
 
-    /// Selects a target for a hedge that can start the request at once, if the budget allows one.
+    /// Selects a target for a hedge that can start the request at once, if the budget allows one. A
+    /// hedge would take the turn of a first attempt at a target that states a limit.
     async fn select_hedge(&mut self) -> Option<SelectedTarget> {
         if !self.reserve_retry(HEDGE_BUDGET_SHARE) {
             return None;
         }
-        let selected = select_target(self.state, &self.criteria(self.new_version)).await;
+        let criteria = Criteria {
+            may_be_limited: false,
+            ..self.criteria(self.new_version)
+        };
+        let selected = select_target(self.state, &criteria).await;
         let fits = |selected: &SelectedTarget| {
             selected.estimate.slot_free && selected.estimate.latency_ms < self.remaining_ms()
         };
@@ -173,7 +181,9 @@
             attempt = self.attempt_log.attempts, target_id = %selected.id, service = %self.service,
             expected_ms = selected.estimate.latency_ms.round(), free = selected.estimate.slot_free,
             pace = selected.slowdown_percent, load_age_us = selected.report_age_us,
-            new_version = selected.new_version, left_ms = self.remaining_ms().round(),
+            new_version = selected.new_version, limit = selected.limit.map(|l| l.rate),
+            limit_age_ms = selected.limit.map(|l| l.age_ms),
+            limit_share = selected.limit.map(|l| l.own_rate), left_ms = self.remaining_ms().round(),
             entries = self.state.entries_next().unwrap_or_default(),
             entries_age_ms = self.state.entries_age_us().unwrap_or_default() / 1_000);
         Attempt::start(
@@ -198,7 +208,9 @@
             selected = select_target(self.state, &self.criteria(false)).await;
         }
         let Some(selected) = selected else {
-            return Err(self.failure_code(Code::NoTarget, Code::UpstreamClosed));
+            let limited_rate = limited_rate(self.state, self.service);
+            let reason = limited_rate.map_or(Code::NoTarget, |_| Code::LimitReached);
+            return Err(self.failure_code(reason, Code::UpstreamClosed));
         };
         Ok(selected)
     }
@@ -229,6 +241,8 @@
             service: self.service,
             route: self.route,
             new_version,
+            urgency_rank: self.urgency_rank,
+            may_be_limited: true,
             tried: &self.tried,
         }
     }
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -10,13 +10,15 @@
 use model::{InstanceId, ServiceName, TargetId, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::limit_report::LimitReport;
+
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 6;
 
 /// Report of an instance to its peers. The order and the types of the fields are the wire format.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// Name of the instance.
     pub name: InstanceId,
@@ -41,6 +43,8 @@
     pub known_addrs: Vec<SocketAddr>,
     /// Number of good and of bad outcomes since its last heartbeat, for targets with bad ones.
     pub outcomes: Vec<(TargetId, u32, u32)>,
+    /// News of the limits that targets state.
+    pub limits: Vec<LimitReport>,
     /// Its requests and extra attempts by service, in the window of the retry budget.
     pub budget_usage: Vec<(ServiceName, BudgetUsage)>,
     /// Its reports on rollouts.
--- a/crates/gateway/src/heartbeat/tests.rs
+++ b/crates/gateway/src/heartbeat/tests.rs
@@ -13,6 +13,12 @@
         fresh_ms: 900,
         known_addrs: vec!["10.0.0.2:7000".parse().unwrap()],
         outcomes: vec![(TargetId::new("t"), 3, 1)],
+        limits: vec![LimitReport {
+            target: TargetId::new("t"),
+            born: 1_764_800_000_000,
+            rate: Some(2.4),
+            age_ms: 30,
+        }],
         budget_usage: vec![(
             ServiceName::new("s"),
             BudgetUsage {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,7 @@
     heartbeat::{Heartbeat, RolloutReport},
     phase::Phase,
     state::State,
+    target_limits::{apply_limit_reports, take_limit_reports},
 };
 
 /// Pause after a failed read from the socket, in milliseconds.
@@ -122,13 +123,18 @@
 }
 
 /// Returns a heartbeat of this instance with `addr_count` addresses of peers. A heartbeat for all
-/// instances takes the collected outcomes.
+/// instances takes the collected outcomes and the news of limits.
 fn own_heartbeat(state: &State, addr_count: usize) -> Heartbeat {
     let outcomes = if addr_count == HEARTBEAT_ADDRS {
         state.outcomes.take()
     } else {
         HashMap::default()
     };
+    let limits = if addr_count == HEARTBEAT_ADDRS {
+        take_limit_reports(state)
+    } else {
+        Vec::new()
+    };
     let rollouts = state.rollouts.borrow();
     let reports = rollouts.values().map(|r| RolloutReport {
         service: r.order.service.clone(),
@@ -168,6 +174,7 @@
             .filter(|(_, (_, bad))| *bad > 0)
             .map(|(id, (good, bad))| (id, good, bad))
             .collect(),
+        limits,
         rollouts: reports.collect(),
     }
 }
@@ -271,6 +278,7 @@
             target.health.record(now, *good, *bad);
         }
     }
+    apply_limit_reports(state, &heartbeat.limits, &heartbeat.name);
     let mut rollouts = state.rollouts.borrow_mut();
     let sender = (heartbeat.name.clone(), heartbeat.incarnation);
     for report in heartbeat.rollouts {
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,51 @@
+//! The reason why a request ends without a response of a target, and when its caller may retry.
+
+use model::Code;
+
+/// Time after which a caller may retry while the instance is not ready, knows no target or cannot
+/// connect to one, in milliseconds.
+const UNKNOWN_RETRY_MS: u32 = 250;
+/// Time after which a caller may retry while all targets are busy, in milliseconds. A slot becomes
+/// free in about this time.
+const BUSY_RETRY_MS: u32 = 40;
+/// Longest time after which a caller is told to retry, in milliseconds. Limits of targets may end
+/// any moment.
+const MAX_RETRY_MS: f64 = 2_000.0;
+
+/// The reason why a request ends without a response of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Result code.
+    pub code: Code,
+    /// Time after which the caller may retry, in milliseconds.
+    pub retry_ms: Option<u32>,
+}
+
+impl Refusal {
+    /// Returns the refusal of a request whose targets take `rate` requests a second from all
+    /// instances together, and no more now.
+    pub fn at_rate(code: Code, rate: f64) -> Self {
+        let next_ms = (1_000.0 / rate).clamp(f64::from(BUSY_RETRY_MS), MAX_RETRY_MS);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "clamped to a few seconds"
+        )]
+        let retry_ms = Some(next_ms as u32);
+        Self { code, retry_ms }
+    }
+}
+
+impl From<Code> for Refusal {
+    fn from(code: Code) -> Self {
+        let retry_ms = match code {
+            Code::NotReady | Code::NoTarget | Code::ConnectFailed => Some(UNKNOWN_RETRY_MS),
+            Code::CannotMeet | Code::UpstreamRefused => Some(BUSY_RETRY_MS),
+            _ => None,
+        };
+        Self { code, retry_ms }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -14,7 +14,9 @@
     forward::Forwarder,
     line_class::REQUESTS,
     phase::Phase,
+    refusal::Refusal,
     response::{encode_forwarded, encode_refusal, status},
+    send_limits::limited_rate,
     state::State,
 };
 
@@ -35,8 +37,8 @@
     active.end(&request, &result);
     let bytes = match result {
         Ok((response, _)) => encode_forwarded(&response, request.method == "HEAD", close),
-        Err(code) => encode_refusal(
-            code,
+        Err(refusal) => encode_refusal(
+            refusal,
             request.headers.single_value(headers::REQUEST_ID),
             close,
         ),
@@ -44,7 +46,7 @@
     EncodedResponse { bytes, close }
 }
 
-type ServeResult = Result<(Response, Arc<Route>), Code>;
+type ServeResult = Result<(Response, Arc<Route>), Refusal>;
 
 /// A request in progress. If it is dropped before `end` was called, the caller has disconnected.
 struct ActiveRequest {
@@ -80,7 +82,7 @@
         self.is_ended = true;
         match result {
             Ok((response, route)) => self.log_response(response, route),
-            Err(code) => self.log_refusal(request, *code),
+            Err(refusal) => self.log_refusal(request, *refusal),
         }
     }
 
@@ -122,8 +124,8 @@
         }
     }
 
-    fn log_refusal(&self, request: &Request, code: Code) {
-        let state = &self.state;
+    fn log_refusal(&self, request: &Request, refusal: Refusal) {
+        let (state, code) = (&self.state, refusal.code);
         state.metrics.record_refusal(code);
         let age_ms = |at| state.now().since_us(at) / 1_000;
         warn!(
@@ -132,6 +134,7 @@
             path = request.path(),
             code = code.number(),
             status = status(code).0,
+            retry_ms = refusal.retry_ms,
             took_ms = self.took_ms(),
             attempts = self.attempt_log.attempts,
             unsent = self.attempt_log.unsent,
@@ -183,14 +186,21 @@
         deadline,
         arrived,
         is_urgent: config.is_urgent(&route),
+        urgency_rank: config.urgency_rank(&route, &chosen.service),
         new_version,
         permit: None,
         tried: Vec::new(),
         may_have_run: false,
         attempt_log,
     };
-    let response = forwarder.run().await?;
-    Ok((response, Arc::clone(&route)))
+    match forwarder.run().await {
+        Ok(response) => Ok((response, Arc::clone(&route))),
+        Err(Code::LimitReached) => Err(Refusal::at_rate(
+            Code::LimitReached,
+            limited_rate(state, &chosen.service).unwrap_or_default(),
+        )),
+        Err(code) => Err(code.into()),
+    }
 }
 
 /// Returns the route of a request, by its path and its host without the port.
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -4,12 +4,7 @@
 use model::{Code, Outcome};
 use platform::headers;
 
-/// Time after which a caller may retry while the instance is not ready, knows no target or cannot
-/// connect to one, in milliseconds.
-const UNKNOWN_RETRY_MS: u32 = 250;
-/// Time after which a caller may retry while all targets are busy, in milliseconds. A slot becomes
-/// free in about this time.
-const BUSY_RETRY_MS: u32 = 40;
+use crate::refusal::Refusal;
 
 /// Returns the status and the reason phrase for a request that ends with `code`.
 #[must_use]
@@ -26,18 +21,10 @@
     }
 }
 
-/// Returns the time after which the caller may retry, in milliseconds.
-fn retry_ms(code: Code) -> Option<u32> {
-    match code {
-        Code::NotReady | Code::NoTarget | Code::ConnectFailed => Some(UNKNOWN_RETRY_MS),
-        Code::CannotMeet | Code::UpstreamRefused => Some(BUSY_RETRY_MS),
-        _ => None,
-    }
-}
-
 /// Encodes the response to a refused request with request id `id`.
 #[must_use]
-pub fn encode_refusal(code: Code, id: Option<&str>, close: bool) -> Vec<u8> {
+pub fn encode_refusal(refusal: Refusal, id: Option<&str>, close: bool) -> Vec<u8> {
+    let code = refusal.code;
     let (status, reason) = status(code);
     let body = format!("{{\"error\":\"{}\",\"code\":{}}}", reason, code.number());
     let mut head = format!("HTTP/1.1 {status} {reason}\r\nContent-Type: application/json\r\n");
@@ -45,7 +32,7 @@
         let line = format!("{}: {id}\r\n", headers::REQUEST_ID);
         head.push_str(&line);
     }
-    if let Some(ms) = retry_ms(code) {
+    if let Some(ms) = refusal.retry_ms {
         let line = format!("Retry-After: {}.{:03}\r\n", ms / 1_000, ms % 1_000);
         head.push_str(&line);
     }
@@ -73,7 +60,12 @@
     bytes.extend_from_slice(
         format!("HTTP/1.1 {} {}\r\n", response.status, response.reason).as_bytes(),
     );
-    write_headers(&mut bytes, response.headers.end_to_end());
+    let is_for_sender = |name: &str| {
+        let names = headers::FOR_SENDER.iter();
+        names.into_iter().any(|own| name.eq_ignore_ascii_case(own))
+    };
+    let passed = response.headers.end_to_end();
+    write_headers(&mut bytes, passed.filter(|(name, _)| !is_for_sender(name)));
     if to_head || matches!(response.status, 204 | 304) {
         if to_head && let Some(len) = response.headers.single_value("content-length") {
             bytes.extend_from_slice(format!("Content-Length: {len}\r\n").as_bytes());
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -7,7 +7,12 @@
 use model::{ServiceName, TargetId, Time};
 use rand::Rng;
 
-use crate::{probe::probe, state::State, version_filter::VersionFilter};
+use crate::{
+    probe::probe,
+    send_limits::{AppliedLimit, SendLimits},
+    state::State,
+    version_filter::VersionFilter,
+};
 
 /// Candidates that are probed in a round. With three, the selection is nearly as good as one that
 /// knows the load of all targets.
@@ -47,6 +52,10 @@
     pub route: &'a Route,
     /// Whether the request is assigned to the new version of a rollout.
     pub new_version: bool,
+    /// Number of priorities of the service that are more urgent.
+    pub urgency_rank: usize,
+    /// Whether the request may go to targets that state a limit.
+    pub may_be_limited: bool,
     /// Targets to exclude, because the request was sent to them before.
     pub tried: &'a [TargetId],
 }
@@ -66,6 +75,8 @@
     pub estimate: LatencyEstimate,
     /// Whether the target runs the new version of a rollout.
     pub new_version: bool,
+    /// Limit on requests that the target states, if there is one.
+    pub limit: Option<AppliedLimit>,
 }
 
 /// Selects the target with the lowest cost for `criteria`, if there is any.
@@ -86,8 +97,9 @@
         if !to_probe.is_empty() {
             probe(state, &to_probe).await;
         }
+        let limits = SendLimits::of(state, criteria.service);
         for id in &round {
-            let scored = score(state, criteria, id);
+            let scored = score(state, criteria, &limits, id);
             if let Some((cost, selected)) = scored
                 && best.as_ref().is_none_or(|(lowest, _)| cost < *lowest)
             {
@@ -117,29 +129,31 @@
 ) -> Vec<TargetId> {
     let now = state.now();
     let version_filter = VersionFilter::of(state, criteria.service);
-    let instances = state.instances();
+    let limits = SendLimits::of(state, criteria.service);
     let targets = state.targets.borrow();
     let costs = CostModel::of(state, criteria, &targets);
     let eligible: Vec<&Target> = targets
         .of_service(criteria.service)
         .filter(|t| is_eligible(state, t) && version_filter.allows(t, criteria.new_version))
+        .filter(|t| criteria.may_be_limited || t.limit.rate(now).is_none())
         .filter(|t| !criteria.tried.contains(&t.entry.id) && !considered.contains(&t.entry.id))
         .collect();
-    let may_warm_up = |t: &&Target| {
-        !t.is_cold(now)
-            || t.cold_limiter
-                .allows(now, &t.entry.id, state.instance_id(), &instances)
-    };
+    let within_limits = |t: &&Target| limits.allow(t, criteria.urgency_rank);
+    let is_held =
+        |t: &&Target| t.limit.rate(now).is_some() && !limits.allow(t, criteria.urgency_rank);
+    if eligible.iter().any(is_held) {
+        state.metrics.count("sends_held", 1);
+    }
     let healthy: Vec<&Target> = eligible
         .iter()
         .copied()
         .filter(|t| !t.health.is_ejected(now))
-        .filter(may_warm_up)
+        .filter(within_limits)
         .collect();
     // If all targets are ejected, the fault is more likely at this instance or on the network to
     // them.
     let pool = if healthy.is_empty() {
-        eligible.into_iter().filter(may_warm_up).collect()
+        eligible.into_iter().filter(within_limits).collect()
     } else {
         healthy
     };
@@ -193,7 +207,7 @@
 }
 
 /// Whether a target is not draining and in a zone that is not taken out.
-fn is_eligible(state: &State, target: &Target) -> bool {
+pub fn is_eligible(state: &State, target: &Target) -> bool {
     !target.entry.draining && !state.zones_out.borrow().contains(&target.entry.zone)
 }
 
@@ -260,17 +274,18 @@
 fn score(
     state: &Rc<State>,
     criteria: &Criteria<'_>,
+    limits: &SendLimits,
     id: &TargetId,
 ) -> Option<(f64, SelectedTarget)> {
     let now = state.now();
-    let instances = state.instances();
     let targets = state.targets.borrow();
     let target = targets.get(id)?;
-    let is_throttled = target.is_cold(now)
-        && !target
-            .cold_limiter
-            .allows(now, id, state.instance_id(), &instances);
-    if is_throttled || !is_eligible(state, target) {
+    // The probe may have shown that the target states a limit.
+    let is_limited = target.limit.rate(now).is_some();
+    if !limits.allow(target, criteria.urgency_rank) || !is_eligible(state, target) {
+        return None;
+    }
+    if is_limited && !criteria.may_be_limited {
         return None;
     }
     let costs = CostModel::of(state, criteria, &targets);
@@ -287,6 +302,7 @@
         report_age_us: load.map_or(u64::MAX, |load| now.since_us(load.reported_at)),
         estimate: costs.estimate(target),
         new_version: VersionFilter::of(state, criteria.service).is_new_version(target),
+        limit: limits.applied(target),
     };
     Some((costs.cost(state, target) * staleness_factor, selected))
 }
--- a/crates/gateway/src/selection/tests.rs
+++ b/crates/gateway/src/selection/tests.rs
@@ -45,6 +45,8 @@
         service: &service,
         route: &route,
         new_version: false,
+        urgency_rank: 0,
+        may_be_limited: true,
         tried: &[],
     };
     let gap_ms = || {
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -62,6 +62,8 @@
     QueueFull = 3002, "queue full";
     /// No target of the service may be used.
     NoTarget = 3003, "no usable target";
+    /// The targets have stated limits on their requests, which leave no room now.
+    LimitReached = 3004, "targets take no more requests now";
     /// The caller has more calls waiting than its fair share.
     FairShare = 3005, "caller exceeds its fair share";
     /// The upstream refused the call without running it.
