--- a/crates/testkit/src/fleet/rig.rs
+++ b/crates/testkit/src/fleet/rig.rs
@@ -4,7 +4,10 @@
     io,
     net::Ipv4Addr,
     path::Path,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -42,6 +45,8 @@
     pub instances: Vec<GatewayProcess>,
     /// Version of the next configuration.
     version: AtomicU64,
+    /// Latest configuration that was published.
+    config: Mutex<String>,
     /// Number of the next request, from which its id is made.
     next_id: AtomicU64,
 }
@@ -63,6 +68,7 @@
             targets,
             instances: Vec::new(),
             version: AtomicU64::new(1),
+            config: Mutex::default(),
             next_id: AtomicU64::new(1),
         };
         rig.publish(&[]);
@@ -121,10 +127,17 @@
             "limits": { "max_header_bytes": 16384, "max_body_bytes": 1_000_000,
                 "header_timeout_s": 1, "idle_timeout_s": 15 },
         });
-        self.store.put("keyed.op", "config", &config.to_string());
+        *lock(&self.config) = config.to_string();
+        self.republish();
         version
     }
 
+    /// Writes the latest configuration again.
+    pub fn republish(&self) {
+        let config = lock(&self.config).clone();
+        self.store.put("keyed.op", "config", &config);
+    }
+
     /// Returns a request with a new id. A write goes to the non-idempotent route, so it may run at
     /// most once.
     pub fn request(&self, is_write: bool) -> FleetRequest {
@@ -189,6 +202,12 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
 /// Returns the specification of the target with this index.
 fn target_spec(index: usize, processing_ms: u64) -> TargetSpec {
     TargetSpec {
--- a/crates/testkit/src/fleet/soak.rs
+++ b/crates/testkit/src/fleet/soak.rs
@@ -13,7 +13,8 @@
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 
 use super::{
-    FleetRequest, FleetResult, FleetRig, ProxyMode, RigSpec, StoreFault, TargetFault, send,
+    FleetRequest, FleetResult, FleetRig, ProxyMode, RigSpec, StoreCopy, StoreFault, TargetFault,
+    send,
 };
 
 /// Interval between two requests.
@@ -29,6 +30,15 @@
 /// Percentage of the requests after the recovery that must be served. The platform requires only a
 /// quarter of what was served before. Once all faults have ended, nearly all must be served.
 const MIN_SERVED_PERCENT: usize = 97;
+/// Number of copies of the store that are kept; one of them is restored.
+const MAX_COPIES: usize = 6;
+/// Limit that a target states after the recovery, in requests a second.
+const FINAL_LIMIT: f64 = 2.0;
+/// Time for which requests are sent while a target states the limit.
+const LIMIT_TIME: Duration = Duration::from_secs(9);
+/// Time after which the limit must be kept to.
+const LIMIT_START: Duration = Duration::from_secs(3);
+const ZONES: [&str; 3] = ["a", "b", "c"];
 const TARGET_FAULTS: [TargetFault; 9] = [
     TargetFault::Shed,
     TargetFault::Error,
@@ -61,6 +71,7 @@
     PausedInstance(usize),
     StoppedInstance(usize),
     Zone(&'static str),
+    LimitedTarget(usize),
 }
 
 /// Results of a soak test.
@@ -92,6 +103,8 @@
         rig: FleetRig::start(binary, spec).await?,
         rng: StdRng::seed_from_u64(seed),
         active_faults: Vec::new(),
+        copies: Vec::new(),
+        routes: Vec::new(),
         report: SoakReport::default(),
         start: Instant::now(),
     };
@@ -105,6 +118,10 @@
     rng: StdRng,
     /// Faults in progress, each with the time at which it ends.
     active_faults: Vec<(Instant, ActiveFault)>,
+    /// Copies of the store, oldest first.
+    copies: Vec<StoreCopy>,
+    /// Routes that the operator has added.
+    routes: Vec<serde_json::Value>,
     report: SoakReport,
     start: Instant,
 }
@@ -146,13 +163,17 @@
         let fault_ms = self.rng.random_range(200..MAX_FAULT_MS);
         let until = Instant::now() + Duration::from_millis(fault_ms);
         let at_ms = self.start.elapsed().as_millis();
-        let (name, active_fault) = match self.rng.random_range(0..7) {
+        self.copies.push(self.rig.store.copy());
+        if self.copies.len() > MAX_COPIES {
+            self.copies.remove(0);
+        }
+        let (name, active_fault) = match self.rng.random_range(0..10) {
             0 => {
                 let fault = *STORE_FAULTS
                     .choose(&mut self.rng)
                     .unwrap_or(&StoreFault::Silent);
                 self.rig.store.set_fault(fault);
-                (format!("store {fault:?}"), ActiveFault::Store)
+                (format!("store {fault:?}"), Some(ActiveFault::Store))
             }
             1 | 2 => {
                 let index = self.rng.random_range(0..self.rig.targets.len());
@@ -162,7 +183,7 @@
                 self.rig.targets[index].set_fault(fault);
                 (
                     format!("target {index} {fault:?}"),
-                    ActiveFault::Target(index),
+                    Some(ActiveFault::Target(index)),
                 )
             }
             3 => {
@@ -171,14 +192,17 @@
                     .choose(&mut self.rng)
                     .unwrap_or(&ProxyMode::Reset);
                 self.rig.targets[index].proxy.set_mode(mode);
-                (format!("proxy {index} {mode:?}"), ActiveFault::Proxy(index))
+                (
+                    format!("proxy {index} {mode:?}"),
+                    Some(ActiveFault::Proxy(index)),
+                )
             }
             4 => {
                 let index = self.rng.random_range(0..self.rig.instances.len());
                 self.signal(index, "STOP");
                 (
                     format!("instance {index} paused"),
-                    ActiveFault::PausedInstance(index),
+                    Some(ActiveFault::PausedInstance(index)),
                 )
             }
             5 => {
@@ -191,21 +215,67 @@
                 self.signal(index, signal);
                 (
                     format!("instance {index} {signal}"),
-                    ActiveFault::StoppedInstance(index),
+                    Some(ActiveFault::StoppedInstance(index)),
+                )
+            }
+            6 => {
+                self.add_route();
+                (String::from("route added"), None)
+            }
+            7 => {
+                self.restore_store();
+                (String::from("store restored"), None)
+            }
+            8 => {
+                let index = self.rng.random_range(0..self.rig.targets.len());
+                let limit = *["0", "0.7", "3.5", "x"]
+                    .choose(&mut self.rng)
+                    .unwrap_or(&"0");
+                self.rig.targets[index].set_limit(Some(limit));
+                (
+                    format!("target {index} limit {limit}"),
+                    Some(ActiveFault::LimitedTarget(index)),
                 )
             }
             _ => {
-                let zone = *["a", "b", "c"].choose(&mut self.rng).unwrap_or(&"a");
+                let zone = *ZONES.choose(&mut self.rng).unwrap_or(&"a");
                 self.rig
                     .store
                     .put("keyed.op", &format!("evacuate/{zone}"), "{}");
-                (format!("zone {zone} out"), ActiveFault::Zone(zone))
+                (format!("zone {zone} out"), Some(ActiveFault::Zone(zone)))
             }
         };
         self.report
             .faults
             .push(format!("{at_ms} {name} for {fault_ms} ms"));
-        self.active_faults.push((until, active_fault));
+        self.active_faults
+            .extend(active_fault.map(|fault| (until, fault)));
+    }
+
+    /// Publishes a configuration with one more route.
+    fn add_route(&mut self) {
+        let name = format!("added-{}", self.routes.len());
+        self.routes.push(serde_json::json!({
+            "name": name, "host": "shop.example", "path_prefix": format!("/{name}/"),
+            "kind": "idempotent", "timeout_s": 1, "service": "orders", "attempts": 2,
+        }));
+        self.rig.publish(&self.routes);
+    }
+
+    /// Makes the store come back from an earlier copy. The operator writes again what it holds.
+    fn restore_store(&mut self) {
+        if let Some(copy) = self.copies.choose(&mut self.rng) {
+            self.rig.store.restore(copy.clone());
+        }
+        self.copies.clear();
+        self.rig.republish();
+        for zone in ZONES {
+            let is_out = |fault: &ActiveFault| matches!(fault, ActiveFault::Zone(z) if *z == zone);
+            let is_out = self.active_faults.iter().any(|(_, fault)| is_out(fault));
+            let value = if is_out { "{}" } else { "" };
+            let key = format!("evacuate/{zone}");
+            self.rig.store.put("keyed.op", &key, value);
+        }
     }
 
     fn end_faults(&mut self, now: Instant) {
@@ -224,6 +294,7 @@
             ActiveFault::Target(index) => self.rig.targets[index].set_fault(TargetFault::None),
             ActiveFault::Proxy(index) => self.rig.targets[index].proxy.set_mode(ProxyMode::Pass),
             ActiveFault::PausedInstance(index) => self.signal(index, "CONT"),
+            ActiveFault::LimitedTarget(index) => self.rig.targets[index].set_limit(None),
             ActiveFault::Zone(zone) => {
                 self.rig
                     .store
@@ -305,5 +376,41 @@
             let description = format!("{served} of {FINAL_REQUESTS} served after the last fault");
             self.report.violations.push(description);
         }
+        self.check_routes().await;
+        self.check_limit().await;
+    }
+
+    /// Checks that all instances serve the route that was added last.
+    async fn check_routes(&mut self) {
+        let Some(route) = self.routes.last() else {
+            return;
+        };
+        let prefix = route["path_prefix"].as_str().unwrap_or_default();
+        for instance in &self.rig.instances {
+            let mut request = self.rig.request(false);
+            request.path = format!("{prefix}1");
+            let status = send(instance.caller_addr(), &request).await.status();
+            if status == 404 {
+                let description = format!("{}: no route {prefix}", instance.ip);
+                self.report.violations.push(description);
+            }
+        }
+    }
+
+    /// Checks that the instances together keep to a limit that a target states.
+    async fn check_limit(&mut self) {
+        self.rig.targets[0].set_limit(Some(&FINAL_LIMIT.to_string()));
+        let start = Instant::now();
+        let count = LIMIT_TIME.as_millis() / REQUEST_INTERVAL.as_millis();
+        let count = usize::try_from(count).unwrap_or(usize::MAX);
+        self.rig.send_many(count, REQUEST_INTERVAL).await;
+        let arrivals = self.rig.targets[0].arrivals().into_iter();
+        let late = arrivals.filter(|at| *at >= start + LIMIT_START).count();
+        let seconds = start.elapsed().saturating_sub(LIMIT_START).as_secs_f64();
+        let allowed = 1.5 * FINAL_LIMIT * seconds + 5.0;
+        if late as f64 > allowed {
+            let description = format!("{late} requests in {seconds:.1} s, limit {FINAL_LIMIT}");
+            self.report.violations.push(description);
+        }
     }
 }
