Requests without an outcome count in the evidence of a rollout

Cause: the test compares outcomes, and many failures are answered sooner than successes, so that the first outcomes of a stage are no fair sample.

Change: each instance counts its requests to the new version that wait for a response; they travel with the evidence and count as good in the current stage, on their route and over all. When they fail, they count as failures then.

--- a/crates/balance/src/evidence.rs
+++ b/crates/balance/src/evidence.rs
@@ -56,6 +56,8 @@
     pub new: BTreeMap<(u8, u64), Tally>,
     /// Outcomes of the old version over all stages and routes.
     pub old: Tally,
+    /// Requests to the new version without an outcome yet, by hash of the route's name.
+    pub pending: BTreeMap<u64, u32>,
 }
 
 impl Evidence {
@@ -72,12 +74,27 @@
         });
     }
 
+    /// Records that a request was sent to the new version.
+    pub fn begin_pending(&mut self, route: u64) {
+        *self.pending.entry(route).or_default() += 1;
+    }
+
+    /// Records that a request to the new version has ended.
+    pub fn end_pending(&mut self, route: u64) {
+        if let Some(count) = self.pending.get_mut(&route) {
+            *count = count.saturating_sub(1);
+        }
+    }
+
     /// Adds the outcomes that another instance recorded.
     pub fn merge(&mut self, other: &Self) {
         for (key, tally) in &other.new {
             self.new.entry(*key).or_default().add(*tally);
         }
         self.old.add(other.old);
+        for (route, count) in &other.pending {
+            *self.pending.entry(*route).or_default() += count;
+        }
     }
 
     /// Returns the outcomes of the new version in one stage over all routes.
@@ -93,15 +110,22 @@
     }
 
     /// Returns whether the new version is bad in any stage, on a single route or over all routes.
+    /// Pending requests count as good in the last stage: many failures are answered sooner than
+    /// successes, so that the first outcomes of a stage are no fair sample.
     #[must_use]
     pub fn is_bad(&self) -> bool {
         let usual_rate = (2.0 * self.old.bad_rate()).clamp(MIN_USUAL_RATE, MAX_USUAL_RATE);
+        let last_stage = self.new.keys().map(|(stage, _)| *stage).max();
         let mut stages: BTreeMap<u8, Tally> = BTreeMap::new();
-        for ((stage, _), tally) in &self.new {
-            if fails_more(*tally, usual_rate) {
+        for ((stage, route), tally) in &self.new {
+            let mut tally = *tally;
+            if Some(*stage) == last_stage {
+                tally.good += self.pending.get(route).copied().unwrap_or_default();
+            }
+            if fails_more(tally, usual_rate) {
                 return true;
             }
-            stages.entry(*stage).or_default().add(*tally);
+            stages.entry(*stage).or_default().add(tally);
         }
         stages.values().any(|tally| fails_more(*tally, usual_rate))
     }
--- a/crates/balance/src/evidence/tests.rs
+++ b/crates/balance/src/evidence/tests.rs
@@ -16,6 +16,7 @@
             good: old.0,
             bad: old.1,
         },
+        pending: BTreeMap::new(),
     }
 }
 
@@ -67,3 +68,51 @@
         "{false_alarms} of 1,000 good versions found bad, expected at most 10"
     );
 }
+
+/// Returns how many of 1,000 versions are found to be bad within 2 s. They fail this part of 600
+/// requests a second, after 10 ms; the other responses take 120 ms.
+fn found_bad(failing: f64) -> (u32, u32) {
+    let mut rng = StdRng::seed_from_u64(11);
+    let (mut found, mut slowest_ms) = (0, 0);
+    for _ in 0..1_000 {
+        let mut evidence = evidence(&[], (500, 5));
+        let mut ends: Vec<(u32, bool)> = Vec::new();
+        let is_found_at = |evidence: &mut Evidence, ends: &mut Vec<(u32, bool)>, ms: u32| {
+            ends.retain(|(end, is_good)| {
+                if *end > ms {
+                    return true;
+                }
+                evidence.end_pending(0);
+                evidence.record(true, 4, 0, *is_good);
+                false
+            });
+            evidence.is_bad()
+        };
+        for ms in 0..2_000 {
+            if rng.random::<f64>() < 0.6 {
+                let is_good = rng.random::<f64>() >= failing;
+                evidence.begin_pending(0);
+                ends.push((ms + if is_good { 120 } else { 10 }, is_good));
+            }
+            if is_found_at(&mut evidence, &mut ends, ms) {
+                found += 1;
+                slowest_ms = slowest_ms.max(ms);
+                break;
+            }
+        }
+    }
+    (found, slowest_ms)
+}
+
+/// Guards against good versions that are rolled back at the start of a stage, because failures are
+/// answered sooner than successes, and against bad versions that are found late for the same reason.
+#[test]
+fn is_bad_counts_pending_requests() {
+    let (found, _) = found_bad(0.02);
+    assert!(found <= 10, "{found} of 1,000 good versions found bad");
+    let (found, slowest_ms) = found_bad(0.5);
+    assert!(
+        found == 1_000 && slowest_ms < 500,
+        "{found}, {slowest_ms} ms"
+    );
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use balance::Route;
 use futures::{FutureExt, future::LocalBoxFuture};
 use h1::{Request, write_headers};
 use model::{ServiceName, TargetId, Time};
@@ -10,6 +11,7 @@
 use crate::{
     entries_wait::await_recent_entries,
     exchange::{EncodedRequest, SendResult, exchange},
+    pending_outcome::PendingOutcome,
     selection::{SelectedTarget, is_target_eligible},
     send_limits::SendLimits,
     state::State,
@@ -22,6 +24,7 @@
     /// Time at which the attempt started.
     pub started: Time,
     future: LocalBoxFuture<'static, SendResult>,
+    _pending: Option<PendingOutcome>,
 }
 
 impl Attempt {
@@ -29,6 +32,7 @@
     pub fn start(
         state: &Rc<State>,
         service: &ServiceName,
+        route: &Route,
         request: &Request,
         selected: SelectedTarget,
         deadline: Time,
@@ -36,6 +40,7 @@
         let started = state.now();
         let bytes = encode(request, &selected, deadline.since_us(started) / 1_000);
         let guard = InFlightGuard::start(state, &selected, service);
+        let pending = PendingOutcome::begin(state, service, route, &selected);
         let state = Rc::clone(state);
         let method = request.method.clone();
         let id = request
@@ -60,6 +65,7 @@
             selected,
             started,
             future: future.boxed_local(),
+            _pending: pending,
         }
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -190,6 +190,7 @@
         Attempt::start(
             self.state,
             self.service,
+            self.route,
             self.request,
             selected,
             self.deadline,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod orders_apply;
 mod outcome;
 mod peers;
+mod pending_outcome;
 mod phase;
 mod pool;
 mod probe;
--- a/crates/gateway/src/outcome.rs
+++ b/crates/gateway/src/outcome.rs
@@ -6,7 +6,7 @@
 use platform::{cold_ms, load_report};
 use tracing::warn;
 
-use crate::{selection::SelectedTarget, state::State};
+use crate::{pending_outcome::route_key, selection::SelectedTarget, state::State};
 
 /// Multiple of the expected latency from which a response counts as slow. A noisy neighbour that
 /// starts after the selection makes a target up to 4 times slower, but rarely for a whole request.
@@ -80,10 +80,12 @@
         return;
     }
     let stage_number = rollout.stage.0;
-    let route_key = model::rendezvous(&route.name, "");
-    rollout
-        .own_evidence
-        .record(selected.new_version, stage_number, route_key, is_good);
+    rollout.own_evidence.record(
+        selected.new_version,
+        stage_number,
+        route_key(route),
+        is_good,
+    );
     if rollout.stop_if_bad() {
         warn!(event = "rollout_stopped", service = %service, version = %rollout.order.version,
             stage = stage_number, evidence = ?rollout.evidence().new);
