Overdue requests do not count as pending in the evidence of a rollout

Now an attempt that takes longer than expected (the delay of a hedge) does not count any more.

Tried and dropped: only the first failure of a request counts, because its attempts are not independent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,7 +24,7 @@
     /// Time at which the attempt started.
     pub started: Time,
     future: LocalBoxFuture<'static, SendResult>,
-    _pending: Option<PendingOutcome>,
+    pending: Option<PendingOutcome>,
 }
 
 impl Attempt {
@@ -65,10 +65,16 @@
             selected,
             started,
             future: future.boxed_local(),
-            _pending: pending,
+            pending,
         }
     }
 
+    /// Records that the response takes longer than expected, so that the attempt no longer counts as
+    /// good in the evidence of a rollout.
+    pub fn record_overdue(&mut self) {
+        self.pending = None;
+    }
+
     /// Returns the pending result. It must not be awaited again after it completed.
     pub fn result(&mut self) -> &mut LocalBoxFuture<'static, SendResult> {
         &mut self.future
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -90,14 +90,15 @@
     async fn send_with_hedge(&mut self, selected: SelectedTarget) -> (Attempt, SendResult) {
         let hedge_delay_ms = self.hedge_delay_ms(&selected);
         let mut first = self.start_attempt(selected);
-        if !self.route.idempotent {
-            let result = first.result().await;
-            return (first, result);
-        }
         let hedge_delay = Duration::from_secs_f64(hedge_delay_ms / 1_000.0);
         if let Ok(result) = timeout(hedge_delay, first.result()).await {
             return (first, result);
         }
+        first.record_overdue();
+        if !self.route.idempotent {
+            let result = first.result().await;
+            return (first, result);
+        }
         let Some(second) = self.select_hedge().await else {
             let result = first.result().await;
             return (first, result);
