Verdicts are recorded for the position of an order in the current era

The operator would have read a verdict that changes. Cause: the instance with the duty recorded the verdict again before it had listed the orders of the new era; and a verdict on an order of an earlier era was taken for one on another order.

Change: verdicts wait until the order's position is of the current era; an instance takes a verdict on an order of the same version from an earlier era for one on its order.

Measured: verdict_on_earlier_position_counts_for_new_instance and verdict_waits_for_position_in_era fail before.

--- a/crates/gateway/src/orders_apply.rs
+++ b/crates/gateway/src/orders_apply.rs
@@ -139,8 +139,12 @@
     let Some(rollout) = rollouts.get_mut(&recorded.service) else {
         return;
     };
-    let position = recorded.order.unwrap_or(rollout.order.position);
-    if recorded.version != rollout.order.version || !rollout.had_position(position) {
+    let current = rollout.order.position;
+    let position = recorded.order.unwrap_or(current);
+    // An instance that has started since does not know the earlier position of an order that was
+    // written again.
+    let is_same_order = rollout.had_position(position) || position.era < current.era;
+    if recorded.version != rollout.order.version || !is_same_order {
         return;
     }
     rollout.recorded = Some((recorded.verdict, position));
--- a/crates/gateway/src/orders_apply/tests.rs
+++ b/crates/gateway/src/orders_apply/tests.rs
@@ -124,3 +124,35 @@
     apply_orders(&state, &[order(2, 3, "v3")], Source::Read);
     assert_eq!(rollout(&state).1, "v3");
 }
+
+/// Guards against an instance that starts after the store came back from an earlier copy, takes the
+/// verdict for one on another order, and starts the rollout again.
+#[test]
+fn verdict_on_earlier_position_counts_for_new_instance() {
+    let state = state(1_000.0);
+    record_era(&state, 2, "test");
+    apply_orders(&state, &[order(2, 4, "v2")], Source::Listing);
+    let recorded = |era| RecordedVerdict {
+        service: ServiceName::new("s"),
+        version: Version::new("v2"),
+        order: Some(Position { era, offset: 1 }),
+        verdict: Verdict::Undone,
+    };
+    apply_verdict(&state, &recorded(2), "store");
+    assert_eq!(rollout(&state).2, Verdict::Running, "an earlier order");
+    apply_verdict(&state, &recorded(1), "store");
+    assert_eq!(rollout(&state).2, Verdict::Undone);
+}
+
+/// Guards against a verdict that is recorded for the position of an order from before the store came
+/// back, so that instances that start then do not recognise it.
+#[test]
+fn verdict_waits_for_position_in_era() {
+    let state = restored(&[order(1, 7, "v2")]);
+    set_verdict(&state, Verdict::Done);
+    assert!(crate::rollouts::advance_rollouts(&state).is_empty());
+    apply_orders(&state, &[order(2, 4, "v2")], Source::Read);
+    let verdicts = crate::rollouts::advance_rollouts(&state);
+    let recorded: Vec<_> = verdicts.iter().map(|(o, v)| (o.position, *v)).collect();
+    assert_eq!(recorded, [(Position { era: 2, offset: 4 }, Verdict::Done)]);
+}
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -29,7 +29,7 @@
 }
 
 /// Advances the rollouts of this instance. Returns the verdicts to record.
-fn advance_rollouts(state: &State) -> Vec<(RolloutOrder, Verdict)> {
+pub fn advance_rollouts(state: &State) -> Vec<(RolloutOrder, Verdict)> {
     let now = state.now();
     let live: Vec<(InstanceId, u64)> = state
         .members
@@ -42,15 +42,19 @@
         if !state.has_duty(&duty_name(rollout)) {
             continue;
         }
+        // Other instances do not know the position of an order from before the store came back.
+        let era = state.store_era.get();
+        let may_record = era.is_none_or(|era| rollout.order.position.era == era);
         // The store may have lost what was recorded.
-        if !rollout.is_recorded(rollout.verdict) {
+        if may_record && !rollout.is_recorded(rollout.verdict) {
             verdicts.push((rollout.order.clone(), rollout.verdict));
         }
         if rollout.verdict != Verdict::Running {
             continue;
         }
         let old_stage = rollout.stage;
-        if let Some(verdict) = rollout.advance(now, has_warm_targets(state, rollout), &live) {
+        let verdict = rollout.advance(now, has_warm_targets(state, rollout), &live);
+        if let Some(verdict) = verdict.filter(|_| may_record) {
             verdicts.push((rollout.order.clone(), verdict));
         }
         if rollout.stage != old_stage {
