Only the store's own responses make the era of the store rise

Found by reading: a heartbeat or an update with a later era was believed, so that one instance with a wrong era, or one of another release, would have cut all others off from the store for good, since they take what it states for an earlier era. And a configuration that a peer has but cannot pass on would have ended the pending read of the operator's records with each of its heartbeats.

Change: a later era of a peer makes an instance ask the store at once, every 0.5 s at most and not while reads fail; a newer configuration is fetched from a peer once a second at most.

--- a/crates/gateway/src/entries_apply.rs
+++ b/crates/gateway/src/entries_apply.rs
@@ -8,7 +8,7 @@
 use platform::{Change, Listing};
 use tracing::{debug, info, warn};
 
-use crate::{entries_update::EntriesUpdate, state::State, store_era::record_era};
+use crate::{entries_update::EntriesUpdate, state::State, store_era::check_peer_era};
 
 /// Age of the entries from which failed reads count as an outage of the store, in microseconds.
 /// Targets renew their entries every 1.5 s, and an entry lapses after three missed renewals.
@@ -55,8 +55,9 @@
 /// Applies an update that the reader `peer` sent, which was current at `as_of`.
 pub fn apply_update(state: &State, peer: SocketAddr, update: EntriesUpdate, as_of: Time) {
     let era = update.era;
-    if state.store_era.get().is_some() {
-        record_era(state, era, &peer.to_string());
+    if era > state.entries.borrow().era() {
+        check_peer_era(state, era);
+        return;
     }
     let Some(known) = state.entries_next() else {
         return;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,7 +24,7 @@
     operator_records::PeerAhead,
     phase::Phase,
     state::State,
-    store_era::record_era,
+    store_era::check_peer_era,
     target_limits::{apply_limit_reports, take_limit_reports},
 };
 
@@ -37,6 +37,9 @@
 const MIN_FRESH_MS: u64 = 2_500;
 /// Time for which a peer's report of up-to-date entries is valid, in microseconds: two heartbeats.
 const CONFIRMED_US: u64 = 2_000_000;
+/// Time between two attempts to fetch a configuration from a peer, in microseconds. Each one ends the
+/// pending read of the operator's records.
+const CONFIG_RETRY_US: u64 = 1_000_000;
 /// Largest datagram that UDP allows, in bytes.
 const MAX_DATAGRAM: usize = 65_535;
 /// Datagrams in a row after which other tasks get their turn.
@@ -260,14 +263,9 @@
     on_peer_ahead: &impl Fn(PeerAhead),
 ) -> bool {
     let now = state.now();
-    if state.store_era.get().is_some() {
-        let era = heartbeat.operator_next.era.max(heartbeat.entries_era);
-        record_era(state, era, heartbeat.name.as_str());
-    }
-    let newest = state.peer_config.get().max(heartbeat.config_version);
-    state.peer_config.set(newest);
+    check_peer_era(state, heartbeat.entries_era);
     let has_records = heartbeat.operator_next > state.operator_next.get();
-    if has_records || heartbeat.config_version > state.config_version() {
+    if has_records || wants_config(state, heartbeat.config_version) {
         on_peer_ahead(PeerAhead {
             addr: from.into(),
             has_records,
@@ -326,6 +324,20 @@
     is_new
 }
 
+/// Whether a peer's configuration, of this version, is to be fetched: it is newer than the one here,
+/// and none was fetched a moment ago, which may have failed.
+fn wants_config(state: &State, version: u64) -> bool {
+    let newest = state.peer_config.get().max(version);
+    state.peer_config.set(newest);
+    let now = state.now();
+    let is_due = |at| now.since_us(at) >= CONFIG_RETRY_US;
+    let wants = version > state.config_version() && state.config_asked.get().is_none_or(is_due);
+    if wants {
+        state.config_asked.set(Some(now));
+    }
+    wants
+}
+
 /// Records the sender of a heartbeat as a member. Returns whether it was not known before.
 fn record_member(state: &State, heartbeat: &Heartbeat, from: SocketAddrV4, now: Time) -> bool {
     let presence = heartbeat.presence();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -70,8 +70,12 @@
     pub operator_next: Cell<Position>,
     /// Newest version of a configuration that is in force at any other instance.
     pub peer_config: Cell<u64>,
+    /// When a configuration was last fetched from a peer.
+    pub config_asked: Cell<Option<Time>>,
     /// Latest known era of the store; `None` until a response of the store stated one.
     pub store_era: Cell<Option<u64>>,
+    /// When the store was last asked because of the era of a peer's entries.
+    pub era_checked: Cell<Option<Time>>,
     /// When the era was found to have risen, until all orders were listed again after that.
     pub era_since: Cell<Option<Time>>,
     /// Records of the operator that were read before.
@@ -137,7 +141,9 @@
             operator_read: Cell::new(Time(0)),
             operator_next: Cell::default(),
             peer_config: Cell::new(0),
+            config_asked: Cell::new(None),
             store_era: Cell::new(None),
+            era_checked: Cell::new(None),
             era_since: Cell::new(None),
             known_orders: RefCell::default(),
             entries_as_of: Cell::new(None),
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -10,8 +10,11 @@
 /// microseconds. Until then, what is missing from the store is no evidence that it has ended.
 pub const REWRITE_US: u64 = 5_000_000;
 
-/// Records the era that `source` names: a call to the store, or another instance. If it is later
-/// than the known one, everything that is known by offsets is read anew.
+/// Shortest time between two reads because of the era of a peer's entries, in microseconds.
+const CHECK_INTERVAL_US: u64 = 500_000;
+
+/// Records the era that a response of the store to the reader `source` states. If it is later than
+/// the known one, everything that is known by offsets is read anew.
 pub fn record_era(state: &State, era: u64, source: &str) {
     let known = state.store_era.get();
     if known.is_some_and(|known| era <= known) {
@@ -37,6 +40,20 @@
     state.request_entries();
 }
 
+/// Asks the store at once whether it has come back from an earlier copy, if a peer's entries are of
+/// a later era. While reads fail, the usual pauses between them hold.
+pub fn check_peer_era(state: &State, era: u64) {
+    let now = state.now();
+    let is_due = |at| now.since_us(at) >= CHECK_INTERVAL_US;
+    if era > state.entries.borrow().era()
+        && !state.entries_failed.get()
+        && state.era_checked.get().is_none_or(is_due)
+    {
+        state.era_checked.set(Some(now));
+        state.request_entries();
+    }
+}
+
 /// Records the era of a call that failed because of it.
 pub fn record_failed_era(state: &State, error: &PlatformError, source: &str) {
     if let PlatformError::OtherEra { era, .. } = error {
