A route on which the old version fails as well does not decide a rollout

Cause: outcomes of the new version were compared route by route with a failure rate of the old version over all routes.

--- a/crates/balance/src/evidence.rs
+++ b/crates/balance/src/evidence.rs
@@ -25,6 +25,8 @@
 /// Log likelihood ratio from which a version is bad. At this value, 1 of 400 tests finds a good
 /// version to be bad.
 const BAD_LOG_RATIO: f64 = 6.0;
+/// Failures of the old version on a route needed to leave the route out of the comparison.
+const MIN_BAD_ANYWAY: u32 = 2;
 /// Failures needed to find any version to be bad.
 const MIN_BAD: u32 = 4;
 
@@ -56,6 +58,9 @@
     pub new: BTreeMap<(u8, u64), Tally>,
     /// Outcomes of the old version over all stages and routes.
     pub old: Tally,
+    /// Outcomes of the old version on routes on which it has failed, from the first failure on, by
+    /// hash of the route's name.
+    pub old_failing: BTreeMap<u64, Tally>,
     /// Requests to the new version without an outcome yet, by hash of the route's name.
     pub pending: BTreeMap<u64, u32>,
 }
@@ -63,15 +68,18 @@
 impl Evidence {
     /// Records the outcome of one request. `route` is a hash of the route's name.
     pub fn record(&mut self, is_new: bool, stage: u8, route: u64, is_good: bool) {
-        let tally = if is_new {
-            self.new.entry((stage, route)).or_default()
-        } else {
-            &mut self.old
-        };
-        tally.add(Tally {
+        let outcome = Tally {
             good: u32::from(is_good),
             bad: u32::from(!is_good),
-        });
+        };
+        if is_new {
+            self.new.entry((stage, route)).or_default().add(outcome);
+            return;
+        }
+        self.old.add(outcome);
+        if !is_good || self.old_failing.contains_key(&route) {
+            self.old_failing.entry(route).or_default().add(outcome);
+        }
     }
 
     /// Records that a request was sent to the new version.
@@ -92,6 +100,9 @@
             self.new.entry(*key).or_default().add(*tally);
         }
         self.old.add(other.old);
+        for (route, tally) in &other.old_failing {
+            self.old_failing.entry(*route).or_default().add(*tally);
+        }
         for (route, count) in &other.pending {
             *self.pending.entry(*route).or_default() += count;
         }
@@ -117,7 +128,9 @@
         let usual_rate = (2.0 * self.old.bad_rate()).clamp(MIN_USUAL_RATE, MAX_USUAL_RATE);
         let last_stage = self.new.keys().map(|(stage, _)| *stage).max();
         let mut stages: BTreeMap<u8, Tally> = BTreeMap::new();
-        for ((stage, route), tally) in &self.new {
+        let telling = self.new.iter();
+        for ((stage, route), tally) in telling.filter(|((_, route), _)| !self.fails_anyway(*route))
+        {
             let mut tally = *tally;
             if Some(*stage) == last_stage {
                 tally.good += self.pending.get(route).copied().unwrap_or_default();
@@ -129,6 +142,14 @@
         }
         stages.values().any(|tally| fails_more(*tally, usual_rate))
     }
+
+    /// Whether the old version fails so often on a route that the new one cannot be told from it
+    /// there.
+    fn fails_anyway(&self, route: u64) -> bool {
+        self.old_failing
+            .get(&route)
+            .is_some_and(|tally| tally.bad >= MIN_BAD_ANYWAY && tally.bad_rate() >= BAD_RATE)
+    }
 }
 
 /// Returns whether a tally is significantly worse than `usual_rate`: frequent failures among few
--- a/crates/balance/src/evidence/tests.rs
+++ b/crates/balance/src/evidence/tests.rs
@@ -16,6 +16,7 @@
             good: old.0,
             bad: old.1,
         },
+        old_failing: BTreeMap::new(),
         pending: BTreeMap::new(),
     }
 }
@@ -116,3 +117,29 @@
         "{found}, {slowest_ms} ms"
     );
 }
+
+/// Guards against good versions that are rolled back because of a route whose requests fail at the old
+/// version as well, such as ones that always last longer than the route's time limit.
+#[test]
+fn is_bad_not_on_route_that_fails_at_old_version() {
+    let record_failures = |evidence: &mut Evidence, is_new: bool, count: u32| {
+        for _ in 0..count {
+            evidence.record(is_new, 4, 1, false);
+        }
+    };
+    let mut both = evidence(&[(4, 0, 90, 0)], (600, 2));
+    record_failures(&mut both, false, 3);
+    record_failures(&mut both, true, 20);
+    assert!(!both.is_bad());
+    let mut new_only = evidence(&[(4, 0, 90, 0)], (600, 2));
+    record_failures(&mut new_only, true, 5);
+    assert!(new_only.is_bad());
+    let mut other = evidence(&[], (0, 0));
+    record_failures(&mut other, false, 3);
+    new_only.merge(&other);
+    assert!(!new_only.is_bad(), "another instance has seen it");
+    for _ in 0..30 {
+        both.record(true, 4, 0, false);
+    }
+    assert!(both.is_bad(), "it fails on another route");
+}
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -15,7 +15,7 @@
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 10;
+const FORMAT: u8 = 11;
 
 /// Report of an instance to its peers. The order and the types of the fields are the wire format.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
