--- a/crates/node/tests/gateway_soak.rs
+++ b/crates/node/tests/gateway_soak.rs
@@ -4,7 +4,7 @@
 use std::{path::Path, time::Duration};
 
 use async_std::task;
-use testkit::fleet::soak;
+use testkit::fleet::{SMALL_SOAK, soak};
 
 /// Time for which one run injects faults.
 const FAULT_DURATION: Duration = Duration::from_secs(5);
@@ -13,7 +13,7 @@
 /// requests are served.
 fn check_seed(seed: u64) {
     let binary = Path::new(env!("CARGO_BIN_EXE_hibiscusway"));
-    let report = task::block_on(soak(binary, seed, FAULT_DURATION)).unwrap();
+    let report = task::block_on(soak(binary, SMALL_SOAK, seed, FAULT_DURATION)).unwrap();
     assert!(report.violations.is_empty(), "seed {seed}: {report:#?}");
     assert!(
         report.served * 2 > report.requests,
--- a/crates/testkit/examples/soak.rs
+++ b/crates/testkit/examples/soak.rs
@@ -4,7 +4,10 @@
 
 use argh::FromArgs;
 use async_std::task;
-use testkit::{built_binary, fleet::soak};
+use testkit::{
+    built_binary,
+    fleet::{RigSpec, SMALL_SOAK, soak},
+};
 
 /// Plays random faults on gateway processes and checks what callers and targets see. Exit status 1 if a
 /// promise was broken.
@@ -22,6 +25,14 @@
     #[argh(option, default = "8")]
     seconds: u64,
 
+    /// number of instances, 1 to 200, default 5
+    #[argh(option, default = "SMALL_SOAK.instances")]
+    instances: usize,
+
+    /// number of targets, 1 to 200, default 8
+    #[argh(option, default = "SMALL_SOAK.targets")]
+    targets: usize,
+
     /// binary of the gateway. Default: the one built beside this example
     #[argh(option)]
     binary: Option<PathBuf>,
@@ -37,10 +48,21 @@
         eprintln!("--seconds {}: allowed is 1 to 3600", args.seconds);
         return ExitCode::from(2);
     }
+    for (name, count) in [("instances", args.instances), ("targets", args.targets)] {
+        if !(1..=200).contains(&count) {
+            eprintln!("--{name} {count}: allowed is 1 to 200");
+            return ExitCode::from(2);
+        }
+    }
+    let spec = RigSpec {
+        instances: args.instances,
+        targets: args.targets,
+        ..SMALL_SOAK
+    };
     let mut failed = 0;
     for seed in args.seed..args.seed.saturating_add(args.seeds) {
         let length = Duration::from_secs(args.seconds);
-        match task::block_on(soak(&binary, seed, length)) {
+        match task::block_on(soak(&binary, spec, seed, length)) {
             Ok(report) => {
                 let (served, requests) = (report.served, report.requests);
                 println!(
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -16,7 +16,7 @@
     gateway::GatewayProcess,
     proxy::{FleetProxy, ProxyMode},
     rig::{FleetRig, RigSpec},
-    soak::{SoakReport, soak},
+    soak::{SMALL_SOAK, SoakReport, soak},
     store::{FleetStore, StoreCopy, StoreFault},
     target::{FleetTarget, TargetFault, TargetSpec},
 };
--- a/crates/testkit/src/fleet/soak.rs
+++ b/crates/testkit/src/fleet/soak.rs
@@ -63,6 +63,13 @@
     StoreFault::LoseAnswers,
 ];
 
+/// Size of a deployment for short runs.
+pub const SMALL_SOAK: RigSpec = RigSpec {
+    instances: 5,
+    targets: 8,
+    processing_ms: 25,
+};
+
 /// A fault in progress, with the index or name of what it affects.
 enum ActiveFault {
     Store,
@@ -93,12 +100,12 @@
 /// # Errors
 ///
 /// Returns an error if the deployment cannot be started.
-pub async fn soak(binary: &Path, seed: u64, duration: Duration) -> io::Result<SoakReport> {
-    let spec = RigSpec {
-        instances: 5,
-        targets: 8,
-        processing_ms: 25,
-    };
+pub async fn soak(
+    binary: &Path,
+    spec: RigSpec,
+    seed: u64,
+    duration: Duration,
+) -> io::Result<SoakReport> {
     let mut soak = Soak {
         rig: FleetRig::start(binary, spec).await?,
         rng: StdRng::seed_from_u64(seed),
