--- a/crates/balance/src/evidence.rs
+++ b/crates/balance/src/evidence.rs
@@ -26,7 +26,7 @@
 /// version to be bad.
 const BAD_LOG_RATIO: f64 = 6.0;
 /// Failures of the old version on a route needed to leave the route out of the comparison.
-const MIN_BAD_ANYWAY: u32 = 2;
+const MIN_BAD_OLD: u32 = 2;
 /// Failures needed to find any version to be bad.
 const MIN_BAD: u32 = 4;
 
@@ -128,9 +128,10 @@
         let usual_rate = (2.0 * self.old.bad_rate()).clamp(MIN_USUAL_RATE, MAX_USUAL_RATE);
         let last_stage = self.new.keys().map(|(stage, _)| *stage).max();
         let mut stages: BTreeMap<u8, Tally> = BTreeMap::new();
-        let telling = self.new.iter();
-        for ((stage, route), tally) in telling.filter(|((_, route), _)| !self.fails_anyway(*route))
-        {
+        for ((stage, route), tally) in &self.new {
+            if self.fails_at_old_version(*route) {
+                continue;
+            }
             let mut tally = *tally;
             if Some(*stage) == last_stage {
                 tally.good += self.pending.get(route).copied().unwrap_or_default();
@@ -145,10 +146,10 @@
 
     /// Whether the old version fails so often on a route that the new one cannot be told from it
     /// there.
-    fn fails_anyway(&self, route: u64) -> bool {
+    fn fails_at_old_version(&self, route: u64) -> bool {
         self.old_failing
             .get(&route)
-            .is_some_and(|tally| tally.bad >= MIN_BAD_ANYWAY && tally.bad_rate() >= BAD_RATE)
+            .is_some_and(|tally| tally.bad >= MIN_BAD_OLD && tally.bad_rate() >= BAD_RATE)
     }
 }
 
--- a/crates/balance/src/send_limiter.rs
+++ b/crates/balance/src/send_limiter.rs
@@ -26,10 +26,11 @@
 /// Longest time between two requests, in microseconds.
 const MAX_INTERVAL_US: f64 = 60_000_000.0;
 
-/// Limits the requests of this instance to one target.
+/// Limits the requests of this instance to one target. It has a turn each time that its share of the
+/// rate allows one more request.
 #[derive(Clone, Debug, Default)]
 pub struct SendLimiter {
-    /// Earliest time of the next request.
+    /// Time of the next turn.
     next: Time,
     /// Time for which the next turn is reserved for each rank of urgency, in microseconds.
     reserved_us: u64,
