Tests of pending reads hold the store's answer back

Change: the stand-in holds its answers back until the test lets them go; the test fails if the read ends before. Four tests had the same pattern.

--- a/crates/gateway/src/entries/tests.rs
+++ b/crates/gateway/src/entries/tests.rs
@@ -1,6 +1,9 @@
 use async_std::task;
 use balance::EntryChange;
-use futures::FutureExt;
+use futures::{
+    FutureExt,
+    future::{Either, select},
+};
 use model::TargetId;
 use testkit::fleet::FleetStore;
 
@@ -40,6 +43,21 @@
     (state, Store::new(fleet.addr))
 }
 
+/// Starts a read and returns it once the store has received it. Its answer is held back.
+async fn start_held<F: Future + Unpin>(fleet: &FleetStore, reading: F) -> F {
+    fleet.set_held(true);
+    let before = fleet.request_count();
+    let received = Box::pin(async {
+        while fleet.request_count() == before {
+            task::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    });
+    match select(reading, received).await {
+        Either::Left(_) => panic!("the read ended although its answer is held back"),
+        Either::Right(((), reading)) => reading,
+    }
+}
+
 /// Guards against targets that leave and still get requests from some instances: a reader learns of
 /// them from the other reader while its own read is pending, and sends an update that covers their
 /// records but does not contain them.
@@ -59,9 +77,9 @@
         assert_eq!(ids(&from_peer), ["i-1", "i-2"]);
 
         register(&fleet, "i-3", "ready");
-        let mut reading = Box::pin(read(&state, &mut store));
-        assert!(reading.as_mut().now_or_never().is_none(), "pending");
+        let reading = start_held(&fleet, Box::pin(read(&state, &mut store))).await;
         apply_update(&state, peer(), from_peer, peer_state.now());
+        fleet.set_held(false);
         reading.await.unwrap();
         let update = update_since(&state, 1);
         assert_eq!((update.from, update.next), (1, 4));
@@ -101,8 +119,7 @@
         read(&state, &mut store).await.unwrap();
         register(&fleet, "i-2", "ready");
         fleet.discard_records("keyed.servers");
-        let mut listing = Box::pin(read(&state, &mut store));
-        assert!(listing.as_mut().now_or_never().is_none(), "pending");
+        let listing = start_held(&fleet, Box::pin(read(&state, &mut store))).await;
         let gone = EntryChange::Gone(TargetId::new("i-1"));
         let newer = EntriesUpdate {
             era: 1,
@@ -110,6 +127,7 @@
             ..update(1, 3, 3)
         };
         apply_update(&state, peer(), newer, state.now());
+        fleet.set_held(false);
         listing.await.unwrap();
         assert_eq!(state.targets.borrow().len(), 0);
         assert_eq!(state.entries_next(), Some(3));
@@ -169,10 +187,10 @@
     task::block_on(async {
         let fleet = FleetStore::start().await.unwrap();
         let (state, mut store) = reader_of(&fleet);
-        let mut reading = Box::pin(read(&state, &mut store));
-        assert!(reading.as_mut().now_or_never().is_none(), "pending");
+        let reading = start_held(&fleet, Box::pin(read(&state, &mut store))).await;
         let asked = state.now();
         task::sleep(Duration::from_millis(20)).await;
+        fleet.set_held(false);
         reading.await.unwrap();
         assert!(state.entries_as_of.get().unwrap() <= asked);
     });
@@ -284,9 +302,9 @@
         let fleet = FleetStore::start().await.unwrap();
         register(&fleet, "i-1", "ready");
         let (state, mut store) = reader_of(&fleet);
-        let mut listing = Box::pin(read(&state, &mut store));
-        assert!(listing.as_mut().now_or_never().is_none(), "pending");
+        let listing = start_held(&fleet, Box::pin(read(&state, &mut store))).await;
         record_era(&state, 2, "test");
+        fleet.set_held(false);
         listing.await.unwrap();
         assert_eq!(
             (state.entries_next(), state.targets.borrow().len()),
--- a/crates/testkit/src/fleet/store.rs
+++ b/crates/testkit/src/fleet/store.rs
@@ -61,6 +61,8 @@
     /// Number of the era, which all responses state. It rises when a copy is restored.
     era: u64,
     fault: StoreFault,
+    /// Whether answers are held back.
+    is_held: bool,
     request_count: u64,
 }
 
@@ -86,6 +88,7 @@
                 contents: StoreCopy::default(),
                 era: 1,
                 fault: StoreFault::None,
+                is_held: false,
                 request_count: 0,
             })),
         };
@@ -103,6 +106,11 @@
         self.lock().fault = fault;
     }
 
+    /// Holds back the answers to requests from now on, or sends those that were held back.
+    pub fn set_held(&self, is_held: bool) {
+        self.lock().is_held = is_held;
+    }
+
     /// Returns the number of requests received so far.
     #[must_use]
     pub fn request_count(&self) -> u64 {
@@ -191,6 +199,9 @@
             {
                 return self.hold_open(stream).await;
             }
+            while self.lock().is_held {
+                task::sleep(POLL_INTERVAL).await;
+            }
             let head = format!("Store-Era: {}\r\n", self.lock().era);
             if respond(&stream, status, &head, &body).await.is_err() {
                 return;
