Instances report to three collectors, which tell all others

Change: reports go to the first three instances by rank; each of them tells all others, through relays in groups mostly of one zone, from whom it has reports (one bit an instance), changed descriptions, sums of budget usage, outcomes (each counted once by process and number), limits, and the state of rollouts. An instance lives while any collector says so; rosters that differ for two seconds are fetched. Rollouts are judged and moved by the collectors, which also wait for the operator's records.

--- a/crates/balance/src/fan_out.rs
+++ b/crates/balance/src/fan_out.rs
@@ -7,6 +7,9 @@
 
 /// Time in which a datagram may be sent to all instances without groups, in microseconds.
 const MAX_DIRECT_US: u64 = 100_000;
+/// Most instances that are sent a datagram without groups. With more, the copies that cross zones
+/// would cost more than the delay at a relay does.
+const MAX_DIRECT: usize = 24;
 
 /// An instance that is sent a datagram, and those that it forwards it to.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -19,15 +22,15 @@
 
 impl FanOut {
     /// Divides `members` into groups by zone, so that few datagrams cross zones. `duration_us` is
-    /// the transmission time of one datagram. If all can be sent one soon enough, each is a group of
-    /// its own; otherwise there are as many groups as instances in a group, which takes the shortest
+    /// the transmission time of one datagram. If they are few and can all be sent one soon enough, each is a
+    /// group of its own; otherwise there are as many groups as instances in a group, which takes the shortest
     /// time. In the order of `members`, which should be random, so that different instances relay
     /// each time. The relay of a group is the one heard last, which is least likely to have ended, and
     /// none that is leaving if there is another one.
     #[must_use]
     pub fn groups(mut members: Vec<&Member>, duration_us: u64) -> Vec<Self> {
         let direct_us = duration_us.saturating_mul(members.len() as u64);
-        let size = if direct_us <= MAX_DIRECT_US {
+        let size = if direct_us <= MAX_DIRECT_US && members.len() <= MAX_DIRECT {
             1
         } else {
             members.len().isqrt().max(1)
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -10,17 +10,22 @@
 mod budget;
 mod budget_usage;
 mod caller_limits;
+mod collector;
 mod duty_candidate;
 mod entry_change;
 mod entry_log;
 mod evidence;
 mod fan_out;
+mod fleet_usage;
 mod gateway_config;
 mod health;
 mod hedge;
+mod live_view;
 mod load;
 mod mean_load;
+mod member;
 mod members;
+mod outcome_log;
 mod peer_usage;
 mod position;
 mod processing_time;
@@ -44,17 +49,22 @@
     budget::RetryBudget,
     budget_usage::BudgetUsage,
     caller_limits::CallerLimits,
+    collector::Collector,
     duty_candidate::DutyCandidate,
     entry_change::EntryChange,
     entry_log::EntryLog,
     evidence::{Evidence, Tally},
     fan_out::FanOut,
+    fleet_usage::FleetUsage,
     gateway_config::GatewayConfig,
     health::Health,
     hedge::hedge_delay_ms,
+    live_view::LiveView,
     load::{LatencyEstimate, Load},
     mean_load::MeanLoad,
-    members::{Member, Members, Presence},
+    member::{Member, Presence},
+    members::{COLLECT, COLLECTORS, Members},
+    outcome_log::{OutcomeLog, ReportedOutcomes},
     peer_usage::PeerUsage,
     position::Position,
     processing_time::ProcessingTime,
--- a/crates/balance/src/peer_usage.rs
+++ b/crates/balance/src/peer_usage.rs
@@ -1,6 +1,6 @@
-//! Usage of the budgets of extra attempts, as the other instances reported it.
+//! Usage of the budgets of extra attempts, as the other instances reported it to a collector.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use model::{InstanceId, ServiceName, Time};
 
@@ -33,22 +33,22 @@
             .retain(|_, (received, _)| now.since_us(*received) < EXPIRY_US);
     }
 
-    /// Returns the usage of `service` over all reports that have not expired, and the number of
-    /// those reports.
+    /// Returns the usage by service over all reports that have not expired, and the number of those
+    /// reports.
     #[must_use]
-    pub fn of_service(&self, service: &ServiceName, now: Time) -> (BudgetUsage, usize) {
-        let mut sum = BudgetUsage::default();
+    pub fn total(&self, now: Time) -> (BTreeMap<ServiceName, BudgetUsage>, u32) {
+        let mut sums: BTreeMap<ServiceName, BudgetUsage> = BTreeMap::new();
         let mut count = 0;
         for (received, usage) in self.reports.values() {
             if now.since_us(*received) >= EXPIRY_US {
                 continue;
             }
             count += 1;
-            for (_, service_usage) in usage.iter().filter(|(name, _)| name == service) {
-                sum.add(*service_usage);
+            for (service, usage) in usage {
+                sums.entry(service.clone()).or_default().add(*usage);
             }
         }
-        (sum, count)
+        (sums, count)
     }
 }
 
--- a/crates/balance/src/rollout.rs
+++ b/crates/balance/src/rollout.rs
@@ -121,6 +121,12 @@
         now: Time,
     ) {
         self.peer_reports.insert(from, (evidence, stage));
+        self.record_stage(stage, is_stopped, now);
+    }
+
+    /// Enters the stage that another instance knows if it is a later one. `is_stopped` states whether
+    /// it knows that the rollout was stopped.
+    pub fn record_stage(&mut self, stage: Stage, is_stopped: bool, now: Time) {
         self.is_stopped |= is_stopped;
         if stage > self.stage {
             self.enter(stage, now);
--- a/crates/balance/tests/entries_spread.rs
+++ b/crates/balance/tests/entries_spread.rs
@@ -88,6 +88,7 @@
     Member {
         name: InstanceId::new(&format!("edge-{index}")),
         incarnation: 1,
+        revision: 0,
         zone: Zone::new(["a", "b", "c"][index % 3]),
         caller_addr: addr,
         peer_addr: addr,
--- /dev/null
+++ b/crates/balance/tests/members_spread.rs
@@ -0,0 +1,144 @@
+//! Membership in virtual time, from thirty instances to several hundred: how soon all know who lives,
+//! and what that takes of an instance, while instances end, join, freeze or are cut off.
+
+mod system;
+
+use system::{System, Trouble};
+
+/// Time after which a dead instance must not be named to callers, in microseconds: the smallest limit
+/// of a deployment.
+const NAMED_US: u64 = 6_000_000;
+const SECOND: u64 = 1_000_000;
+
+/// Returns a system whose instances have started and found each other.
+fn settled(count: usize, trouble: Trouble, seed: u64) -> System {
+    let mut system = System::new(count, trouble, seed);
+    system.run_until(6 * SECOND);
+    system
+}
+
+/// Guards against instances that start at the same time and do not all find each other.
+#[test]
+fn start_all_know_all() {
+    for count in [2, 5, 30, 100, 471] {
+        let system = settled(count, Trouble::default(), 1);
+        assert_eq!(system.wrong_views(), 0, "{count} instances");
+    }
+}
+
+/// Guards against work of an instance that grows with the number of instances.
+#[test]
+fn datagrams_do_not_grow_with_instances() {
+    let per_instance = |count| {
+        let mut system = settled(count, Trouble::default(), 1);
+        system.reset_counts();
+        system.run_until(16 * SECOND);
+        system.mean_datagrams() / 10.0
+    };
+    let (hundred, many) = (per_instance(100), per_instance(471));
+    assert!(many <= hundred * 1.5, "{hundred} and {many} a second");
+}
+
+/// Guards against dead instances that are named to callers, whoever they were.
+#[test]
+fn dead_are_known_in_time() {
+    for count in [16, 100, 471] {
+        for seed in 0..4 {
+            let mut system = settled(count, Trouble::default(), seed);
+            let victims = [vec![0], system.collectors(), (0..count / 3).collect()];
+            let victims = victims[usize::try_from(seed).unwrap() % 3].clone();
+            system.kill(&victims);
+            let took_us = system.time_until_right();
+            assert!(took_us < NAMED_US, "{count}, seed {seed}: {took_us} us");
+        }
+    }
+}
+
+/// Guards against views that stay wrong when more than half of the instances end at once, with those
+/// that collected and those that would come next.
+#[test]
+fn herd_killed_is_known_in_time() {
+    for count in [16, 103, 471] {
+        for seed in 0..5 {
+            let mut system = settled(count, Trouble::default(), seed);
+            let victims = system.random(count * 55 / 100);
+            system.kill(&victims);
+            let took_us = system.time_until_right();
+            assert!(took_us < NAMED_US, "{count}, seed {seed}: {took_us} us");
+        }
+    }
+}
+
+/// Guards against live instances that count as dead because datagrams are lost.
+#[test]
+fn lossy_links_lose_no_instance() {
+    for count in [30, 300] {
+        let trouble = Trouble {
+            loss: 0.025,
+            ..Trouble::default()
+        };
+        let mut system = settled(count, trouble, 3);
+        let mut wrong = 0;
+        for second in 8..20 {
+            system.run_until(second * SECOND);
+            wrong += system.wrong_views();
+        }
+        assert_eq!(wrong, 0, "{count} instances");
+    }
+}
+
+/// Guards against a frozen collector that misleads the others while it stands or when it goes on.
+#[test]
+fn frozen_collector_misleads_nobody() {
+    for count in [16, 300] {
+        let mut system = settled(count, Trouble::default(), 5);
+        let frozen = system.collectors()[0];
+        system.freeze(frozen, 4 * SECOND);
+        let start = system.now();
+        for step in 1..40 {
+            system.run_until(start + step * SECOND / 4);
+            let wrong = system.wrong_views_but(frozen);
+            assert_eq!(wrong, 0, "{count}, {step} quarter seconds");
+        }
+        system.run_until(start + 12 * SECOND);
+        assert_eq!(system.wrong_views(), 0);
+    }
+}
+
+/// Guards against zones that do not find each other again after a cut, and against instances of one's
+/// own zone that count as dead meanwhile.
+#[test]
+fn cut_zone_is_back_in_time() {
+    for count in [16, 100, 471] {
+        let mut system = settled(count, Trouble::default(), 7);
+        system.cut_zone(0, true);
+        let start = system.now();
+        system.run_until(start + 6 * SECOND);
+        assert_eq!(system.wrong_views(), 0, "{count}: within the parts");
+        system.cut_zone(0, false);
+        let took_us = system.time_until_right();
+        assert!(took_us < 4 * SECOND, "{count}: {took_us} us");
+    }
+}
+
+/// Guards against instances that are added by the hundred and stay unknown.
+#[test]
+fn added_are_known_in_time() {
+    for count in [16, 270] {
+        let mut system = settled(count, Trouble::default(), 9);
+        system.add(count * 3 / 4);
+        let took_us = system.time_until_right();
+        assert!(took_us < 4 * SECOND, "{count}: {took_us} us");
+    }
+}
+
+/// Guards against instances that were all ended and started again and keep views of earlier processes.
+#[test]
+fn restarted_all_know_all() {
+    for count in [16, 300] {
+        let mut system = settled(count, Trouble::default(), 11);
+        system.restart_all();
+        let took_us = system.time_until_right();
+        assert!(took_us < NAMED_US, "{count}: {took_us} us");
+    }
+}
--- a/crates/gateway/src/datagrams/tests.rs
+++ b/crates/gateway/src/datagrams/tests.rs
@@ -11,7 +11,7 @@
         let addr = sink.local_addr().unwrap();
         let start = Instant::now();
         for _ in 0..100 {
-            send_paced(&state, &socket, &state.heartbeat_pace, &[0; 1_208], addr).await;
+            send_paced(&state, &socket, &state.report_pace, &[0; 1_208], addr).await;
         }
         start.elapsed()
     })
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -18,6 +18,7 @@
 use crate::{
     phase::Phase,
     response::{encode_local, encode_relayed},
+    roster::{ROSTER_PATH, encode_roster},
     state::State,
 };
 
@@ -85,7 +86,7 @@
         ("store_era", state.store_era.get().unwrap_or_default()),
         ("targets", targets.len() as u64),
         ("limited_targets", limited_targets as u64),
-        ("peers", state.members.borrow().live(now).count() as u64),
+        ("peers", state.members.borrow().live().count() as u64),
         ("caller_connections", state.caller_connections.get() as u64),
         ("requests_in_progress", state.active_requests.get() as u64),
         ("second_sends_in_window", extra_attempts),
@@ -117,6 +118,10 @@
             let response = state.relay.borrow().respond(request);
             encode_relayed(&response, close)
         }
+        ROSTER_PATH => {
+            let body = encode_roster(state);
+            encode_local(200, "OK", "application/octet-stream", &body, close)
+        }
         "/metrics" => encode_local(
             200,
             "OK",
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -13,7 +13,7 @@
 use crate::{
     backoff::Backoff,
     entries_apply::{apply_listing, apply_read},
-    peers::send_heartbeat,
+    reporting::send_report,
     state::State,
     store_era::{record_era, record_failed_era},
 };
@@ -76,8 +76,8 @@
                 record_failed_era(&state, &error, "entries");
                 record_failure(&state, &error);
                 if state.has_store.replace(false) {
-                    // The others take over the duty once they receive this heartbeat.
-                    send_heartbeat(&state, &socket).await;
+                    // The others take over the duty once they know.
+                    send_report(&state, &socket).await;
                 }
                 let pause = backoff.pause() + FAILURE_PAUSE_STEP * (rank + 1).ilog2();
                 let pause_us = u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
--- a/crates/gateway/src/entries_sender.rs
+++ b/crates/gateway/src/entries_sender.rs
@@ -128,7 +128,7 @@
 /// Divides the live instances into random groups, of which one instance forwards the update.
 fn groups(state: &State, update: &EntriesUpdate) -> Vec<FanOut> {
     let members = state.members.borrow();
-    let mut live: Vec<&Member> = members.live(state.now()).collect();
+    let mut live: Vec<&Member> = members.live().collect();
     live.shuffle(&mut rand::rng());
     let duration_us = transmission_us(state, update.encode().len());
     FanOut::groups(live, duration_us)
--- a/crates/gateway/src/entries_sender/tests.rs
+++ b/crates/gateway/src/entries_sender/tests.rs
@@ -7,17 +7,20 @@
 use crate::example::{settings, state};
 
 fn add_member(state: &State, index: usize, peer_addr: SocketAddr) {
-    state.members.borrow_mut().record_report(Member {
+    let member = Member {
         name: InstanceId::new(&format!("edge-{index}")),
         incarnation: 1,
+        revision: 0,
         zone: Zone::new(["a", "b", "c"][index % 3]),
         caller_addr: peer_addr,
         peer_addr,
         presence: Presence::Ready,
         has_store: true,
         link_mbps: 1_000,
-        last_heard: Some(state.now()),
-    });
+        last_heard: None,
+    };
+    let now = state.now();
+    state.members.borrow_mut().record_heard(member, now);
 }
 
 /// Guards against news of many leaving targets that takes seconds to reach a hundred instances over
--- a/crates/gateway/src/entries_update.rs
+++ b/crates/gateway/src/entries_update.rs
@@ -9,9 +9,9 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::heartbeat::MAX_BYTES;
+use crate::report::MAX_BYTES;
 
-/// First byte of a datagram, different from that of heartbeats. It changes whenever the layout does.
+/// First byte of a datagram, different from those of other datagrams. It changes whenever the layout does.
 const FORMAT: u8 = 8;
 /// Largest encoded size of an address to forward a datagram to, in bytes.
 const ADDR_BYTES: usize = 10;
--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -1,25 +1,22 @@
 //! Follows the records of the operator: configurations, orders of rollouts, zones taken out of
-//! service. Three instances wait for new records at the store; the others learn of them by
-//! heartbeats and fetch them from these instances.
+//! service. The collectors wait for new records at the store; the others learn of them by digests and
+//! fetch them from the collectors.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::{channel::Receiver, future::timeout, net::UdpSocket, prelude::FutureExt};
-use balance::Position;
+use balance::{COLLECT, COLLECTORS, Position};
 use platform::{Change, Listing, Page, PlatformError, Store, Topic};
 use tracing::{info, warn};
 
 use crate::{
     backoff::Backoff,
     orders_apply::{Source, apply_orders, apply_verdict},
-    peers::send_heartbeat,
+    reporting::send_report,
     state::State,
     store_era::{REWRITE_US, record_era, record_failed_era},
 };
 
-/// Instances that wait for records at the store. There is no delay if one of them is cut off from
-/// the store and another one from its peers.
-const LONG_POLLERS: usize = 3;
 /// Longest wait for a new record in one read, in milliseconds. Each read costs money, but a read
 /// that the store accepted before an outage or a network cut gets no response, and another instance
 /// takes over only when it has timed out.
@@ -97,7 +94,7 @@
                 state.operator_next.set(position);
                 state.operator_read.set(state.now());
                 if has_new_records && is_long_poller(&state) {
-                    send_heartbeat(&state, &socket).await;
+                    state.request_digest();
                 }
             }
             Err(PlatformError::NotRetained { first }) => {
@@ -115,8 +112,8 @@
                 }
                 is_failing = true;
                 if state.has_store.replace(false) {
-                    // The others take over the duty once they receive this heartbeat.
-                    send_heartbeat(&state, &socket).await;
+                    // The others take over the duty once they know.
+                    send_report(&state, &socket).await;
                 }
                 async_std::task::sleep(backoff.pause()).await;
             }
@@ -133,7 +130,8 @@
 
 /// Whether this instance is one of those that wait at the store.
 fn is_long_poller(state: &State) -> bool {
-    state.duty_rank("orders") < LONG_POLLERS
+    // There is no delay if one of them is cut off from the store and another one from its peers.
+    state.duty_rank(COLLECT) < COLLECTORS
 }
 
 /// Whether all records must be listed anew: the store has come back from an earlier copy since
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/report.rs
@@ -1,13 +1,11 @@
-//! Datagram by which an instance reports its presence and its recent data to the others.
+//! Datagram by which an instance tells the collectors of its state and its recent data.
 
-use std::net::SocketAddr;
-
-use balance::{BudgetUsage, Evidence, Position, Presence, Stage};
+use balance::{BudgetUsage, Evidence, Member, Position, ReportedOutcomes, Stage};
 use bincode::{
     config::standard,
     serde::{decode_from_slice, encode_to_vec},
 };
-use model::{InstanceId, ServiceName, TargetId, Zone};
+use model::ServiceName;
 use serde::{Deserialize, Serialize};
 
 use crate::limit_report::LimitReport;
@@ -15,25 +13,14 @@
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 
-/// Report of an instance to its peers. The order and the types of the fields are the wire format.
+/// Report of an instance to the collectors. The order and the types of the fields are the wire
+/// format.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Name of the instance.
-    pub name: InstanceId,
-    /// Incarnation of its process.
-    pub incarnation: u64,
-    /// Availability zone of the instance.
-    pub zone: Zone,
-    /// Address that callers connect to.
-    pub caller_addr: SocketAddr,
-    /// Phase of the instance. 0: starting, 1: ready, 2: leaving.
-    pub presence: u8,
-    /// Whether its latest call to the store succeeded.
-    pub has_store: bool,
-    /// Bandwidth of its link, in Mbit/s.
-    pub link_mbps: u32,
+pub struct Report {
+    /// Description of the instance.
+    pub member: Member,
     /// Position of the next record of the operator that it reads.
     pub operator_next: Position,
     /// Version of its configuration in force; 0 if it has none.
@@ -43,10 +30,8 @@
     /// Time for which its entries of targets have been up to date without an outage of the store,
     /// in milliseconds.
     pub fresh_ms: u64,
-    /// Peer addresses of some live instances that it knows.
-    pub known_addrs: Vec<SocketAddr>,
-    /// Number of good and of bad outcomes since its last heartbeat, for targets with bad ones.
-    pub outcomes: Vec<(TargetId, u32, u32)>,
+    /// Outcomes since its last report, for targets with bad ones.
+    pub outcomes: ReportedOutcomes,
     /// News of the limits that targets state.
     pub limits: Vec<LimitReport>,
     /// Its requests and extra attempts by service, in the window of the retry budget.
@@ -68,46 +53,39 @@
     pub stopped: bool,
     /// Verdict that the sender knows to be recorded in the store.
     pub verdict: balance::Verdict,
-    /// Evidence that the sender itself has collected.
-    pub evidence: Evidence,
+    /// Evidence that the sender itself has collected. Digests have none.
+    pub evidence: Option<Evidence>,
 }
 
-impl Heartbeat {
+impl RolloutReport {
+    /// Returns the stage, limited to the last one.
+    pub fn stage(&self) -> Stage {
+        Stage(self.stage.min(Stage::LAST.0))
+    }
+}
+
+impl Report {
     /// Encodes the datagram. Removes outcomes while it is larger than [`MAX_BYTES`].
     pub fn encode(&mut self) -> Vec<u8> {
         loop {
             let mut bytes = vec![FORMAT];
             bytes.extend(encode_to_vec(&*self, standard()).unwrap_or_default());
-            if bytes.len() <= MAX_BYTES || self.outcomes.is_empty() {
+            let outcomes = &mut self.outcomes.outcomes;
+            if bytes.len() <= MAX_BYTES || outcomes.is_empty() {
                 return bytes;
             }
-            let half = self.outcomes.len() / 2;
-            self.outcomes.truncate(half);
+            outcomes.truncate(outcomes.len() / 2);
         }
     }
 
-    /// Decodes a datagram. Returns `None` if it is not a heartbeat of this layout.
+    /// Decodes a datagram. Returns `None` if it is not a report of this layout.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let (format, rest) = bytes.split_first()?;
         if *format != FORMAT {
             return None;
         }
-        let (heartbeat, used) = decode_from_slice::<Self, _>(rest, standard()).ok()?;
-        (used == rest.len()).then_some(heartbeat)
-    }
-
-    /// Returns the presence of the sender.
-    pub fn presence(&self) -> Presence {
-        match self.presence {
-            1 => Presence::Ready,
-            2 => Presence::Leaving,
-            _ => Presence::Starting,
-        }
-    }
-
-    /// Returns the stage of a report, limited to the last stage.
-    pub fn stage(report: &RolloutReport) -> Stage {
-        Stage(report.stage.min(Stage::LAST.0))
+        let (report, used) = decode_from_slice::<Self, _>(rest, standard()).ok()?;
+        (used == rest.len()).then_some(report)
     }
 }
 
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -4,7 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use async_std::task;
-use balance::{Rollout, RolloutOrder, Verdict};
+use balance::{COLLECT, Rollout, RolloutOrder, Verdict};
 use model::InstanceId;
 use platform::{Change, Listing, PlatformError, Store, Topic};
 use tracing::{info, warn};
@@ -34,14 +34,15 @@
     let live: Vec<(InstanceId, u64)> = state
         .members
         .borrow()
-        .live(now)
+        .live()
         .map(|m| (m.name.clone(), m.incarnation))
         .collect();
     let mut verdicts = Vec::new();
+    // The collectors have the evidence of all instances.
+    if !state.has_duty(COLLECT) {
+        return verdicts;
+    }
     for rollout in state.rollouts.borrow_mut().values_mut() {
-        if !state.has_duty(&duty_name(rollout)) {
-            continue;
-        }
         // Other instances do not know the position of an order from before the store came back.
         let era = state.store_era.get();
         let may_record = era.is_none_or(|era| rollout.order.position.era == era);
@@ -58,6 +59,7 @@
             verdicts.push((rollout.order.clone(), verdict));
         }
         if rollout.stage != old_stage {
+            state.request_digest();
             info!(event = "rollout_stage", service = %rollout.order.service,
                 stage = rollout.stage.0, share = rollout.stage.share_percent(),
                 evidence = ?rollout.evidence());
@@ -66,14 +68,6 @@
     verdicts
 }
 
-/// Returns the name of the duty to advance a rollout. Its hash decides which instance has the duty.
-fn duty_name(rollout: &Rollout) -> String {
-    format!(
-        "rollout {} {}",
-        rollout.order.service, rollout.order.version
-    )
-}
-
 /// Whether there are warm targets of the new version that may get requests.
 fn has_warm_targets(state: &State, rollout: &Rollout) -> bool {
     let now = state.now();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -17,13 +17,16 @@
 
 use crate::{
     caller::serve_caller,
+    collecting::send_digests,
     endpoints::serve_endpoints,
     entries::follow_entries,
     entries_sender::send_updates,
     operator_records::follow_operator_records,
-    peers::{add_listed_peer, receive_datagrams, send_heartbeat, send_heartbeats},
+    peers::{add_listed_peer, receive_datagrams},
     phase::Phase,
+    reporting::{send_report, send_reports},
     rollouts::run_rollouts,
+    roster::follow_roster,
     settings::Settings,
     state::State,
 };
@@ -117,7 +120,9 @@
     ));
     task::spawn_local(send_updates(Rc::clone(&state), Rc::clone(&socket), updates));
     task::spawn_local(announce(Rc::clone(&state)));
-    task::spawn_local(send_heartbeats(Rc::clone(&state), Rc::clone(&socket)));
+    task::spawn_local(send_reports(Rc::clone(&state), Rc::clone(&socket)));
+    task::spawn_local(send_digests(Rc::clone(&state), Rc::clone(&socket)));
+    task::spawn_local(follow_roster(Rc::clone(&state)));
     let on_peer_ahead = move |peer| {
         // If the channel is full, a fetch from a peer is pending already.
         let _ = Sender::try_send(&ahead_sender, peer);
@@ -175,7 +180,7 @@
 /// peers through the seeds.
 async fn announce(state: Rc<State>) {
     task::sleep(DISCOVERY_TIME).await;
-    if state.members.borrow().live(state.now()).next().is_some() {
+    if state.members.borrow().live().next().is_some() {
         return;
     }
     let settings = &state.settings;
@@ -215,7 +220,7 @@
     let listing = Listing::decode(Topic::Instances, &newest.records);
     for (_, change) in listing.changes {
         if let Change::Instance(entry) = change {
-            add_listed_peer(state, entry);
+            add_listed_peer(state, &entry);
         }
     }
     Ok(era)
@@ -233,7 +238,7 @@
             config = state.config().map_or(0, |m| m.version),
             targets = state.targets.borrow().len()
         );
-        send_heartbeat(&state, &socket).await;
+        send_report(&state, &socket).await;
     }
 }
 
@@ -274,7 +279,7 @@
         busy = state.active_requests.get(),
         limit_ms = state.settings.stop_s * 1_000.0
     );
-    send_heartbeat(state, socket).await;
+    send_report(state, socket).await;
     let start = state.now();
     let elapsed = || Duration::from_micros(state.now().since_us(start));
     while elapsed() < total.mul_f64(INTAKE_SHARE) {
--- a/crates/gateway/src/send_limits.rs
+++ b/crates/gateway/src/send_limits.rs
@@ -1,5 +1,7 @@
 //! The limits on the rate of requests to the targets of one service, at one moment.
 
+use std::rc::Rc;
+
 use balance::{SendLimiter, Senders, Target};
 use model::{ServiceName, Time};
 
@@ -14,7 +16,7 @@
 pub struct SendLimits {
     now: Time,
     cold_rate: f64,
-    senders: Senders,
+    senders: Rc<Senders>,
 }
 
 /// The limit that a target states, with what decides how this instance keeps to it.
@@ -36,7 +38,7 @@
         Self {
             now: state.now(),
             cold_rate: service.map_or(UNKNOWN_COLD_RATE, |s| s.cold_rate),
-            senders: Senders::new(state.instance_id().clone(), state.instances()),
+            senders: state.senders(),
         }
     }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,15 +10,16 @@
 
 use async_std::channel::{Receiver, Sender, bounded};
 use balance::{
-    DutyCandidate, EntryLog, GatewayConfig, Members, PeerUsage, Position, ProcessingTimes,
-    ResponseSizes, RetryBudget, Rollout, SendPace, Targets,
+    Collector, EntryLog, FleetUsage, GatewayConfig, Member, Members, OutcomeLog, PeerUsage,
+    Position, Presence, ProcessingTimes, ResponseSizes, RetryBudget, Rollout, SendPace, Senders,
+    Targets,
 };
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
 
 use crate::{
-    buffer_share::ResponseBuffers, clock::Clock, known_records::KnownRecords, metrics::Metrics,
-    phase::Phase, pool::Pool, settings::Settings,
+    buffer_share::ResponseBuffers, clock::Clock, known_records::KnownRecords,
+    limit_report::LimitReport, metrics::Metrics, phase::Phase, pool::Pool, settings::Settings,
 };
 
 /// Shared state of one instance.
@@ -50,8 +51,23 @@
     pub response_sizes: RefCell<ResponseSizes>,
     /// Retry budgets by service, which limit retries and hedges.
     pub budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
-    /// Usage of these budgets by the other instances.
+    /// Usage of these budgets by all instances, as a collector tells it.
+    pub fleet_usage: RefCell<FleetUsage>,
+    /// Reports of the others that this instance has as a collector.
+    pub collector: RefCell<Collector>,
+    /// Whether this instance is a collector.
+    pub is_collector: Cell<bool>,
+    /// Usage of the retry budgets by instance, for a collector.
     pub peer_usage: RefCell<PeerUsage>,
+    /// Reported outcomes that were counted, and those that a collector is still to tell.
+    pub outcome_log: RefCell<OutcomeLog>,
+    /// News of limits that a collector is still to tell, with the time at which it received them.
+    pub untold_limits: RefCell<Vec<(Time, LimitReport)>>,
+    /// Longest time for which the entries of an instance have been up to date, as reported since the
+    /// latest digest, in milliseconds.
+    pub reported_fresh_ms: Cell<u64>,
+    /// Number of the latest report of this instance.
+    pub report_number: Cell<u64>,
     /// Memory for the responses that targets are sending.
     pub response_buffers: ResponseBuffers,
     /// Idle connections to targets.
@@ -94,8 +110,8 @@
     pub entries_gap: Cell<Option<(Time, u64)>>,
     /// Pace of the datagrams with changes of entries.
     pub update_pace: RefCell<SendPace>,
-    /// Pace of the heartbeats.
-    pub heartbeat_pace: RefCell<SendPace>,
+    /// Pace of the reports and digests.
+    pub report_pace: RefCell<SendPace>,
     /// Time of the end of the last outage of the store, or of the start.
     pub fresh_since: Cell<Time>,
     /// Time until which a peer's report is valid that its entries have stayed up to date.
@@ -111,6 +127,8 @@
     idle_guard: RefCell<Option<Sender<()>>>,
     probe_tokens: Cell<(Time, f64)>,
     entries_requests: (Sender<()>, Receiver<()>),
+    digest_requests: (Sender<()>, Receiver<()>),
+    senders: RefCell<Option<(Time, Rc<Senders>)>>,
 }
 
 impl State {
@@ -118,21 +136,29 @@
     pub fn new(settings: Settings) -> Rc<Self> {
         let (idle_guard, idle_closed) = bounded(1);
         let clock = Clock::start();
+        let incarnation = Clock::incarnation();
         Rc::new(Self {
             metrics: Metrics::new(&settings),
             clock,
             started: clock.now(),
-            incarnation: Clock::incarnation(),
+            incarnation,
             config: RefCell::default(),
             targets: RefCell::default(),
-            members: RefCell::default(),
+            members: RefCell::new(Members::new(own_member(&settings, incarnation))),
             rollouts: RefCell::default(),
             zones_out: RefCell::default(),
             versions_seen: RefCell::default(),
             processing_times: RefCell::default(),
             response_sizes: RefCell::default(),
             budgets: RefCell::default(),
+            fleet_usage: RefCell::default(),
+            collector: RefCell::default(),
+            is_collector: Cell::new(false),
             peer_usage: RefCell::default(),
+            outcome_log: RefCell::default(),
+            untold_limits: RefCell::default(),
+            reported_fresh_ms: Cell::new(0),
+            report_number: Cell::new(0),
             response_buffers: ResponseBuffers::default(),
             pool: Pool::default(),
             phase: Cell::new(Phase::Starting),
@@ -155,7 +181,7 @@
             entries_asked: Cell::new(None),
             entries_gap: Cell::new(None),
             update_pace: RefCell::default(),
-            heartbeat_pace: RefCell::default(),
+            report_pace: RefCell::default(),
             has_store: Cell::new(true),
             entries_failed: Cell::new(false),
             outcomes: RefCell::default(),
@@ -163,6 +189,8 @@
             idle_guard: RefCell::new(Some(idle_guard)),
             probe_tokens: Cell::new((clock.now(), 0.0)),
             entries_requests: bounded(1),
+            digest_requests: bounded(1),
+            senders: RefCell::default(),
             settings,
         })
     }
@@ -227,22 +255,43 @@
 
     /// Returns the names of the active instances, this one included.
     pub fn instances(&self) -> Vec<InstanceId> {
-        let mut names = self.members.borrow().active_names(self.now());
+        let mut names = self.members.borrow().active_names();
         names.push(self.instance_id().clone());
         names
     }
 
+    /// Returns the instances that share the requests to a target with a limited rate. They are found
+    /// anew a few times a second.
+    pub fn senders(&self) -> Rc<Senders> {
+        const MAX_AGE_US: u64 = 200_000;
+        let now = self.now();
+        let mut cached = self.senders.borrow_mut();
+        if let Some((at, senders)) = &*cached
+            && now.since_us(*at) < MAX_AGE_US
+        {
+            return Rc::clone(senders);
+        }
+        let senders = Rc::new(Senders::new(self.instance_id().clone(), self.instances()));
+        *cached = Some((now, Rc::clone(&senders)));
+        senders
+    }
+
+    /// Asks for a digest at once, if this instance is a collector.
+    pub fn request_digest(&self) {
+        // If the channel is full, a digest is requested already.
+        let _ = self.digest_requests.0.try_send(());
+    }
+
+    /// Waits until a digest is requested.
+    pub async fn digest_wanted(&self) {
+        // The state holds the sender, so that the channel never closes.
+        let _ = self.digest_requests.1.recv().await;
+    }
+
     /// Returns the rank of this instance for `duty`: the number of live instances that come before
     /// it.
     pub fn duty_rank(&self, duty: &str) -> usize {
-        let members = self.members.borrow();
-        let own = DutyCandidate {
-            name: self.instance_id(),
-            zone: &self.settings.zone,
-            has_store: self.has_store.get(),
-            link_mbps: self.settings.whole_link_mbps(),
-        };
-        members.duty_rank(duty, &own, self.now())
+        self.members.borrow().duty_rank(duty)
     }
 
     /// Whether this instance ranks first among the live ones for `duty`.
@@ -261,7 +310,7 @@
         const CAPACITY_S: f64 = 3.0;
         let now = self.now();
         let (filled_at, tokens) = self.probe_tokens.get();
-        let live = self.members.borrow().live(now).count() + 1;
+        let live = self.members.borrow().live().count() + 1;
         let targets = self.targets.borrow().len();
         let rate = self.settings.probes_per_s * USED_SHARE * targets as f64 / live as f64;
         let tokens = (tokens + rate * now.since_us(filled_at) as f64 / 1e6).min(rate * CAPACITY_S);
@@ -292,7 +341,7 @@
     pub fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
         let members = self.members.borrow();
         let mut ready: Vec<(&Zone, SocketAddr)> = members
-            .ready(self.now())
+            .ready()
             .iter()
             .map(|m| (&m.zone, m.caller_addr))
             .collect();
@@ -331,10 +380,10 @@
     /// retry budget, or into what the other instances leave of the whole budget.
     pub fn allows_extra_attempt(&self, service: &ServiceName, fraction: f64) -> bool {
         let now = self.now();
-        let (others, reports) = self.peer_usage.borrow().of_service(service, now);
+        let (others, covered) = self.fleet_usage.borrow().of_others(service, now);
         let members = self.members.borrow();
-        let live = members.active_names(now).len() + 1;
-        let known_fraction = (reports + 1) as f64 / (members.all().count() + 1) as f64;
+        let live = members.live().count() + 1;
+        let known_fraction = f64::from(covered) / (members.all().count() + 1) as f64;
         self.with_budget(service, |budget| {
             budget.allows_fraction(now, live, fraction)
                 || budget.allows_beyond_share(now, others, known_fraction)
@@ -363,3 +412,19 @@
         }
     }
 }
+
+/// Returns the description of an instance that has just started.
+fn own_member(settings: &Settings, incarnation: u64) -> Member {
+    Member {
+        name: settings.instance.clone(),
+        incarnation,
+        revision: 0,
+        zone: settings.zone.clone(),
+        caller_addr: settings.callers,
+        peer_addr: settings.peer.into(),
+        presence: Presence::Starting,
+        has_store: true,
+        link_mbps: settings.whole_link_mbps(),
+        last_heard: None,
+    }
+}
