Starting instances get what others have read, not the store

No read of an idle instance while a collector that waits at the store says that there is nothing newer; those that the store turns away try again less often the more instances there are.

--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -51,6 +51,10 @@
     }
     if let Some(view) = &digest.view {
         members.record_view(addr, view, now);
+        // The sender waits for records at the store.
+        if sender.has_store && digest.operator_next == state.operator_next.get() {
+            state.operator_read.set(now);
+        }
     }
     drop(members);
     confirm_entries(state, digest.entries_era, digest.fresh_ms, &sender.name);
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -16,9 +16,11 @@
 };
 
 use crate::{
+    join::{BUSY_STATUS, MAX_SENT, SNAPSHOT_PATH},
     phase::Phase,
     response::{encode_local, encode_relayed},
     roster::{ROSTER_PATH, encode_roster},
+    snapshot::Snapshot,
     state::State,
 };
 
@@ -41,7 +43,11 @@
     loop {
         match decoder.decode(&mut input, LIMITS) {
             Ok(Decoded::Complete(request)) => {
-                let bytes = answer(&state, &request);
+                let sending = SentSnapshot::begin(&state, &request);
+                let bytes = match &sending {
+                    Some(sending) => sending.encode(&request),
+                    None => answer(&state, &request),
+                };
                 if stream.write_all(&bytes).await.is_err() || !request.keep_alive {
                     return;
                 }
@@ -66,6 +72,44 @@
     }
 }
 
+/// A snapshot that is being sent to another instance, until dropped.
+struct SentSnapshot<'a> {
+    state: &'a State,
+}
+
+impl<'a> SentSnapshot<'a> {
+    fn begin(state: &'a State, request: &Request) -> Option<Self> {
+        if request.path() != SNAPSHOT_PATH {
+            return None;
+        }
+        state.sent_snapshots.set(state.sent_snapshots.get() + 1);
+        Some(Self { state })
+    }
+
+    fn encode(&self, request: &Request) -> Vec<u8> {
+        let close = !request.keep_alive;
+        let snapshot = Snapshot::of(self.state);
+        let (status, reason) = match &snapshot {
+            None => (503, "Service Unavailable"),
+            Some(_) if self.state.sent_snapshots.get() > MAX_SENT => {
+                (BUSY_STATUS, "Too Many Requests")
+            }
+            Some(_) => (200, "OK"),
+        };
+        let body = snapshot.filter(|_| status == 200).map(|s| s.encode());
+        let body = body.unwrap_or_default();
+        self.state.metrics.count("snapshots_asked", 1);
+        encode_local(status, reason, "application/octet-stream", &body, close)
+    }
+}
+
+impl Drop for SentSnapshot<'_> {
+    fn drop(&mut self) {
+        let sent = self.state.sent_snapshots.get();
+        self.state.sent_snapshots.set(sent - 1);
+    }
+}
+
 /// Returns the current values of the gauges.
 fn gauges(state: &State) -> Vec<(&'static str, u64)> {
     let now = state.now();
--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -6,6 +6,7 @@
 
 use async_std::{channel::Receiver, future::timeout, net::UdpSocket, prelude::FutureExt};
 use balance::{COLLECT, COLLECTORS, Position};
+use model::Time;
 use platform::{Change, Listing, Page, PlatformError, Store, Topic};
 use tracing::{info, warn};
 
@@ -27,8 +28,11 @@
 /// consider itself one of those that wait. A configuration must be in force within 2 s.
 const DISCOVERY_TIME: Duration = Duration::from_millis(700);
 /// Time after which an instance that does not wait at the store, and whose last call to it failed,
-/// tries again.
+/// tries again, for up to [`RETRY_INSTANCES`] instances. With more it grows, so that the calls of those
+/// that the store turns away do not grow with their number.
 const RETRY_INTERVAL: Duration = Duration::from_secs(5);
+/// Largest number of instances with that interval.
+const RETRY_INSTANCES: u32 = 50;
 /// Time between two checks of whether this instance is one of those that wait at the store.
 const DUTY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for fetching records from a peer.
@@ -54,7 +58,7 @@
     peers_ahead: Receiver<PeerAhead>,
 ) {
     let mut store = Store::new(state.settings.store);
-    let mut next: Option<Position> = None;
+    let mut next = state.joined_at.get();
     let mut is_failing = false;
     let mut backoff = Backoff::default();
     loop {
@@ -145,12 +149,7 @@
 /// time for a single read or for a listing.
 async fn wait_for_duty(state: &State, from: Position) -> bool {
     let start = state.now();
-    let limit = if state.has_store.get() {
-        IDLE_READ_INTERVAL
-    } else {
-        RETRY_INTERVAL
-    };
-    while Duration::from_micros(state.now().since_us(start)) < limit && !must_list(state, from) {
+    while !is_read_due(state, start) && !must_list(state, from) {
         let age = Duration::from_micros(state.now().since_us(state.started));
         if age >= DISCOVERY_TIME && is_long_poller(state) {
             return true;
@@ -160,6 +159,20 @@
     false
 }
 
+/// Whether an instance that has waited since `start`, and is no collector, reads the store once. It
+/// does not while the collectors tell it that they have no newer records.
+fn is_read_due(state: &State, start: Time) -> bool {
+    let now = state.now();
+    let instances = u32::try_from(state.members.borrow().live().count()).unwrap_or(u32::MAX);
+    let (since, limit) = if state.has_store.get() {
+        (start.max(state.operator_read.get()), IDLE_READ_INTERVAL)
+    } else {
+        let factor = (instances / RETRY_INSTANCES).max(1);
+        (start, RETRY_INTERVAL.saturating_mul(factor))
+    };
+    Duration::from_micros(now.since_us(since)) >= limit
+}
+
 /// Fetches records from a peer that has them, or from the store if that fails.
 async fn fetch_from_peer(
     state: &Rc<State>,
--- a/crates/gateway/src/orders_apply.rs
+++ b/crates/gateway/src/orders_apply.rs
@@ -29,6 +29,9 @@
         let again = records.iter().filter(|record| known.insert(record));
         again.map(|record| record.position).collect()
     };
+    let mut relay = state.relay.borrow_mut();
+    relay.record_newest(records, source == Source::Listing);
+    drop(relay);
     let listing = Listing::decode(Topic::Operator, records);
     for (key, error) in &listing.malformed {
         error!(event = "order_malformed", key, %error);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -21,6 +21,7 @@
     endpoints::serve_endpoints,
     entries::follow_entries,
     entries_sender::send_updates,
+    join::join,
     operator_records::follow_operator_records,
     peers::{add_listed_peer, receive_datagrams},
     phase::Phase,
@@ -107,22 +108,21 @@
         serve_caller(Rc::clone(&for_callers), s)
     }));
     let (ahead_sender, peers_ahead) = bounded(1);
-    task::spawn_local(follow_operator_records(
+    task::spawn_local(after_join(
         Rc::clone(&state),
-        Rc::clone(&socket),
-        peers_ahead,
+        follow_operator_records(Rc::clone(&state), Rc::clone(&socket), peers_ahead),
     ));
     let (update_sender, updates) = bounded(1);
-    task::spawn_local(follow_entries(
+    task::spawn_local(after_join(
         Rc::clone(&state),
-        Rc::clone(&socket),
-        update_sender,
+        follow_entries(Rc::clone(&state), Rc::clone(&socket), update_sender),
     ));
     task::spawn_local(send_updates(Rc::clone(&state), Rc::clone(&socket), updates));
     task::spawn_local(announce(Rc::clone(&state)));
     task::spawn_local(send_reports(Rc::clone(&state), Rc::clone(&socket)));
     task::spawn_local(send_digests(Rc::clone(&state), Rc::clone(&socket)));
     task::spawn_local(follow_roster(Rc::clone(&state)));
+    task::spawn_local(join(Rc::clone(&state)));
     let on_peer_ahead = move |peer| {
         // If the channel is full, a fetch from a peer is pending already.
         let _ = Sender::try_send(&ahead_sender, peer);
@@ -139,6 +139,12 @@
     Ok(())
 }
 
+/// Runs a reader of the store once the instance has a snapshot, or none can be had.
+async fn after_join(state: Rc<State>, reader: impl Future<Output = ()>) {
+    state.join_ended().await;
+    reader.await;
+}
+
 async fn listen(addr: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(addr)
         .await
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -66,6 +66,10 @@
     /// Longest time for which the entries of an instance have been up to date, as reported since the
     /// latest digest, in milliseconds.
     pub reported_fresh_ms: Cell<u64>,
+    /// Position of the next record of the operator, if another instance gave this one a snapshot.
+    pub joined_at: Cell<Option<Position>>,
+    /// Snapshots that are being sent to others.
+    pub sent_snapshots: Cell<usize>,
     /// Number of the latest report of this instance.
     pub report_number: Cell<u64>,
     /// Memory for the responses that targets are sending.
@@ -129,12 +133,15 @@
     entries_requests: (Sender<()>, Receiver<()>),
     digest_requests: (Sender<()>, Receiver<()>),
     senders: RefCell<Option<(Time, Rc<Senders>)>>,
+    join_guard: RefCell<Option<Sender<()>>>,
+    join_ended: Receiver<()>,
 }
 
 impl State {
     /// Returns the state of a starting instance.
     pub fn new(settings: Settings) -> Rc<Self> {
         let (idle_guard, idle_closed) = bounded(1);
+        let (join_guard, join_ended) = bounded(1);
         let clock = Clock::start();
         let incarnation = Clock::incarnation();
         Rc::new(Self {
@@ -158,6 +165,8 @@
             outcome_log: RefCell::default(),
             untold_limits: RefCell::default(),
             reported_fresh_ms: Cell::new(0),
+            joined_at: Cell::new(None),
+            sent_snapshots: Cell::new(0),
             report_number: Cell::new(0),
             response_buffers: ResponseBuffers::default(),
             pool: Pool::default(),
@@ -191,6 +200,8 @@
             entries_requests: bounded(1),
             digest_requests: bounded(1),
             senders: RefCell::default(),
+            join_guard: RefCell::new(Some(join_guard)),
+            join_ended,
             settings,
         })
     }
@@ -212,6 +223,17 @@
         Some(self.now().since_us(as_of))
     }
 
+    /// Ends the wait for a snapshot of another instance.
+    pub fn end_join(&self) {
+        self.join_guard.borrow_mut().take();
+    }
+
+    /// Waits until the instance has a snapshot, or none can be had.
+    pub async fn join_ended(&self) {
+        // Fails when the sender is dropped, which is the signal.
+        let _ = self.join_ended.recv().await;
+    }
+
     /// Asks for a read of the entries at once.
     pub fn request_entries(&self) {
         // If the channel is full, a read is requested already.
