A response without the request's id counts only on a new connection

Cause: a response without a request id was taken as the answer to whatever waited. A target that writes an earlier refusal once more on a kept connection made the caller hear 'not run' for a request that ran, or sent it to a second target. Change: on a connection that was in use before, only a response with the request's own id belongs to it; others are skipped and the connection is closed after the exchange. Requests without an id get a new connection. Responses to probes must name the probed target.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     entries_wait::await_recent_entries,
-    exchange::{EncodedRequest, SendResult, exchange},
+    exchange::{EncodedRequest, Identity, SendResult, exchange},
     pending_outcome::PendingOutcome,
     selection::{SelectedTarget, is_target_eligible},
     send_limits::SendLimits,
@@ -52,7 +52,7 @@
             let _guard = guard;
             let request = EncodedRequest {
                 method: &method,
-                id: id.as_deref(),
+                identity: id.as_deref().map_or(Identity::Anonymous, Identity::Request),
                 bytes: &bytes,
             };
             exchange(&state, addr, request, deadline, async || {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -52,13 +52,24 @@
     Malformed(MessageError),
 }
 
+/// What tells the response to a request from late or surplus responses to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Identity<'a> {
+    /// Id of the request, which its response carries.
+    Request(&'a str),
+    /// The request has no id. Only a new connection tells its response from others.
+    Anonymous,
+    /// The request asks for the health of this target, whose id the response carries.
+    Health(&'a str),
+}
+
 /// A request encoded for a target.
 #[derive(Clone, Copy, Debug)]
 pub struct EncodedRequest<'a> {
     /// Method, which decides whether the response has a body.
     pub method: &'a str,
-    /// Request id that the response must carry, if any.
-    pub id: Option<&'a str>,
+    /// How the response is told from others.
+    pub identity: Identity<'a>,
     /// Head and body.
     pub bytes: &'a [u8],
 }
@@ -75,7 +86,10 @@
     is_eligible: impl AsyncFn() -> bool,
 ) -> SendResult {
     let now = state.now();
-    let pooled = state.pool.take(addr, now);
+    let pooled = match request.identity {
+        Identity::Anonymous => None,
+        _ => state.pool.take(addr, now),
+    };
     let is_pooled = pooled.is_some();
     let stream = match pooled {
         Some(stream) => stream,
@@ -91,7 +105,7 @@
         return SendResult::NotSent(std::io::Error::other("the target is leaving"));
     }
     let left = Duration::from_micros(deadline.since_us(state.now()));
-    let result = match timeout(left, run(state, &stream, request)).await {
+    let result = match timeout(left, run(state, &stream, request, is_pooled)).await {
         Ok(result) => result,
         Err(_) => Err(ResponseError::Timeout),
     };
@@ -131,10 +145,11 @@
     state: &State,
     stream: &TcpStream,
     request: EncodedRequest<'_>,
+    is_pooled: bool,
 ) -> Result<(Response, bool), ResponseError> {
     let mut writer = stream;
     let write = writer.write_all(request.bytes);
-    let read = read_response(state, stream, request);
+    let read = read_response(state, stream, request, is_pooled);
     pin_mut!(write, read);
     match select(write, read).await {
         // A target may respond and close before it has read the whole request.
@@ -147,6 +162,7 @@
     state: &State,
     mut stream: &TcpStream,
     request: EncodedRequest<'_>,
+    is_pooled: bool,
 ) -> Result<(Response, bool), ResponseError> {
     let mut decoder = ResponseDecoder::new(request.method, MAX_BODY_BYTES);
     let mut share = state.response_buffers.begin();
@@ -155,10 +171,10 @@
     let mut stray = 0;
     for read in 1.. {
         while let Some(response) = decoder.feed(&mut input).map_err(ResponseError::Malformed)? {
-            if matches_request(&response, request.id) {
+            if request.identity.is_of(&response, is_pooled) {
                 return Ok((response, stray == 0 && input.is_empty()));
             }
-            // This is a late response to an earlier request; the one to this request follows.
+            // This is a late or surplus response to an earlier request; the one to this request follows.
             stray += 1;
             if stray > MAX_STRAY {
                 return Err(ResponseError::Malformed(MessageError::TooManyResponses));
@@ -179,18 +195,32 @@
         input.extend_from_slice(&chunk[..count]);
     }
     let response = decoder.finish().map_err(|_| ResponseError::Closed)?;
-    if matches_request(&response, request.id) {
+    if request.identity.is_of(&response, is_pooled) {
         Ok((response, false))
     } else {
         Err(ResponseError::Closed)
     }
 }
 
-/// Whether a response may belong to the request: it carries the same request id or none.
-fn matches_request(response: &Response, id: Option<&str>) -> bool {
-    let Some(id) = id else {
-        return !response.headers.has(headers::REQUEST_ID);
-    };
-    !response.headers.has(headers::REQUEST_ID)
-        || response.headers.single_value(headers::REQUEST_ID) == Some(id)
+impl Identity<'_> {
+    /// Whether a response belongs to the request. One without an id does only if nothing else was sent
+    /// on the connection before: a target may write an earlier response once more. `is_pooled` states
+    /// whether there were earlier requests.
+    fn is_of(self, response: &Response, is_pooled: bool) -> bool {
+        let has_id = response.headers.has(headers::REQUEST_ID);
+        match self {
+            Self::Request(id) if has_id => {
+                response.headers.single_value(headers::REQUEST_ID) == Some(id)
+            }
+            Self::Request(_) | Self::Anonymous => !has_id && !is_pooled,
+            Self::Health(_) if has_id => false,
+            Self::Health(target) => match response.headers.single_value(headers::TARGET) {
+                Some(other) => other == target || !is_pooled,
+                None => !is_pooled,
+            },
+        }
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -10,7 +10,7 @@
 use platform::{cold_ms, headers, load_report};
 
 use crate::{
-    exchange::{EncodedRequest, SendResult, exchange},
+    exchange::{EncodedRequest, Identity, SendResult, exchange},
     state::State,
     target_limits::record_stated_limit,
 };
@@ -81,7 +81,7 @@
     let bytes = format!("GET {path} HTTP/1.1\r\nHost: {addr}\r\n\r\n").into_bytes();
     let request = EncodedRequest {
         method: "GET",
-        id: None,
+        identity: Identity::Health(id.as_str()),
         bytes: &bytes,
     };
     let now = state.now();
--- a/crates/node/tests/gateway_answers.rs
+++ b/crates/node/tests/gateway_answers.rs
@@ -179,6 +179,33 @@
     );
 }
 
+/// Guards against a refusal that a target writes once more on a kept connection: the request that waits
+/// there runs, but its caller is told that it did not, or it is sent to a second target.
+#[test]
+fn fault_repeated_refusal_refuses_nothing_that_runs() {
+    for has_id in [true, false] {
+        let (reads, writes) = statuses_with_fault(TargetFault::RepeatRefusal { has_id });
+        let is_known = |s: &u16| matches!(s, 200 | 503);
+        assert!(
+            reads.iter().all(is_known) && writes.iter().all(is_known),
+            "{reads:?} {writes:?}"
+        );
+        assert!(reads.contains(&200) && writes.contains(&200));
+    }
+}
+
+/// Guards against a response whose head breaks off at any place and reaches the caller as a success.
+#[test]
+fn fault_cut_head_is_no_success() {
+    for bytes in [0, 5, 12, 15, 17, 60, 100, 150, 178] {
+        let (reads, writes) = statuses_with_fault(TargetFault::CutHead(bytes));
+        assert!(
+            all_equal(&reads, 502) && all_equal(&writes, 502),
+            "{bytes}: {reads:?} {writes:?}"
+        );
+    }
+}
+
 /// Guards against a gateway that rejects a response without a length as truncated although the
 /// target ended the body by closing the connection properly.
 #[test]
--- a/crates/testkit/src/fleet/client.rs
+++ b/crates/testkit/src/fleet/client.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Returns the value of a header that the response has once.
+    #[must_use]
+    pub fn header(&self, name: &str) -> Option<&str> {
+        match self {
+            Self::Response(response) => response.headers.single_value(name),
+            _ => None,
+        }
+    }
+
     /// Returns whether the response has status 200, a signature, the request id `id` and the body
     /// that [`super::FleetTarget`] sends for this id.
     #[must_use]
--- a/crates/testkit/src/fleet/target.rs
+++ b/crates/testkit/src/fleet/target.rs
@@ -6,7 +6,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -43,6 +43,14 @@
     Truncate,
     /// Sends a second, complete response after the first.
     Extra,
+    /// Refuses every second request on a connection, and writes that refusal once more, with the id
+    /// of the refused request or without any, before it runs the next one.
+    RepeatRefusal {
+        /// Whether the repeated refusal has the id of the refused request.
+        has_id: bool,
+    },
+    /// Closes the connection after this many bytes of the response's head.
+    CutHead(usize),
     /// Answers with bytes that are not an HTTP response.
     Garbage,
     /// Answers without the response signature.
@@ -89,6 +97,10 @@
     fault: Mutex<TargetFault>,
     /// Value of the header that limits the requests from all instances together, if it is sent.
     limit: Mutex<Option<String>>,
+    /// Value of the header that says that the target leaves, if it is sent.
+    leaving: Mutex<Option<String>>,
+    /// Value of the header in refusals that says for how long no requests are wanted, if it is sent.
+    retry_after: Mutex<Option<String>>,
     run_counts: Mutex<HashMap<String, u32>>,
     arrivals: Mutex<Vec<Instant>>,
     cancelled: AtomicU32,
@@ -96,6 +108,7 @@
     draining: AtomicBool,
     has_entry: AtomicBool,
     is_up: AtomicBool,
+    born: AtomicU64,
 }
 
 /// A running target. Dropping it stops it without removing its entry, as a crash would.
@@ -119,6 +132,8 @@
             spec,
             fault: Mutex::new(TargetFault::None),
             limit: Mutex::default(),
+            leaving: Mutex::default(),
+            retry_after: Mutex::default(),
             run_counts: Mutex::default(),
             arrivals: Mutex::default(),
             cancelled: AtomicU32::new(0),
@@ -126,6 +141,7 @@
             draining: AtomicBool::new(false),
             has_entry: AtomicBool::new(true),
             is_up: AtomicBool::new(true),
+            born: AtomicU64::new(1_764_800_000_000),
         });
         let target = Self {
             proxy: FleetProxy::start(listener.local_addr()?).await?,
@@ -156,6 +172,22 @@
         *lock(&self.shared.limit) = limit.map(str::to_owned);
     }
 
+    /// Makes the target say in its responses that it leaves from now on, with this value, or not.
+    pub fn set_leaving(&self, value: Option<&str>) {
+        *lock(&self.shared.leaving) = value.map(str::to_owned);
+    }
+
+    /// Makes the target refuse requests with status 503 and this value of `Retry-After`, or not.
+    pub fn set_retry_after(&self, value: Option<&str>) {
+        *lock(&self.shared.retry_after) = value.map(str::to_owned);
+    }
+
+    /// Starts the target's process anew, under the same id and at the same address.
+    pub fn restart(&self) {
+        self.shared.born.fetch_add(1_000, Ordering::AcqRel);
+        self.write_entry(0);
+    }
+
     /// Writes the state `draining` to the target's entry.
     pub fn drain(&self) {
         self.shared.draining.store(true, Ordering::Release);
@@ -225,7 +257,7 @@
     let entry = serde_json::json!({
         "service": spec.service, "address": addr.to_string(), "zone": spec.zone,
         "version": spec.version, "slots": spec.slots, "state": state, "warmup_left_s": 0,
-        "seq": seq, "born": 1_764_800_000_000_u64,
+        "seq": seq, "born": shared.born.load(Ordering::Acquire),
     });
     store.put("keyed.servers", &spec.id, &entry.to_string());
 }
@@ -249,6 +281,7 @@
 async fn serve(shared: Arc<TargetState>, stream: TcpStream) {
     let mut decoder = RequestDecoder::default();
     let mut input = Vec::new();
+    let mut refused = None;
     while let Ok(Some(request)) = next_request(&stream, &mut decoder, &mut input).await {
         if !shared.is_up.load(Ordering::Acquire) {
             return;
@@ -264,26 +297,35 @@
             }
             continue;
         }
-        if !answer_request(&shared, &stream, &request).await {
+        if !answer_request(&shared, &stream, &request, &mut refused).await {
             return;
         }
     }
 }
 
-/// Returns the header lines that report the target's load and its limit.
+/// Returns the header lines that report the target's load, its limit and that it leaves.
 fn load_header(shared: &TargetState) -> String {
     let running = shared.running.load(Ordering::Acquire);
     let limit = lock(&shared.limit).clone();
     let limit = limit.map(|value| format!("Server-Limit: {value}\r\n"));
+    let leaving = lock(&shared.leaving).clone();
+    let leaving = leaving.map(|value| format!("Server-Leaving: {value}\r\n"));
     format!(
-        "X-Hibiscusway-Server-Load: {running},0,{},100\r\n{}",
+        "X-Hibiscusway-Server-Load: {running},0,{},100\r\n{}{}",
         shared.spec.slots,
-        limit.unwrap_or_default()
+        limit.unwrap_or_default(),
+        leaving.unwrap_or_default()
     )
 }
 
 /// Answers one request. Returns whether the connection may carry further requests.
-async fn answer_request(shared: &TargetState, stream: &TcpStream, request: &Request) -> bool {
+/// `refused` is the header with the id of the request that was refused before, if one was.
+async fn answer_request(
+    shared: &TargetState,
+    stream: &TcpStream,
+    request: &Request,
+    refused: &mut Option<String>,
+) -> bool {
     lock(&shared.arrivals).push(Instant::now());
     let id = request
         .headers
@@ -293,16 +335,42 @@
     let expected = request
         .headers
         .single_value("x-hibiscusway-expect-instance");
+    let id_header = format!("X-Hibiscusway-Request-Id: {id}\r\n");
     if expected.is_some_and(|e| e != shared.spec.id) {
-        let head = format!("X-Hibiscusway-Instance-Id: {}\r\n", shared.spec.id);
+        let head = format!(
+            "X-Hibiscusway-Instance-Id: {}\r\n{id_header}",
+            shared.spec.id
+        );
         return respond(stream, 421, &head, b"").await.is_ok();
     }
     let fault = *lock(&shared.fault);
     let is_full = shared.running.load(Ordering::Acquire) >= shared.spec.slots * 3;
-    if fault == TargetFault::Shed || is_full {
-        let head = format!("X-Hibiscusway-Not-Executed: 1\r\n{}", load_header(shared));
+    let retry_after = lock(&shared.retry_after).clone();
+    if fault == TargetFault::Shed || is_full || retry_after.is_some() {
+        let retry_after = retry_after.map(|value| format!("Retry-After: {value}\r\n"));
+        let head = format!(
+            "X-Hibiscusway-Not-Executed: 1\r\n{id_header}{}{}",
+            retry_after.unwrap_or_default(),
+            load_header(shared)
+        );
         return respond(stream, 503, &head, b"").await.is_ok();
     }
+    if let TargetFault::RepeatRefusal { has_id } = fault {
+        let refusal = |id_header: &str| format!("X-Hibiscusway-Not-Executed: 1\r\n{id_header}");
+        let Some(refused) = refused.take() else {
+            *refused = Some(id_header.clone());
+            return respond(stream, 503, &refusal(&id_header), b"")
+                .await
+                .is_ok();
+        };
+        let id_header = if has_id { &*refused } else { "" };
+        if respond(stream, 503, &refusal(id_header), b"")
+            .await
+            .is_err()
+        {
+            return false;
+        }
+    }
     *lock(&shared.run_counts).entry(id.clone()).or_default() += 1;
     if !process(shared, stream).await {
         shared.cancelled.fetch_add(1, Ordering::AcqRel);
@@ -398,7 +466,15 @@
             let head = format!("HTTP/1.1 200 OK\r\n{signed_headers}\r\n");
             send_endlessly(stream, &head, "endless ").await
         }
-        TargetFault::None | TargetFault::Shed => {
+        TargetFault::CutHead(bytes) => {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\n{signed_headers}Content-Length: {}\r\n\r\n",
+                body.len()
+            );
+            send_raw(head[..bytes.min(head.len())].to_owned()).await;
+            false
+        }
+        TargetFault::None | TargetFault::Shed | TargetFault::RepeatRefusal { .. } => {
             respond(stream, 200, &signed_headers, &body).await.is_ok()
         }
     }
