--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -16,7 +16,7 @@
 };
 
 use crate::{
-    join::{BUSY_STATUS, MAX_SENT, SNAPSHOT_PATH},
+    join::{BUSY_STATUS, MAX_SENT, SNAPSHOT_PATH, encode_hints},
     phase::Phase,
     response::{encode_local, encode_relayed},
     roster::{ROSTER_PATH, encode_roster},
@@ -96,8 +96,8 @@
             }
             Some(_) => (200, "OK"),
         };
-        let body = snapshot.filter(|_| status == 200).map(|s| s.encode());
-        let body = body.unwrap_or_default();
+        let given = snapshot.filter(|_| status == 200);
+        let body = given.map_or_else(|| encode_hints(self.state), |s| s.encode());
         self.state.metrics.count("snapshots_asked", 1);
         encode_local(status, reason, "application/octet-stream", &body, close)
     }
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -1,13 +1,21 @@
 //! Start of an instance: it asks the ones that run for what they have read from the store, and reads
-//! the store itself only if none can tell.
+//! the store itself if none can tell soon.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, ops::Range, rc::Rc, time::Duration};
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use balance::Presence;
+use bincode::{
+    config::standard,
+    serde::{decode_from_slice, encode_to_vec},
+};
+use futures::{FutureExt, future::select_all};
 use model::Time;
 use platform::{PeerClient, PlatformError};
-use rand::{Rng, seq::IndexedRandom};
+use rand::{
+    Rng,
+    seq::{IndexedRandom, IteratorRandom},
+};
 use tracing::{debug, info};
 
 use crate::{snapshot::Snapshot, state::State};
@@ -18,63 +26,53 @@
 pub const BUSY_STATUS: u16 = 429;
 /// Snapshots that an instance sends at the same time. Each has some hundred kilobytes, and others that
 /// have got one can send it as well.
-pub const MAX_SENT: usize = 3;
+pub const MAX_SENT: usize = 4;
+/// Ready instances that one without a snapshot names to the asking one.
+const HINTS: usize = 6;
+/// Requests at the same time, so that one to a dead machine does not hold up the others.
+const WORKERS: usize = 2;
 /// Time limit of one request, in milliseconds.
-const FETCH_LIMIT_MS: u64 = 1_500;
+const FETCH_LIMIT_MS: u64 = 700;
 /// Shortest and longest pause between two requests, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 60..180;
-/// Time after the start in which an instance that is no seed waits for others that have read the
-/// store, in microseconds. All may have started at the same time.
-const WAIT_US: u64 = 1_200_000;
-/// Largest random addition to it, so that not all read the store at the same time.
-const WAIT_JITTER_US: u64 = 800_000;
-/// Time after the start for which an instance waits if others have a snapshot but are busy, in
-/// microseconds.
-const BUSY_WAIT_US: u64 = 6_000_000;
+const PAUSE_MS: Range<u64> = 25..75;
+/// Time after which a seed reads the store. All others ask the seeds.
+const SEED_WAIT: Duration = Duration::from_millis(40);
+/// Shortest and longest time after which another instance reads the store, in milliseconds. While no
+/// instance has read it, nobody is served.
+const WAIT_MS: Range<u64> = 60..300;
+/// Time after which an instance reads the store although others have a snapshot, but are busy.
+const BUSY_WAIT: Duration = Duration::from_secs(4);
+
+/// What the requests of a starting instance have shown.
+#[derive(Debug, Default)]
+struct Found {
+    /// Instances that another one has named.
+    hints: Vec<SocketAddr>,
+    /// Whether an instance has a snapshot, but is busy.
+    is_busy: bool,
+}
 
 /// Gets a snapshot from another instance, or finds that the store must be read.
 pub async fn join(state: Rc<State>) {
     let started = state.now();
     let seeds = other_seeds(&state);
     let is_seed = seeds.len() < state.settings.seeds.len();
-    let limit_us = if is_seed {
-        0
+    let wait = if is_seed {
+        SEED_WAIT
     } else {
-        WAIT_US + rand::rng().random_range(0..WAIT_JITTER_US)
+        Duration::from_millis(rand::rng().random_range(WAIT_MS))
     };
-    let mut is_busy = false;
-    let mut untried = seeds.clone();
-    while !seeds.is_empty() || state.members.borrow().live().next().is_some() {
-        let asked = state.now();
-        let passed_us = asked.since_us(started);
-        let limit_us = if is_busy { BUSY_WAIT_US } else { limit_us };
-        // A seed asks each of the others once: all may have started at the same time.
-        if passed_us >= limit_us && (!is_seed || is_busy || untried.is_empty()) {
-            break;
-        }
-        let Some(addr) = source(&state, &seeds, &mut untried) else {
-            break;
-        };
-        match fetch(&state, addr, asked).await {
-            Ok(()) => {
-                state.end_join();
-                return;
-            }
-            Err(PlatformError::Refused {
-                status: BUSY_STATUS,
-            }) => is_busy = true,
-            Err(error) => debug!(event = "snapshot_unread", peer = %addr, %error),
-        }
-        if !is_seed || is_busy {
-            let pause_ms = rand::rng().random_range(PAUSE_MS);
-            task::sleep(Duration::from_millis(pause_ms)).await;
-        }
+    let found = RefCell::new(Found::default());
+    let workers = (0..WORKERS).map(|_| ask_others(&state, &seeds, &found).boxed_local());
+    let mut asking = select_all(workers);
+    let mut is_joined = !seeds.is_empty() && timeout(wait, &mut asking).await.is_ok();
+    if !is_joined && found.borrow().is_busy {
+        is_joined = timeout(BUSY_WAIT, &mut asking).await.is_ok();
+    }
+    if !is_joined {
+        let waited_ms = state.now().since_us(started) / 1_000;
+        info!(event = "join_by_store", seeds = seeds.len(), waited_ms);
     }
-    info!(
-        event = "join_by_store",
-        seeds = seeds.len(),
-        waited_ms = state.now().since_us(started) / 1_000
-    );
     state.end_join();
 }
 
@@ -88,44 +86,83 @@
         .collect()
 }
 
+/// Asks one instance after the other until one gives a snapshot.
+async fn ask_others(state: &State, seeds: &[SocketAddr], found: &RefCell<Found>) {
+    loop {
+        let Some(addr) = source(state, seeds, &found.borrow().hints) else {
+            return std::future::pending().await;
+        };
+        match fetch(state, addr, found).await {
+            Ok(()) => return,
+            Err(error) => debug!(event = "snapshot_unread", peer = %addr, %error),
+        }
+        let pause_ms = rand::rng().random_range(PAUSE_MS);
+        task::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
 /// Returns the instance to ask next: one that is ready, preferably in the own zone, or a seed.
-fn source(
-    state: &State,
-    seeds: &[SocketAddr],
-    untried: &mut Vec<SocketAddr>,
-) -> Option<SocketAddr> {
+fn source(state: &State, seeds: &[SocketAddr], hints: &[SocketAddr]) -> Option<SocketAddr> {
     let members = state.members.borrow();
-    let ready: Vec<_> = members
-        .live()
-        .filter(|m| m.presence == Presence::Ready)
-        .collect();
-    let near: Vec<SocketAddr> = ready
-        .iter()
-        .filter(|m| m.zone == state.settings.zone)
-        .map(|m| m.peer_addr)
-        .collect();
+    let is_ready = |m: &&balance::Member| m.presence == Presence::Ready;
+    let ready: Vec<_> = members.live().filter(is_ready).collect();
+    let is_near = |m: &&&balance::Member| m.zone == state.settings.zone;
     let mut rng = rand::rng();
-    if let Some(addr) = near.choose(&mut rng) {
-        return Some(*addr);
-    }
-    if let Some(member) = ready.choose(&mut rng) {
-        return Some(member.peer_addr);
-    }
-    untried.pop().or_else(|| seeds.choose(&mut rng).copied())
+    let near = ready.iter().filter(is_near).choose(&mut rng);
+    let member = near.or_else(|| ready.choose(&mut rng));
+    member
+        .map(|m| m.peer_addr)
+        .or_else(|| hints.choose(&mut rng).copied())
+        .or_else(|| seeds.choose(&mut rng).copied())
 }
 
-async fn fetch(state: &State, addr: SocketAddr, asked: Time) -> Result<(), PlatformError> {
-    let body = PeerClient::new(addr)
-        .get(SNAPSHOT_PATH, FETCH_LIMIT_MS)
-        .await?;
+async fn fetch(
+    state: &State,
+    addr: SocketAddr,
+    found: &RefCell<Found>,
+) -> Result<(), PlatformError> {
+    let asked = state.now();
+    let mut client = PeerClient::new(addr);
+    let limit = Duration::from_millis(FETCH_LIMIT_MS);
+    let response = timeout(limit, client.get(SNAPSHOT_PATH, FETCH_LIMIT_MS)).await;
+    let response = response.map_err(|_| PlatformError::Timeout {
+        limit_ms: FETCH_LIMIT_MS,
+    })??;
+    if response.status != 200 {
+        let own = SocketAddr::from(state.settings.peer);
+        let mut hints = decode_hints(&response.body);
+        hints.retain(|hint| *hint != own);
+        let mut found = found.borrow_mut();
+        found.is_busy |= response.status == BUSY_STATUS || !hints.is_empty();
+        found.hints = hints;
+        return Err(PlatformError::Refused {
+            status: response.status,
+        });
+    }
     let malformed = || PlatformError::Body(String::from("not a snapshot of this release"));
-    let snapshot = Snapshot::decode(&body).ok_or_else(malformed)?;
-    let targets = snapshot.entries.len();
-    let age_ms = snapshot.entries_age_ms;
+    let snapshot = Snapshot::decode(&response.body).ok_or_else(malformed)?;
+    apply(state, addr, snapshot, asked);
+    Ok(())
+}
+
+fn apply(state: &State, addr: SocketAddr, snapshot: Snapshot, asked: Time) {
+    let (targets, age_ms) = (snapshot.entries.len(), snapshot.entries_age_ms);
     let next = snapshot.apply(state, asked);
     state.joined_at.set(Some(next));
-    info!(event = "joined", peer = %addr, targets, age_ms, %next, bytes = body.len());
-    Ok(())
+    info!(event = "joined", peer = %addr, targets, age_ms, %next);
+}
+
+/// Returns some ready instances, for one that asks here in vain.
+pub fn encode_hints(state: &State) -> Vec<u8> {
+    let members = state.members.borrow();
+    let ready = members.ready().into_iter().map(|m| m.peer_addr);
+    let hints = ready.choose_multiple(&mut rand::rng(), HINTS);
+    encode_to_vec(hints, standard()).unwrap_or_default()
+}
+
+fn decode_hints(bytes: &[u8]) -> Vec<SocketAddr> {
+    let decoded = decode_from_slice::<Vec<SocketAddr>, _>(bytes, standard());
+    decoded.map(|(hints, _)| hints).unwrap_or_default()
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/join/tests.rs
+++ b/crates/gateway/src/join/tests.rs
@@ -21,8 +21,8 @@
 #[test]
 fn join_without_answer_ends() {
     let took = time_to_give_up(&["127.0.0.1:1"]);
-    assert!(took >= Duration::from_micros(WAIT_US), "{took:?}");
-    assert!(took < Duration::from_secs(4), "{took:?}");
+    assert!(took >= Duration::from_millis(WAIT_MS.start), "{took:?}");
+    assert!(took < Duration::from_secs(1), "{took:?}");
 }
 
 /// Guards against a system whose first instance waits for others that are not there.
@@ -32,3 +32,17 @@
     let took = time_to_give_up(&[&own.to_string()]);
     assert!(took < Duration::from_millis(200), "{took:?}");
 }
+
+/// Guards against instances that all ask the seeds although others have what they need.
+#[test]
+fn hints_name_ready_instances() {
+    let state = state(20.0);
+    let mut ready = state.members.borrow().own().clone();
+    ready.peer_addr = SocketAddr::from(([10, 1, 0, 40], 7_660));
+    ready.presence = Presence::Ready;
+    assert!(decode_hints(&encode_hints(&state)).is_empty());
+    let now = state.now();
+    state.members.borrow_mut().record_heard(ready.clone(), now);
+    assert_eq!(decode_hints(&encode_hints(&state)), [ready.peer_addr]);
+    assert!(decode_hints(&[255, 255, 3]).is_empty());
+}
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -54,7 +54,11 @@
     let asked = state.now();
     let fetched = PeerClient::new(addr).get(ROSTER_PATH, FETCH_LIMIT_MS).await;
     let body = match fetched {
-        Ok(body) => body,
+        Ok(response) if response.status == 200 => response.body,
+        Ok(response) => {
+            warn!(event = "roster_unread", peer = %addr, status = response.status);
+            return;
+        }
         Err(error) => {
             warn!(event = "roster_unread", peer = %addr, %error);
             return;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -34,7 +34,9 @@
 
 /// Pause after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Time between two checks of whether the instance is ready or may end.
+/// Time between two checks of whether the instance is ready. Meanwhile nobody is served.
+const READY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Time between two checks of whether the instance may end.
 const PHASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Share of the time for a planned stop in which requests are still accepted. Callers have queried
 /// the addresses again by then, and accepted requests have the other half to finish.
@@ -235,7 +237,7 @@
 /// Waits until the configuration and the targets are known, then makes the instance ready.
 async fn wait_until_ready(state: Rc<State>, socket: Rc<UdpSocket>) {
     while state.config().is_none() || state.entries_as_of.get().is_none() {
-        task::sleep(PHASE_CHECK_INTERVAL).await;
+        task::sleep(READY_CHECK_INTERVAL).await;
     }
     if state.phase.get() == Phase::Starting {
         state.phase.set(Phase::Ready);
