Targets that say in responses that they leave, or want no requests, get none

Cause: nothing read Server-Leaving or a target's Retry-After. DRAIN binds an instance from the response that it has passed on; BUDGET allows two requests until the time that a 503 states. Leaving targets get no first attempts, retries or hedges, their idle connections end, requests in progress go on. If all usable targets of a service are closed or limited, requests are refused at once with the time until the first one opens. Malformed values change nothing and are logged.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -41,6 +41,7 @@
 mod service_config;
 mod stated_limit;
 mod target_entry;
+mod target_notes;
 mod targets;
 mod weighted_service;
 
@@ -80,6 +81,7 @@
     service_config::ServiceConfig,
     stated_limit::StatedLimit,
     target_entry::TargetEntry,
+    target_notes::{TargetNote, TargetNotes},
     targets::{Target, Targets},
     weighted_service::{WeightedService, choose_service},
 };
--- a/crates/balance/src/targets.rs
+++ b/crates/balance/src/targets.rs
@@ -8,7 +8,10 @@
 
 use model::{ServiceName, TargetId, Time};
 
-use crate::{EntryChange, Health, Load, SendLimiter, Senders, StatedLimit, TargetEntry};
+use crate::{
+    EntryChange, Health, Load, SendLimiter, Senders, StatedLimit, TargetEntry, TargetNote,
+    TargetNotes,
+};
 
 /// Fraction of the rate of a cold target that is used. A cold target crashes above its rate, and
 /// instances with different views of the membership send more.
@@ -36,6 +39,8 @@
     pub load: Option<Load>,
     /// Recent outcomes and ejection.
     pub health: Health,
+    /// What its process has said of itself in responses.
+    pub note: TargetNote,
     /// Limit on requests that the target states.
     pub limit: StatedLimit,
     /// Keeps this instance to its share of the limited rate.
@@ -50,13 +55,14 @@
 }
 
 impl Target {
-    fn new(entry: TargetEntry, now: Time) -> Self {
+    fn new(entry: TargetEntry, note: TargetNote, now: Time) -> Self {
         Self {
             cold_until: now.plus_ms(entry.cold_ms),
             entry,
             first_seen: now,
             load: None,
             health: Health::default(),
+            note,
             limit: StatedLimit::default(),
             limiter: SendLimiter::default(),
             in_flight: 0,
@@ -65,6 +71,20 @@
         }
     }
 
+    /// Returns whether the target has announced that it leaves, in its entry or in a response.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.entry.draining || self.note.is_leaving
+    }
+
+    /// Returns for how many milliseconds the target wants no requests from this instance; `None` if it
+    /// takes them.
+    #[must_use]
+    pub fn closed_ms(&self, now: Time) -> Option<u64> {
+        let closed_us = self.note.closed_until.since_us(now);
+        (closed_us > 0).then(|| closed_us.div_ceil(1_000))
+    }
+
     /// Returns whether the target is cold.
     #[must_use]
     pub fn is_cold(&self, now: Time) -> bool {
@@ -131,6 +151,9 @@
     removed: HashMap<TargetId, (u64, Time)>,
     /// Listed entries of targets that were removed before the store came back from an earlier copy.
     held: HashMap<TargetId, TargetEntry>,
+    /// What processes have said of themselves in responses. Kept apart from the entries, which may come
+    /// and go and be older.
+    notes: TargetNotes,
 }
 
 impl Targets {
@@ -159,10 +182,37 @@
         self.remove(&id, now);
         self.service_of.insert(id.clone(), entry.service.clone());
         let of_service = self.services.entry(entry.service.clone()).or_default();
-        of_service.insert(id, Target::new(entry, now));
+        let note = self.notes.get(&id, entry.born);
+        of_service.insert(id, Target::new(entry, note, now));
         true
     }
 
+    /// Records that the process of the target `id` that started at `born` has said that it leaves.
+    /// Returns whether that is news.
+    pub fn record_leaving(&mut self, id: &TargetId, born: u64, now: Time) -> bool {
+        let is_news = self.notes.record_leaving(id, born, now);
+        self.update_note(id, born);
+        is_news
+    }
+
+    /// Records that this process wants no requests from this instance for `for_ms` from now on.
+    pub fn record_closed(&mut self, id: &TargetId, born: u64, now: Time, for_ms: u64) {
+        self.notes.record_closed(id, born, now, for_ms);
+        self.update_note(id, born);
+    }
+
+    fn update_note(&mut self, id: &TargetId, born: u64) {
+        let note = self.notes.get(id, born);
+        if let Some(target) = self.get_mut(id).filter(|t| t.entry.born == born) {
+            target.note = note;
+        }
+    }
+
+    /// Returns the processes that have said that they leave, with their starts.
+    pub fn leaving(&self) -> impl Iterator<Item = (&TargetId, u64)> {
+        self.notes.leaving()
+    }
+
     /// Returns the shortest description of a change, given the entry that is known before it.
     #[must_use]
     pub fn shorten(&self, change: EntryChange) -> EntryChange {
@@ -279,6 +329,7 @@
         for id in &gone {
             self.remove(id, now);
         }
+        self.notes.sweep(now);
         self.removed
             .retain(|_, (_, at)| now.since_us(*at) < REMOVED_US);
         let is_over = |at: Time| now.since_us(at) >= HOLD_US;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::{
     entries_wait::await_recent_entries,
     exchange::{EncodedRequest, Identity, SendResult, exchange},
+    notices::record_notices,
     pending_outcome::PendingOutcome,
     selection::{SelectedTarget, is_target_eligible},
     send_limits::SendLimits,
@@ -47,7 +48,7 @@
             .headers
             .single_value(headers::REQUEST_ID)
             .map(str::to_owned);
-        let (addr, target) = (selected.addr, selected.id.clone());
+        let (addr, target, born) = (selected.addr, selected.id.clone(), selected.born);
         let future = async move {
             let _guard = guard;
             let request = EncodedRequest {
@@ -55,11 +56,15 @@
                 identity: id.as_deref().map_or(Identity::Anonymous, Identity::Request),
                 bytes: &bytes,
             };
-            exchange(&state, addr, request, deadline, async || {
+            let result = exchange(&state, addr, request, deadline, async || {
                 await_recent_entries(&state).await;
                 is_target_eligible(&state, &target)
             })
-            .await
+            .await;
+            if let SendResult::Response(response) = &result {
+                record_notices(&state, &target, born, response, "response");
+            }
+            result
         };
         Self {
             selected,
--- a/crates/gateway/src/attempt/tests.rs
+++ b/crates/gateway/src/attempt/tests.rs
@@ -17,6 +17,7 @@
 fn selected() -> SelectedTarget {
     SelectedTarget {
         id: TargetId::new("i-1"),
+        born: 1,
         addr: "10.0.0.1:80".parse().unwrap(),
         slowdown_percent: 100,
         report_age_us: 0,
--- a/crates/gateway/src/collecting.rs
+++ b/crates/gateway/src/collecting.rs
@@ -12,12 +12,15 @@
     datagrams::{send_paced, transmission_us},
     digest::{Digest, envelope},
     digest_apply::{apply_outcomes, apply_rollout, confirm_entries},
+    notices::{LeavingReport, apply_leaving},
     report::{MAX_BYTES, Report},
     reporting::{fresh_ms, rollout_reports},
     state::State,
     target_limits::apply_limit_reports,
 };
 
+/// Digests of each collector that tell of a target that leaves.
+const LEAVING_REPEATS: u8 = 2;
 /// Shortest time between two digests of an instance.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -36,6 +39,10 @@
         let mut log = state.outcome_log.borrow_mut();
         log.add_untold(report.outcomes.clone());
     }
+    apply_leaving(state, &report.leaving, from.name.as_str());
+    let mut leaving = state.untold_leaving.borrow_mut();
+    leaving.extend(report.leaving.iter().map(|l| (l.clone(), LEAVING_REPEATS)));
+    drop(leaving);
     if !is_own {
         apply_limit_reports(state, &report.limits, &from.name);
     }
@@ -116,11 +123,23 @@
         rollouts: rollout_reports(state, false),
         members: changed.cloned().collect(),
         outcomes: if tells { outcomes } else { Vec::new() },
+        leaving: take_leaving(state),
         limits: if tells { limits.collect() } else { Vec::new() },
         ..Digest::new(members.own().clone())
     }
 }
 
+/// Returns the targets that leave and of which this digest is to tell.
+fn take_leaving(state: &State) -> Vec<LeavingReport> {
+    let mut untold = state.untold_leaving.borrow_mut();
+    let told = untold.iter().map(|(leaving, _)| leaving.clone()).collect();
+    untold.retain_mut(|(_, left)| {
+        *left -= 1;
+        *left > 0
+    });
+    told
+}
+
 /// Sends a digest to all live instances.
 async fn send_digest(state: &State, socket: &UdpSocket, digest: Digest) {
     let groups = groups(state);
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -13,11 +13,12 @@
 
 use crate::{
     limit_report::LimitReport,
+    notices::LeavingReport,
     report::{MAX_BYTES, RolloutReport},
 };
 
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 13;
+const FORMAT: u8 = 15;
 /// Encoded size of an address to forward a datagram to, in bytes.
 const ADDR_BYTES: usize = 6;
 
@@ -47,6 +48,8 @@
     pub members: Vec<Member>,
     /// Outcomes of targets by report.
     pub outcomes: Vec<ReportedOutcomes>,
+    /// Targets that have said that they leave.
+    pub leaving: Vec<LeavingReport>,
     /// News of the limits that targets state.
     pub limits: Vec<LimitReport>,
 }
@@ -65,6 +68,7 @@
             rollouts: Vec::new(),
             members: Vec::new(),
             outcomes: Vec::new(),
+            leaving: Vec::new(),
             limits: Vec::new(),
         }
     }
@@ -85,9 +89,11 @@
             rest.outcomes = halve(&mut self.outcomes);
         }
         if rest.members.is_empty() && rest.outcomes.is_empty() {
+            rest.leaving = halve(&mut self.leaving);
             rest.limits = halve(&mut self.limits);
         }
-        if rest.members.is_empty() && rest.outcomes.is_empty() && rest.limits.is_empty() {
+        let has_lists = !rest.members.is_empty() || !rest.outcomes.is_empty();
+        if !has_lists && rest.leaving.is_empty() && rest.limits.is_empty() {
             // What stands once does not fit; IP divides the datagram.
             return vec![bytes];
         }
--- a/crates/gateway/src/digest/tests.rs
+++ b/crates/gateway/src/digest/tests.rs
@@ -24,6 +24,12 @@
                 outcomes: vec![(TargetId::new(&format!("i-{number}")), 0, 1)],
             })
             .collect(),
+        leaving: (0..300)
+            .map(|born| LeavingReport {
+                target: TargetId::new("i-1"),
+                born,
+            })
+            .collect(),
         ..Digest::new(member(1))
     }
 }
@@ -40,6 +46,7 @@
     let forward_to = addrs(22);
     let mut members = Vec::new();
     let mut outcomes = Vec::new();
+    let mut leaving = Vec::new();
     let mut views = 0;
     for part in sent.clone().encode(forward_to.len()) {
         let bytes = envelope(&part, &forward_to);
@@ -53,6 +60,7 @@
         views += usize::from(received.digest.view.is_some());
         members.extend(received.digest.members);
         outcomes.extend(received.digest.outcomes);
+        leaving.extend(received.digest.leaving);
     }
     members.sort_by_key(|m| m.peer_addr);
     let mut expected = sent.members.clone();
@@ -60,6 +68,8 @@
     assert_eq!((views, members), (1, expected));
     outcomes.sort_by_key(|o| o.reporter);
     assert_eq!(outcomes, sent.outcomes);
+    leaving.sort_by_key(|l| l.born);
+    assert_eq!(leaving, sent.leaving);
 }
 
 /// Guards against bytes of others that end the process or count as a digest.
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -7,8 +7,9 @@
 use tracing::{info, warn};
 
 use crate::{
-    digest::Digest, operator_records::PeerAhead, report::RolloutReport, reporting::is_running,
-    state::State, store_era::check_peer_era, target_limits::apply_limit_reports,
+    digest::Digest, notices::apply_leaving, operator_records::PeerAhead, report::RolloutReport,
+    reporting::is_running, state::State, store_era::check_peer_era,
+    target_limits::apply_limit_reports,
 };
 
 /// Time for which the entries of an instance must have been up to date to show that the store had no
@@ -65,6 +66,7 @@
     for outcomes in &digest.outcomes {
         apply_outcomes(state, outcomes);
     }
+    apply_leaving(state, &digest.leaving, sender.name.as_str());
     apply_limit_reports(state, &digest.limits, &sender.name);
     for rollout in &digest.rollouts {
         apply_rollout(state, sender, rollout);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,9 +18,8 @@
     line_class::REQUESTS,
     outcome::{claims_not_run, is_slow, record_outcome, record_processing_time, record_reports},
     selection::{Criteria, SelectedTarget, is_target_eligible, processing_ms, select_target},
-    send_limits::limited_rate,
+    send_limits::{limited_rate, reopens_ms},
     state::State,
-    target_limits::record_stated_limit,
 };
 
 /// Failed connection attempts after which a request is refused. They do not count towards the
@@ -211,8 +210,13 @@
             selected = select_target(self.state, &self.criteria(false)).await;
         }
         let Some(selected) = selected else {
-            let limited_rate = limited_rate(self.state, self.service);
-            let reason = limited_rate.map_or(Code::NoTarget, |_| Code::LimitReached);
+            let is_limited = limited_rate(self.state, self.service).is_some()
+                || reopens_ms(self.state, self.service).is_some();
+            let reason = if is_limited {
+                Code::LimitReached
+            } else {
+                Code::NoTarget
+            };
             return Err(self.failure_code(reason, Code::UpstreamClosed));
         };
         Ok(selected)
@@ -330,9 +334,6 @@
         record_reports(self.state, selected, &response);
         let is_signed = response.headers.has(headers::SIGNATURE);
         let has_own_id = response.headers.single_value(headers::REQUEST_ID) == self.id();
-        if has_own_id && (is_signed || response.headers.has(headers::NOT_RUN)) {
-            record_stated_limit(self.state, &selected.id, &response, "response");
-        }
         if response.headers.has(headers::NOT_RUN) || response.status == 421 {
             self.attempt_log.record(selected, "shed", took_us);
             self.state.metrics.count("sheds", 1);
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -133,7 +133,7 @@
         let mut hints = decode_hints(&response.body);
         hints.retain(|hint| *hint != own);
         let mut found = found.borrow_mut();
-        found.is_busy |= response.status == BUSY_STATUS || !hints.is_empty();
+        found.is_busy |= response.status == BUSY_STATUS;
         found.hints = hints;
         return Err(PlatformError::Refused {
             status: response.status,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod line_class;
 mod logs;
 mod metrics;
+mod notices;
 mod operator_records;
 mod orders_apply;
 mod outcome;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,6 +1,6 @@
 //! Probes targets for their load just before one of them is selected.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use async_std::future::timeout;
 use balance::Target;
@@ -11,6 +11,7 @@
 
 use crate::{
     exchange::{EncodedRequest, Identity, SendResult, exchange},
+    notices::record_notices,
     state::State,
     target_limits::record_stated_limit,
 };
@@ -70,7 +71,7 @@
 
 /// Probes one target. Returns whether it responded.
 async fn probe_one(state: &Rc<State>, id: &TargetId) -> bool {
-    let Some((addr, path)) = address(state, id) else {
+    let Some((addr, path, born)) = address(state, id) else {
         return false;
     };
     if !state.take_probe_token() {
@@ -101,6 +102,7 @@
         }
         SendResult::NoResponse(_) => return false,
     };
+    record_notices(state, id, born, &response, "probe");
     apply_response(state, id, &response);
     true
 }
@@ -137,13 +139,14 @@
     }
 }
 
-/// Returns the address of a target and the path of its health check.
-fn address(state: &State, id: &TargetId) -> Option<(std::net::SocketAddr, std::sync::Arc<str>)> {
+/// Returns the address of a target, the path of its health check and the start of its process.
+fn address(state: &State, id: &TargetId) -> Option<(SocketAddr, Arc<str>, u64)> {
     let targets = state.targets.borrow();
     let entry = &targets.get(id)?.entry;
     let config = state.config()?;
     Some((
         entry.addr,
         config.service(&entry.service)?.health_path.clone(),
+        entry.born,
     ))
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -22,20 +22,29 @@
 }
 
 impl Refusal {
-    /// Returns the refusal of a request whose targets take `rate` requests a second from all
-    /// instances together, and no more now.
-    pub fn at_rate(code: Code, rate: f64) -> Self {
-        let next_ms = (1_000.0 / rate).clamp(f64::from(BUSY_RETRY_MS), MAX_RETRY_MS);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "clamped to a few seconds"
-        )]
-        let retry_ms = Some(next_ms as u32);
-        Self { code, retry_ms }
+    /// Returns the refusal of a request whose targets take none now. Those that state a limit take
+    /// `rate` requests a second from all instances together; the first of those that have turned
+    /// requests away takes them again after `reopens_ms`.
+    pub fn at_limit(rate: Option<f64>, reopens_ms: Option<u64>) -> Self {
+        let at_rate_ms = rate.map(retry_ms_at);
+        let reopens_ms = reopens_ms.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX));
+        Self {
+            code: Code::LimitReached,
+            retry_ms: at_rate_ms.into_iter().chain(reopens_ms).min(),
+        }
     }
 }
 
+/// Returns the time in which targets take one more request, if they take `rate` a second.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "clamped to a few seconds"
+)]
+fn retry_ms_at(rate: f64) -> u32 {
+    (1_000.0 / rate).clamp(f64::from(BUSY_RETRY_MS), MAX_RETRY_MS) as u32
+}
+
 impl From<Code> for Refusal {
     fn from(code: Code) -> Self {
         let retry_ms = match code {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -8,12 +8,12 @@
 use model::ServiceName;
 use serde::{Deserialize, Serialize};
 
-use crate::limit_report::LimitReport;
+use crate::{limit_report::LimitReport, notices::LeavingReport};
 
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 12;
+const FORMAT: u8 = 14;
 
 /// Report of an instance to the collectors. The order and the types of the fields are the wire
 /// format.
@@ -32,6 +32,8 @@
     pub fresh_ms: u64,
     /// Outcomes since its last report, for targets with bad ones.
     pub outcomes: ReportedOutcomes,
+    /// Targets that have said that they leave.
+    pub leaving: Vec<LeavingReport>,
     /// News of the limits that targets state.
     pub limits: Vec<LimitReport>,
     /// Its requests and extra attempts by service, in the window of the retry budget.
--- a/crates/gateway/src/report/tests.rs
+++ b/crates/gateway/src/report/tests.rs
@@ -26,6 +26,10 @@
             number: 3,
             outcomes: vec![(TargetId::new("t"), 3, 1)],
         },
+        leaving: vec![LeavingReport {
+            target: TargetId::new("t"),
+            born: 4,
+        }],
         limits: vec![LimitReport {
             target: TargetId::new("t"),
             born: 1_764_800_000_000,
--- a/crates/gateway/src/reporting.rs
+++ b/crates/gateway/src/reporting.rs
@@ -128,6 +128,7 @@
         config_version: state.config_version(),
         entries_era: state.entries.borrow().era(),
         fresh_ms: fresh_ms(state),
+        leaving: state.leaving_news.take(),
         limits: take_limit_reports(state),
         budget_usage,
         rollouts: rollout_reports(state, true),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -16,7 +16,7 @@
     phase::Phase,
     refusal::Refusal,
     response::{encode_forwarded, encode_refusal, status},
-    send_limits::limited_rate,
+    send_limits::{limited_rate, reopens_ms},
     state::State,
 };
 
@@ -195,10 +195,11 @@
     };
     match forwarder.run().await {
         Ok(response) => Ok((response, Arc::clone(&route))),
-        Err(Code::LimitReached) => Err(Refusal::at_rate(
-            Code::LimitReached,
-            limited_rate(state, &chosen.service).unwrap_or_default(),
-        )),
+        Err(Code::LimitReached) => {
+            let rate = limited_rate(state, &chosen.service);
+            let reopens_ms = reopens_ms(state, &chosen.service);
+            Err(Refusal::at_limit(rate, reopens_ms))
+        }
         Err(code) => Err(code.into()),
     }
 }
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -72,7 +72,7 @@
         format!("HTTP/1.1 {} {}\r\n", response.status, response.reason).as_bytes(),
     );
     let is_for_sender = |name: &str| {
-        let names = headers::FOR_SENDER.iter();
+        let names = headers::FOR_SENDER.iter().flat_map(|names| names.iter());
         names.into_iter().any(|own| name.eq_ignore_ascii_case(own))
     };
     let passed = response.headers.end_to_end();
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -75,7 +75,7 @@
     let zones_out = state.zones_out.borrow();
     targets.of_service(&rollout.order.service).any(|t| {
         t.entry.version == rollout.order.version
-            && !t.entry.draining
+            && !t.is_leaving()
             && !t.is_cold(now)
             && !zones_out.contains(&t.entry.zone)
     })
--- a/crates/gateway/src/roster/tests.rs
+++ b/crates/gateway/src/roster/tests.rs
@@ -15,6 +15,8 @@
 fn fetched_roster_makes_rosters_equal() {
     let (here, there) = (state(20.0), state(20.0));
     let now = Time(60_000_000);
+    let own = here.members.borrow().own().clone();
+    *there.members.borrow_mut() = balance::Members::new(own);
     let collector = member(1);
     here.members.borrow_mut().record_heard(member(7), Time(0));
     for index in 1..5 {
--- a/crates/gateway/src/selection.rs
+++ b/crates/gateway/src/selection.rs
@@ -65,6 +65,8 @@
 pub struct SelectedTarget {
     /// Identifier of the target.
     pub id: TargetId,
+    /// Start of its process, as in its entry.
+    pub born: u64,
     /// Address of the target.
     pub addr: std::net::SocketAddr,
     /// Slowdown in its latest load report, in percent of the usual processing time.
@@ -135,6 +137,7 @@
     let eligible: Vec<&Target> = targets
         .of_service(criteria.service)
         .filter(|t| is_eligible(state, t) && version_filter.allows(t, criteria.new_version))
+        .filter(|t| t.closed_ms(now).is_none())
         .filter(|t| criteria.may_be_limited || t.limit.rate(now).is_none())
         .filter(|t| !criteria.tried.contains(&t.entry.id) && !considered.contains(&t.entry.id))
         .collect();
@@ -197,18 +200,18 @@
     pool
 }
 
-/// Whether a target is known, not draining and in a zone that is not taken out.
+/// Whether a target is known, not leaving, in a zone that is not taken out, and takes requests.
 pub fn is_target_eligible(state: &State, id: &TargetId) -> bool {
     state
         .targets
         .borrow()
         .get(id)
-        .is_some_and(|t| is_eligible(state, t))
+        .is_some_and(|t| is_eligible(state, t) && t.closed_ms(state.now()).is_none())
 }
 
-/// Whether a target is not draining and in a zone that is not taken out.
+/// Whether a target is not leaving and in a zone that is not taken out.
 pub fn is_eligible(state: &State, target: &Target) -> bool {
-    !target.entry.draining && !state.zones_out.borrow().contains(&target.entry.zone)
+    !target.is_leaving() && !state.zones_out.borrow().contains(&target.entry.zone)
 }
 
 /// Whether the latest load report of a target is missing or too old to be used without a probe.
@@ -285,6 +288,10 @@
     if !limits.allow(target, criteria.urgency_rank) || !is_eligible(state, target) {
         return None;
     }
+    // The probe may have shown that the target is closed, too.
+    if target.closed_ms(now).is_some() {
+        return None;
+    }
     if is_limited && !criteria.may_be_limited {
         return None;
     }
@@ -297,6 +304,7 @@
     };
     let selected = SelectedTarget {
         id: id.clone(),
+        born: target.entry.born,
         addr: target.entry.addr,
         slowdown_percent: load.map_or(100, |load| load.slowdown_percent),
         report_age_us: load.map_or(u64::MAX, |load| now.since_us(load.reported_at)),
--- a/crates/gateway/src/send_limits.rs
+++ b/crates/gateway/src/send_limits.rs
@@ -64,6 +64,17 @@
     }
 }
 
+/// Returns the time until the first target of `service` that has turned requests away takes them
+/// again, in milliseconds; `None` if none has.
+pub fn reopens_ms(state: &State, service: &ServiceName) -> Option<u64> {
+    let now = state.now();
+    let targets = state.targets.borrow();
+    let usable = targets
+        .of_service(service)
+        .filter(|t| is_eligible(state, t));
+    usable.filter_map(|t| t.closed_ms(now)).min()
+}
+
 /// Returns the requests a second that the targets of `service` with a stated limit take from all
 /// instances together; `None` if none of them states one.
 pub fn limited_rate(state: &State, service: &ServiceName) -> Option<f64> {
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -12,6 +12,7 @@
 use crate::{
     digest_apply::apply_rollout,
     entries_apply::apply_listing,
+    notices::{LeavingReport, apply_leaving, leaving_reports},
     orders_apply::{Source, apply_orders},
     phase::Phase,
     report::RolloutReport,
@@ -38,6 +39,8 @@
     pub entries_next: Position,
     /// Time for which the entries may be out of date, in milliseconds.
     pub entries_age_ms: u64,
+    /// Targets that have said that they leave.
+    pub leaving: Vec<LeavingReport>,
     /// Entries of all targets, with the time for which they are still cold.
     pub entries: Vec<TargetEntry>,
 }
@@ -71,6 +74,7 @@
                 offset,
             },
             entries_age_ms,
+            leaving: leaving_reports(&targets),
             entries: entries.collect(),
         })
     }
@@ -105,6 +109,7 @@
         for rollout in &self.rollouts {
             apply_rollout(state, &state.members.borrow().own().clone(), rollout);
         }
+        apply_leaving(state, &self.leaving, "snapshot");
         let offset = self.entries_next.offset.saturating_sub(1);
         let changes = self.entries.into_iter();
         let listing = Listing {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,8 @@
 
 use crate::{
     buffer_share::ResponseBuffers, clock::Clock, known_records::KnownRecords,
-    limit_report::LimitReport, metrics::Metrics, phase::Phase, pool::Pool, settings::Settings,
+    limit_report::LimitReport, metrics::Metrics, notices::LeavingReport, phase::Phase, pool::Pool,
+    settings::Settings,
 };
 
 /// Shared state of one instance.
@@ -61,6 +62,10 @@
     pub peer_usage: RefCell<PeerUsage>,
     /// Reported outcomes that were counted, and those that a collector is still to tell.
     pub outcome_log: RefCell<OutcomeLog>,
+    /// Targets that have said that they leave, of which the collectors are still to be told.
+    pub leaving_news: RefCell<Vec<LeavingReport>>,
+    /// Targets that leave, of which a collector is still to tell, with the digests left to do so.
+    pub untold_leaving: RefCell<Vec<(LeavingReport, u8)>>,
     /// News of limits that a collector is still to tell, with the time at which it received them.
     pub untold_limits: RefCell<Vec<(Time, LimitReport)>>,
     /// Longest time for which the entries of an instance have been up to date, as reported since the
@@ -163,6 +168,8 @@
             is_collector: Cell::new(false),
             peer_usage: RefCell::default(),
             outcome_log: RefCell::default(),
+            leaving_news: RefCell::default(),
+            untold_leaving: RefCell::default(),
             untold_limits: RefCell::default(),
             reported_fresh_ms: Cell::new(0),
             joined_at: Cell::new(None),
