Starting instances wait while another one reads the store; fast links relay

Change: an instance that another one has answered waits 0.6 s longer, or 4 s at the first start of the whole system (first_start in the settings). Relays are the instances with the fastest links of their zone. One line tells of all changes in a digest.

--- a/crates/balance/src/fan_out.rs
+++ b/crates/balance/src/fan_out.rs
@@ -1,7 +1,7 @@
 //! Groups of instances to which a datagram for all of them is sent: to the first of each group,
 //! which forwards it to the others.
 
-use std::net::SocketAddr;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use crate::{Member, Presence};
 
@@ -24,9 +24,10 @@
     /// Divides `members` into groups by zone, so that few datagrams cross zones. `duration_us` is
     /// the transmission time of one datagram. If they are few and can all be sent one soon enough, each is a
     /// group of its own; otherwise there are as many groups as instances in a group, which takes the shortest
-    /// time. In the order of `members`, which should be random, so that different instances relay
-    /// each time. The relay of a group is the one heard last, which is least likely to have ended, and
-    /// none that is leaving if there is another one.
+    /// time. Relays are the instances with the fastest links of their zone, so that there may be fewer
+    /// groups. In the order of `members`, which should be random, so that different instances relay
+    /// each time. Among equally fast ones, those heard last are least likely to have ended; none
+    /// relays that is leaving, if there is another one.
     #[must_use]
     pub fn groups(mut members: Vec<&Member>, duration_us: u64) -> Vec<Self> {
         let direct_us = duration_us.saturating_mul(members.len() as u64);
@@ -35,18 +36,37 @@
         } else {
             members.len().isqrt().max(1)
         };
+        if size == 1 {
+            return members.into_iter().map(Self::of_one).collect();
+        }
         members.sort_by(|a, b| a.zone.cmp(&b.zone));
-        members.chunks(size).filter_map(Self::of_group).collect()
+        let zones = members.chunk_by(|a, b| a.zone == b.zone);
+        zones.flat_map(|zone| Self::of_zone(zone, size)).collect()
     }
 
-    fn of_group(group: &[&Member]) -> Option<Self> {
-        let fitness = |m: &&&Member| (m.presence != Presence::Leaving, m.last_heard);
-        let relay = group.iter().max_by_key(fitness)?.peer_addr;
-        let addrs = group.iter().map(|m| m.peer_addr);
-        Some(Self {
-            relay,
-            others: addrs.filter(|addr| *addr != relay).collect(),
-        })
+    fn of_one(member: &Member) -> Self {
+        Self {
+            relay: member.peer_addr,
+            others: Vec::new(),
+        }
+    }
+
+    /// Divides the members of one zone into groups of about `size`, or larger ones if only a few have
+    /// the fastest links.
+    fn of_zone(zone: &[&Member], size: usize) -> Vec<Self> {
+        let speed = |m: &Member| (m.presence != Presence::Leaving, m.link_mbps.max(1).ilog2());
+        let mut ranked = zone.to_vec();
+        ranked.sort_by_key(|m| Reverse((speed(m), m.last_heard)));
+        let fastest = ranked.first().map(|m| speed(m));
+        let is_fast = |m: &&&Member| Some(speed(m)) == fastest;
+        let fast = ranked.iter().take_while(is_fast).count();
+        let count = zone.len().div_ceil(size).min(fast);
+        let others = ranked.split_off(count);
+        let mut groups: Vec<Self> = ranked.into_iter().map(Self::of_one).collect();
+        for (member, index) in others.into_iter().zip((0..count).cycle()) {
+            groups[index].others.push(member.peer_addr);
+        }
+        groups
     }
 }
 
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -17,6 +17,8 @@
 pub const MIN_FRESH_MS: u64 = 2_500;
 /// Time for which such a report is valid, in microseconds: more than two intervals of digests.
 const CONFIRMED_US: u64 = 2_000_000;
+/// Most instances in one log line. The collectors log each change that reaches them.
+const MAX_NAMES: usize = 8;
 /// Time between two attempts to fetch a configuration from a peer, in microseconds. Each one ends the
 /// pending read of the operator's records.
 const CONFIG_RETRY_US: u64 = 1_000_000;
@@ -44,12 +46,9 @@
     if is_change {
         log_member(sender);
     }
-    for member in digest.members {
-        let named = member.clone();
-        if members.record_named(member, now) {
-            log_member(&named);
-        }
-    }
+    let named = digest.members.into_iter();
+    let changed = named.filter(|m| members.record_named(m.clone(), now));
+    log_members(changed, sender.name.as_str());
     if let Some(view) = &digest.view {
         members.record_view(addr, view, now);
         // The sender waits for records at the store.
@@ -79,6 +78,18 @@
         revision = member.revision, presence = ?member.presence, has_store = member.has_store);
 }
 
+/// Logs in one line which instances have joined or changed their descriptions, as `source` told.
+pub fn log_members(changed: impl Iterator<Item = Member>, source: &str) {
+    let mut names: Vec<String> = changed
+        .map(|m| format!("{}/{}:{:?}", m.name, m.incarnation, m.presence))
+        .collect();
+    let count = names.len();
+    if count > 0 {
+        names.truncate(MAX_NAMES);
+        info!(event = "peers", count, peers = names.join(","), source);
+    }
+}
+
 fn report_peer_ahead(state: &State, digest: &Digest, on_peer_ahead: &impl Fn(PeerAhead)) {
     let has_records = digest.operator_next > state.operator_next.get();
     if has_records || wants_config(state, digest.config_version) {
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -40,16 +40,20 @@
 /// Shortest and longest time after which another instance reads the store, in milliseconds. While no
 /// instance has read it, nobody is served.
 const WAIT_MS: Range<u64> = 60..300;
-/// Time after which an instance reads the store although others have a snapshot, but are busy.
-const BUSY_WAIT: Duration = Duration::from_secs(4);
+/// Time for which an instance waits further if another one has answered, and so is about to read the
+/// store, or has done so and is busy.
+const ANSWERED_WAIT: Duration = Duration::from_millis(600);
+/// The same at the first start of the whole system. Nobody is to be served yet, and the operator may
+/// not have written a configuration.
+const FIRST_START_WAIT: Duration = Duration::from_secs(4);
 
 /// What the requests of a starting instance have shown.
 #[derive(Debug, Default)]
 struct Found {
     /// Instances that another one has named.
     hints: Vec<SocketAddr>,
-    /// Whether an instance has a snapshot, but is busy.
-    is_busy: bool,
+    /// Whether an instance has answered.
+    has_answer: bool,
 }
 
 /// Gets a snapshot from another instance, or finds that the store must be read.
@@ -66,8 +70,13 @@
     let workers = (0..WORKERS).map(|_| ask_others(&state, &seeds, &found).boxed_local());
     let mut asking = select_all(workers);
     let mut is_joined = !seeds.is_empty() && timeout(wait, &mut asking).await.is_ok();
-    if !is_joined && found.borrow().is_busy {
-        is_joined = timeout(BUSY_WAIT, &mut asking).await.is_ok();
+    if !is_joined && (found.borrow().has_answer && !is_seed) {
+        let wait = if state.settings.first_start {
+            FIRST_START_WAIT
+        } else {
+            ANSWERED_WAIT
+        };
+        is_joined = timeout(wait, &mut asking).await.is_ok();
     }
     if !is_joined {
         let waited_ms = state.now().since_us(started) / 1_000;
@@ -133,7 +142,7 @@
         let mut hints = decode_hints(&response.body);
         hints.retain(|hint| *hint != own);
         let mut found = found.borrow_mut();
-        found.is_busy |= response.status == BUSY_STATUS;
+        found.has_answer = true;
         found.hints = hints;
         return Err(PlatformError::Refused {
             status: response.status,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 use tracing::{info, warn};
 
-use crate::{digest_apply::log_member, state::State};
+use crate::{digest_apply::log_members, state::State};
 
 /// Path of the request for the descriptions.
 pub const ROSTER_PATH: &str = "/roster";
@@ -92,8 +92,9 @@
         .map(|(member, age_ms)| (member, age_ms.map(|age| asked.minus_ms(age))));
     members.replace_roster(addr, dated.collect(), asked.minus_ms(RECENT_MS));
     drop(members);
-    news.iter().for_each(log_member);
-    news.len()
+    let count = news.len();
+    log_members(news.into_iter(), "roster");
+    count
 }
 
 /// Returns the known descriptions, encoded.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -48,6 +48,9 @@
     /// Bandwidth of the machine's link, in Mbit/s.
     #[serde(default = "default_link_mbps")]
     pub link_mbps: f64,
+    /// Whether the whole system starts for the first time, and nobody is to be served yet.
+    #[serde(default)]
+    pub first_start: bool,
     /// Log lines allowed in a second.
     #[serde(default = "default_log_lines")]
     pub log_lines: u32,
