Parts of an update that overtake each other are kept

Change: up to 128 early parts are kept and applied in order. Result: update_parts_in_any_order_are_applied failed first.

--- a/crates/gateway/src/entries_apply.rs
+++ b/crates/gateway/src/entries_apply.rs
@@ -10,6 +10,8 @@
 
 use crate::{entries_update::EntriesUpdate, state::State, store_era::check_peer_era};
 
+/// Most updates that are kept because the ones that they continue have not arrived.
+const MAX_EARLY: usize = 128;
 /// Age of the entries from which failed reads count as an outage of the store, in microseconds.
 /// Targets renew their entries every 1.5 s, and an entry lapses after three missed renewals.
 const OUTAGE_US: u64 = 1_200_000;
@@ -67,13 +69,22 @@
         return;
     }
     let (from, next, end, changes) = (update.from, update.next, update.end, update.changes.len());
+    if from > known {
+        // A datagram was lost or overtaken.
+        await_changes(state, end);
+        let mut early = state.early_updates.borrow_mut();
+        if early.len() < MAX_EARLY {
+            early.insert(from, (peer, update, as_of));
+        }
+        return;
+    }
     let age_ms = state.now().since_us(as_of) / 1_000;
     if next > known {
         info!(event = "entries_update", %peer, era, from, next, end, changes, known, age_ms);
     } else {
         debug!(event = "entries_update", %peer, era, from, next, end, changes, known, age_ms);
     }
-    if from <= known && next >= known {
+    if next >= known {
         record_store_regained(state);
         let new = update.changes.into_iter();
         let new: Vec<_> = new.filter(|(offset, _)| *offset >= known).collect();
@@ -85,10 +96,27 @@
     if state.entries_next().is_some_and(|known| known >= end) {
         record_current(state, as_of, false);
     } else {
-        // A datagram was lost or reordered.
-        let (since, awaited) = state.entries_gap.get().unwrap_or((state.now(), end));
-        state.entries_gap.set(Some((since, awaited.max(end))));
+        await_changes(state, end);
     }
+    apply_early(state);
+}
+
+/// Records that the changes before offset `end` are missing.
+fn await_changes(state: &State, end: u64) {
+    let (since, awaited) = state.entries_gap.get().unwrap_or((state.now(), end));
+    state.entries_gap.set(Some((since, awaited.max(end))));
+}
+
+/// Applies the updates that arrived before the ones that they continue.
+fn apply_early(state: &State) {
+    let known = state.entries_next().unwrap_or_default();
+    let mut early = state.early_updates.borrow_mut();
+    let Some(first) = early.first_entry().filter(|first| *first.key() <= known) else {
+        return;
+    };
+    let (peer, update, as_of) = first.remove();
+    drop(early);
+    apply_update(state, peer, update, as_of);
 }
 
 fn entry_change(change: Change) -> Option<EntryChange> {
--- a/crates/gateway/src/entries_apply/tests.rs
+++ b/crates/gateway/src/entries_apply/tests.rs
@@ -29,11 +29,15 @@
     apply_update(&state, peer(), update(12, 14, 14), state.now());
     assert_eq!(state.entries_next(), Some(10));
     assert!(state.entries_gap.get().is_some());
-    apply_update(&state, peer(), update(8, 12, 12), state.now());
+    apply_update(&state, peer(), update(8, 11, 11), state.now());
     assert!(
         state.entries_gap.get().is_some(),
-        "records 12 and 13 are missing still"
+        "record 11 is missing still"
     );
+    assert_eq!(state.entries_next(), Some(11));
+    apply_update(&state, peer(), update(11, 12, 12), state.now());
+    assert_eq!(state.entries_next(), Some(14));
+    assert_eq!(state.entries_gap.get(), None);
 }
 
 /// Guards against an update that waited on its way and makes old entries count as current, or sets
@@ -80,3 +84,46 @@
     let targets = state.targets.borrow();
     assert!(targets.get(&entry.id).unwrap().entry.draining);
 }
+
+/// Guards against instances that all read the store because the datagrams of one update overtook each
+/// other.
+#[test]
+fn update_parts_in_any_order_are_applied() {
+    let state = state(1_000.0);
+    state.entries.borrow_mut().extend(10, []);
+    let part = |from: u64| EntriesUpdate {
+        changes: (from..from + 10)
+            .map(|offset| {
+                (
+                    offset,
+                    EntryChange::Gone(TargetId::new(&format!("i-{offset}"))),
+                )
+            })
+            .collect(),
+        ..update(from, from + 10, 50)
+    };
+    let peer = SocketAddr::from(([10, 1, 0, 36], 7_660));
+    for from in [20, 40, 30, 10] {
+        apply_update(&state, peer, part(from), state.now());
+    }
+    assert_eq!(state.entries_next(), Some(50));
+    assert_eq!(state.entries_gap.get(), None);
+    assert!(state.entries_as_of.get().is_some());
+    assert_eq!(state.entries.borrow().since(10).1.len(), 40);
+    assert!(state.early_updates.borrow().is_empty());
+}
+
+/// Guards against parts of an update that stay for ever, or fill the memory, after one was lost.
+#[test]
+fn early_updates_are_bounded() {
+    let state = state(1_000.0);
+    state.entries.borrow_mut().extend(10, []);
+    let peer = SocketAddr::from(([10, 1, 0, 36], 7_660));
+    for from in 100..400 {
+        apply_update(&state, peer, update(from, from + 1, 500), state.now());
+    }
+    assert_eq!(state.early_updates.borrow().len(), MAX_EARLY);
+    apply_update(&state, peer, update(10, 500, 500), state.now());
+    assert!(state.early_updates.borrow().is_empty());
+    assert_eq!(state.entries_next(), Some(500));
+}
--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -43,9 +43,9 @@
 /// Time for which an instance waits further if another one has answered, and so is about to read the
 /// store, or has done so and is busy.
 const ANSWERED_WAIT: Duration = Duration::from_millis(600);
-/// The same at the first start of the whole system. Nobody is to be served yet, and the operator may
-/// not have written a configuration.
-const FIRST_START_WAIT: Duration = Duration::from_secs(4);
+/// Time after which an instance that is no seed reads the store at the first start of the whole
+/// system. Nobody is to be served yet, and the operator may not have written a configuration.
+const FIRST_START_WAIT: Duration = Duration::from_secs(3);
 
 /// What the requests of a starting instance have shown.
 #[derive(Debug, Default)]
@@ -63,6 +63,8 @@
     let is_seed = seeds.len() < state.settings.seeds.len();
     let wait = if is_seed {
         SEED_WAIT
+    } else if state.settings.first_start {
+        FIRST_START_WAIT
     } else {
         Duration::from_millis(rand::rng().random_range(WAIT_MS))
     };
@@ -70,13 +72,8 @@
     let workers = (0..WORKERS).map(|_| ask_others(&state, &seeds, &found).boxed_local());
     let mut asking = select_all(workers);
     let mut is_joined = !seeds.is_empty() && timeout(wait, &mut asking).await.is_ok();
-    if !is_joined && (found.borrow().has_answer && !is_seed) {
-        let wait = if state.settings.first_start {
-            FIRST_START_WAIT
-        } else {
-            ANSWERED_WAIT
-        };
-        is_joined = timeout(wait, &mut asking).await.is_ok();
+    if !is_joined && found.borrow().has_answer && !is_seed {
+        is_joined = timeout(ANSWERED_WAIT, &mut asking).await.is_ok();
     }
     if !is_joined {
         let waited_ms = state.now().since_us(started) / 1_000;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -18,9 +18,9 @@
 use platform::Relay;
 
 use crate::{
-    buffer_share::ResponseBuffers, clock::Clock, known_records::KnownRecords,
-    limit_report::LimitReport, metrics::Metrics, notices::LeavingReport, phase::Phase, pool::Pool,
-    settings::Settings,
+    buffer_share::ResponseBuffers, clock::Clock, entries_update::EntriesUpdate,
+    known_records::KnownRecords, limit_report::LimitReport, metrics::Metrics,
+    notices::LeavingReport, phase::Phase, pool::Pool, settings::Settings,
 };
 
 /// Shared state of one instance.
@@ -117,6 +117,9 @@
     pub entries_asked: Cell<Option<Time>>,
     /// Time since which changes of entries are missing, and the offset up to which they are.
     pub entries_gap: Cell<Option<(Time, u64)>>,
+    /// Updates that arrived before the ones that they continue, by their first offset, with the sender
+    /// and the time as of which they are current.
+    pub early_updates: RefCell<BTreeMap<u64, (SocketAddr, EntriesUpdate, Time)>>,
     /// Pace of the datagrams with changes of entries.
     pub update_pace: RefCell<SendPace>,
     /// Pace of the reports and digests.
@@ -196,6 +199,7 @@
             relay: RefCell::default(),
             entries_asked: Cell::new(None),
             entries_gap: Cell::new(None),
+            early_updates: RefCell::default(),
             update_pace: RefCell::default(),
             report_pace: RefCell::default(),
             has_store: Cell::new(true),
--- a/crates/gateway/src/store_era.rs
+++ b/crates/gateway/src/store_era.rs
@@ -23,6 +23,7 @@
     state.store_era.set(Some(era));
     let entries_end = state.entries_next();
     state.entries.borrow_mut().begin_era(era);
+    state.early_updates.borrow_mut().clear();
     let Some(old) = known else {
         return;
     };
