A refusal without the call's id on a kept connection is not one

Cause: the product's own interface took a 503 with hw-not-run and without hw-call as the answer to whatever waited. An upstream that writes an earlier refusal once more on a kept connection made the caller hear 'not run' for a call that ran. Change: on a connection that was in use before, such a refusal counts as the answer to another call (4004, outcome unknown), and the connection is closed. Result: refusal_repeated_is_not_for_next_call failed first (503, 3006, not-run), passes; upstream_faults 22 of 22.

--- a/crates/node/src/call/attempt.rs
+++ b/crates/node/src/call/attempt.rs
@@ -20,6 +20,7 @@
         send_half::{Sending, send},
         upstream_response::UpstreamResponse,
     },
+    pool::Conn,
     tap::{ReadState, Tap},
 };
 
@@ -156,6 +157,11 @@
         // connection.
         return Err(fail_without_response(exchange, Code::CrossedAnswer));
     }
+    let is_reused = exchange.conn.as_ref().is_some_and(Conn::is_reused);
+    if is_reused && response.header("hw-call").is_none() {
+        // It may be an earlier refusal, written once more.
+        return Err(fail_without_response(exchange, Code::CrossedAnswer));
+    }
     exchange.active_call.ledger.record_refused();
     let complete = exchange.send_state.is_complete();
     if complete
--- a/crates/node/src/pool/conn.rs
+++ b/crates/node/src/pool/conn.rs
@@ -11,16 +11,25 @@
 pub struct Conn {
     stream: TcpStream,
     permit: Option<Permit>,
+    is_reused: bool,
 }
 
 impl Conn {
-    pub(super) const fn new(stream: TcpStream, permit: Permit) -> Self {
+    /// Returns a connection that was just opened, or one that was in use before.
+    pub(super) const fn new(stream: TcpStream, permit: Permit, is_reused: bool) -> Self {
         Self {
             stream,
             permit: Some(permit),
+            is_reused,
         }
     }
 
+    /// Returns whether the connection was in use before. Late or surplus answers to earlier calls may
+    /// arrive on it.
+    pub const fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Returns the underlying stream.
     pub const fn stream(&self) -> &TcpStream {
         &self.stream
--- a/crates/node/src/pool/mod.rs
+++ b/crates/node/src/pool/mod.rs
@@ -58,7 +58,7 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        Ok(Conn::new(stream, permit))
+        Ok(Conn::new(stream, permit, false))
     }
 
     /// Closes idle connections that are too old or that the target closed, and removes pools without
--- a/crates/node/src/pool/target_pool.rs
+++ b/crates/node/src/pool/target_pool.rs
@@ -102,7 +102,7 @@
                 continue;
             }
             if !is_older(idle.since, max_age) {
-                return Some(Conn::new(idle.stream, idle.permit));
+                return Some(Conn::new(idle.stream, idle.permit, true));
             }
             let _ = self.sender.try_send(idle);
         }
--- a/crates/node/tests/upstream_faults.rs
+++ b/crates/node/tests/upstream_faults.rs
@@ -277,6 +277,32 @@
     });
 }
 
+/// Guards against a refusal that an upstream writes once more on a kept connection, and that is taken for
+/// the answer to the call that it runs there.
+#[test]
+fn refusal_repeated_is_not_for_next_call() {
+    task::block_on(async {
+        let upstream = RawUpstream::start(true, |asked| {
+            let refusal = "HTTP/1.1 503 Busy\r\nhw-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+            if asked.number == 0 {
+                return vec![Act::Send(asked.answer("first"))];
+            }
+            vec![
+                Act::Send(refusal.into()),
+                Act::Pause(50),
+                Act::Send(asked.answer("ran")),
+            ]
+        })
+        .await;
+        let rig = Rig::start(upstream.addr, 3).await;
+        assert_eq!(rig.call("confirmation", "", b"x").await.code(), 1000);
+        let reply = rig.call("confirmation", "", b"x").await;
+        assert_eq!(reply.result(), (502, 4004, "unknown"));
+        assert_eq!(upstream.count(), 2);
+        assert_eq!(upstream.accepted.load(Ordering::SeqCst), 1);
+    });
+}
+
 #[test]
 fn refusal_without_mark_is_an_answer() {
     task::block_on(async {
