--- a/crates/gateway/src/join.rs
+++ b/crates/gateway/src/join.rs
@@ -40,6 +40,11 @@
 /// Shortest and longest time after which another instance reads the store, in milliseconds. While no
 /// instance has read it, nobody is served.
 const WAIT_MS: Range<u64> = 60..300;
+/// The same for an instance with a slow link. Such machines mostly have little processor time, too, and
+/// take longer for a listing than for a snapshot of a fast one.
+const SLOW_WAIT_MS: Range<u64> = 600..1_000;
+/// Bandwidth below which a link is slow, in Mbit/s.
+const FAST_LINK_MBPS: f64 = 100.0;
 /// Time for which an instance waits further if another one has answered, and so is about to read the
 /// store, or has done so and is busy.
 const ANSWERED_WAIT: Duration = Duration::from_millis(600);
@@ -66,7 +71,9 @@
     } else if state.settings.first_start {
         FIRST_START_WAIT
     } else {
-        Duration::from_millis(rand::rng().random_range(WAIT_MS))
+        let is_slow = state.settings.link_mbps < FAST_LINK_MBPS;
+        let range = if is_slow { SLOW_WAIT_MS } else { WAIT_MS };
+        Duration::from_millis(rand::rng().random_range(range))
     };
     let found = RefCell::new(Found::default());
     let workers = (0..WORKERS).map(|_| ask_others(&state, &seeds, &found).boxed_local());
--- a/crates/node/tests/gateway_logs.rs
+++ b/crates/node/tests/gateway_logs.rs
@@ -52,6 +52,37 @@
     });
 }
 
+/// Guards against logs that do not show why a request was refused although targets are there: they have
+/// said that they want none for some time.
+#[test]
+fn refused_request_leads_to_closed_targets() {
+    task::block_on(async {
+        let rig = start_rig().await;
+        for target in &rig.targets {
+            target.set_retry_after(Some("5"));
+        }
+        let addr = rig.instances[0].caller_addr();
+        for _ in 0..6 {
+            send(addr, &rig.request(false)).await;
+        }
+        let request = rig.request(true);
+        assert_eq!(send(addr, &request).await.status(), 503);
+        let id = format!("id={}", request.id);
+        let refused = [&id, "event=refused", "code=3004", "attempts=0"];
+        assert_eq!(matching_lines(&rig, &refused).await, 1);
+        for target in &rig.targets {
+            let name = format!("target_id={}", target.id());
+            let closed = [
+                "event=target_closed",
+                &name,
+                "for_ms=5000",
+                "source=response",
+            ];
+            assert_eq!(matching_lines(&rig, &closed).await, 1, "{name}");
+        }
+    });
+}
+
 /// Guards against logs that do not show which target ran a write whose outcome is unknown. The
 /// target closes the connection without a response, and the caller gets status 502.
 #[test]
--- a/crates/testkit/src/fleet/soak.rs
+++ b/crates/testkit/src/fleet/soak.rs
@@ -39,7 +39,7 @@
 /// Time after which the limit must be kept to.
 const LIMIT_START: Duration = Duration::from_secs(3);
 const ZONES: [&str; 3] = ["a", "b", "c"];
-const TARGET_FAULTS: [TargetFault; 9] = [
+const TARGET_FAULTS: [TargetFault; 12] = [
     TargetFault::Shed,
     TargetFault::Error,
     TargetFault::LoseAnswer,
@@ -49,6 +49,9 @@
     TargetFault::StrayFirst,
     TargetFault::NoLength,
     TargetFault::Mute,
+    TargetFault::RepeatRefusal { has_id: true },
+    TargetFault::RepeatRefusal { has_id: false },
+    TargetFault::CutHead(60),
 ];
 const PROXY_MODES: [ProxyMode; 4] = [
     ProxyMode::Delay,
@@ -79,6 +82,8 @@
     StoppedInstance(usize),
     Zone(&'static str),
     LimitedTarget(usize),
+    LeavingTarget(usize),
+    ClosedTarget(usize),
 }
 
 /// Results of a soak test.
@@ -174,7 +179,7 @@
         if self.copies.len() > MAX_COPIES {
             self.copies.remove(0);
         }
-        let (name, active_fault) = match self.rng.random_range(0..10) {
+        let (name, active_fault) = match self.rng.random_range(0..12) {
             0 => {
                 let fault = *STORE_FAULTS
                     .choose(&mut self.rng)
@@ -244,6 +249,24 @@
                     Some(ActiveFault::LimitedTarget(index)),
                 )
             }
+            9 => {
+                let index = self.rng.random_range(0..self.rig.targets.len());
+                let value = *["1", "no"].choose(&mut self.rng).unwrap_or(&"1");
+                self.rig.targets[index].set_leaving(Some(value));
+                (
+                    format!("target {index} leaving {value}"),
+                    Some(ActiveFault::LeavingTarget(index)),
+                )
+            }
+            10 => {
+                let index = self.rng.random_range(0..self.rig.targets.len());
+                let value = *["0.4", "2", "-1"].choose(&mut self.rng).unwrap_or(&"2");
+                self.rig.targets[index].set_retry_after(Some(value));
+                (
+                    format!("target {index} closed {value}"),
+                    Some(ActiveFault::ClosedTarget(index)),
+                )
+            }
             _ => {
                 let zone = *ZONES.choose(&mut self.rng).unwrap_or(&"a");
                 self.rig
@@ -302,6 +325,12 @@
             ActiveFault::Proxy(index) => self.rig.targets[index].proxy.set_mode(ProxyMode::Pass),
             ActiveFault::PausedInstance(index) => self.signal(index, "CONT"),
             ActiveFault::LimitedTarget(index) => self.rig.targets[index].set_limit(None),
+            ActiveFault::ClosedTarget(index) => self.rig.targets[index].set_retry_after(None),
+            ActiveFault::LeavingTarget(index) => {
+                // The next process of the target.
+                self.rig.targets[index].set_leaving(None);
+                self.rig.targets[index].restart();
+            }
             ActiveFault::Zone(zone) => {
                 self.rig
                     .store
