--- a/crates/balance/src/duty_candidate.rs
+++ b/crates/balance/src/duty_candidate.rs
@@ -1,5 +1,5 @@
 //! Input of the ranking of instances for a duty; see
-//! [`Members::duty_rank`](crate::Members::duty_rank).
+//! [`Members::ranked`](crate::Members::ranked).
 
 use model::{InstanceId, Zone};
 
--- a/crates/balance/src/members.rs
+++ b/crates/balance/src/members.rs
@@ -364,7 +364,7 @@
     }
 
     /// Returns the live instances that are not leaving, this one included, in the order of their rank
-    /// for `duty`. The fitter ones come first ([`DutyCandidate::fitness`]). Among equally fit ones, the
+    /// for `duty`. The fitter ones come first ([`DutyCandidate::fitness`](crate::DutyCandidate::fitness)). Among equally fit ones, the
     /// first instance of each zone ranks before the second one of any zone, so that the loss of a zone
     /// leaves one of the first few instances.
     #[must_use]
--- a/crates/balance/tests/members_spread.rs
+++ b/crates/balance/tests/members_spread.rs
@@ -73,10 +73,7 @@
 #[test]
 fn lossy_links_lose_no_instance() {
     for count in [30, 300] {
-        let trouble = Trouble {
-            loss: 0.025,
-            ..Trouble::default()
-        };
+        let trouble = Trouble { loss: 0.025 };
         let mut system = settled(count, trouble, 3);
         let mut wrong = 0;
         for second in 8..20 {
--- a/crates/balance/tests/system/mod.rs
+++ b/crates/balance/tests/system/mod.rs
@@ -90,7 +90,7 @@
         peer_addr: addr(index),
         presence: Presence::Ready,
         has_store: true,
-        link_mbps: if index % 31 == 0 { 200 } else { 20 },
+        link_mbps: if index.is_multiple_of(31) { 200 } else { 20 },
         last_heard: None,
     }
 }
@@ -190,6 +190,7 @@
     }
 
     /// Returns the number of sent datagrams for each instance.
+    #[expect(clippy::cast_precision_loss, reason = "counts of datagrams")]
     pub fn mean_datagrams(&self) -> f64 {
         self.datagrams as f64 / self.nodes.len() as f64
     }
--- a/crates/gateway/src/collecting.rs
+++ b/crates/gateway/src/collecting.rs
@@ -162,20 +162,23 @@
 
 /// Tells an instance that has sent a report here, although this one is no collector, who collects.
 pub async fn send_welcome(state: &State, socket: &UdpSocket, to: SocketAddr) {
+    for part in welcome(state).encode(0) {
+        if let Err(error) = socket.send_to(&envelope(&part, &[]), to).await {
+            tracing::debug!(event = "welcome_unsent", peer = %to, %error);
+        }
+    }
+}
+
+/// Returns a digest that names the collectors.
+fn welcome(state: &State) -> Digest {
     let members = state.members.borrow();
     let own = members.own().peer_addr;
     let collectors = members.collectors().into_iter();
-    let digest = Digest {
+    Digest {
         operator_next: state.operator_next.get(),
         config_version: state.config_version(),
         entries_era: state.entries.borrow().era(),
         members: collectors.filter(|m| m.peer_addr != own).cloned().collect(),
         ..Digest::new(members.own().clone())
-    };
-    drop(members);
-    for part in digest.encode(0) {
-        if let Err(error) = socket.send_to(&envelope(&part, &[]), to).await {
-            tracing::debug!(event = "welcome_unsent", peer = %to, %error);
-        }
     }
 }
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -158,12 +158,13 @@
         rollout.verdict = report.verdict;
     }
     let (was_stopped, old_stage) = (rollout.is_stopped, rollout.stage);
-    let (stage, now) = (report.stage(), state.now());
+    let now = state.now();
     if let Some(evidence) = &report.evidence {
         let process = (from.name.clone(), from.incarnation);
-        rollout.record_report(process, stage, report.stopped, evidence.clone(), now);
+        let evidence = evidence.clone();
+        rollout.record_report(process, report.stage(), report.stopped, evidence, now);
     } else {
-        rollout.record_stage(stage, report.stopped, now);
+        rollout.record_stage(report.stage(), report.stopped, now);
     }
     if rollout.stop_if_bad() || (rollout.is_stopped && !was_stopped) {
         warn!(event = "rollout_stopped", service = %report.service, source = %from.name,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -117,31 +117,37 @@
             has_records,
         });
     }
+    let Some(is_change) = record_sender(state, report, from) else {
+        return;
+    };
+    if !state.is_collector.get() {
+        return send_welcome(state, socket, from).await;
+    }
+    let mut collector = state.collector.borrow_mut();
+    collector.record_report(from, is_change, now);
+    drop(collector);
+    apply_report(state, report, false);
+    if is_change && report.member.presence == Presence::Leaving {
+        state.request_digest();
+    }
+}
+
+/// Records the sender of a report. Returns whether its description has changed; `None` if the report
+/// is from an earlier process.
+fn record_sender(state: &State, report: &Report, from: SocketAddr) -> Option<bool> {
     let mut member = report.member.clone();
     // The address that it was sent from is the one to reach it at.
     member.peer_addr = from;
     let mut members = state.members.borrow_mut();
     let known = members.get(from);
-    let is_old = known.is_some_and(|k| k.incarnation > member.incarnation);
-    if is_old {
-        return;
+    if known.is_some_and(|k| k.incarnation > member.incarnation) {
+        return None;
     }
-    let is_change = members.record_heard(member.clone(), now);
-    drop(members);
+    let is_change = members.record_heard(member.clone(), state.now());
     if is_change {
         log_member(&member);
     }
-    if state.is_collector.get() {
-        let mut collector = state.collector.borrow_mut();
-        collector.record_report(from, is_change, now);
-        drop(collector);
-        apply_report(state, report, false);
-        if is_change && member.presence == Presence::Leaving {
-            state.request_digest();
-        }
-    } else {
-        send_welcome(state, socket, from).await;
-    }
+    Some(is_change)
 }
 
 /// Adds an instance that is listed in the store.
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -36,19 +36,21 @@
     loop {
         let jitter = Duration::from_millis(rand::rng().random_range(0..MAX_JITTER_MS));
         task::sleep(CHECK_INTERVAL + jitter).await;
-        let now = state.now();
-        let mut members = state.members.borrow_mut();
-        let source = members.roster_source(state.is_collector.get(), now);
-        if let Some(addr) = source {
-            members.defer_roster(addr, now);
-        }
-        drop(members);
-        if let Some(addr) = source {
+        if let Some(addr) = due_source(&state) {
             fetch_roster(&state, addr).await;
         }
     }
 }
 
+/// Returns the collector to fetch the descriptions from now, if they differ.
+fn due_source(state: &State) -> Option<SocketAddr> {
+    let now = state.now();
+    let mut members = state.members.borrow_mut();
+    let addr = members.roster_source(state.is_collector.get(), now)?;
+    members.defer_roster(addr, now);
+    Some(addr)
+}
+
 /// Fetches the descriptions from the instance at `addr` and applies them.
 async fn fetch_roster(state: &State, addr: SocketAddr) {
     let asked = state.now();
--- a/crates/node/tests/gateway_join.rs
+++ b/crates/node/tests/gateway_join.rs
@@ -38,7 +38,7 @@
     task::block_on(async {
         let rig = FleetRig::start(binary(), RIG_SPEC).await.unwrap();
         rig.store.set_fault(StoreFault::Refuse(503));
-        let instance = start_instance(&rig, Duration::from_millis(1_000)).await;
+        let instance = start_instance(&rig, Duration::from_secs(1)).await;
         for is_write in [false, true, false, true] {
             let request = rig.request(is_write);
             let response = send(instance.caller_addr(), &request).await;
--- a/crates/testkit/src/fleet/soak.rs
+++ b/crates/testkit/src/fleet/soak.rs
@@ -238,35 +238,7 @@
                 self.restore_store();
                 (String::from("store restored"), None)
             }
-            8 => {
-                let index = self.rng.random_range(0..self.rig.targets.len());
-                let limit = *["0", "0.7", "3.5", "x"]
-                    .choose(&mut self.rng)
-                    .unwrap_or(&"0");
-                self.rig.targets[index].set_limit(Some(limit));
-                (
-                    format!("target {index} limit {limit}"),
-                    Some(ActiveFault::LimitedTarget(index)),
-                )
-            }
-            9 => {
-                let index = self.rng.random_range(0..self.rig.targets.len());
-                let value = *["1", "no"].choose(&mut self.rng).unwrap_or(&"1");
-                self.rig.targets[index].set_leaving(Some(value));
-                (
-                    format!("target {index} leaving {value}"),
-                    Some(ActiveFault::LeavingTarget(index)),
-                )
-            }
-            10 => {
-                let index = self.rng.random_range(0..self.rig.targets.len());
-                let value = *["0.4", "2", "-1"].choose(&mut self.rng).unwrap_or(&"2");
-                self.rig.targets[index].set_retry_after(Some(value));
-                (
-                    format!("target {index} closed {value}"),
-                    Some(ActiveFault::ClosedTarget(index)),
-                )
-            }
+            choice @ 8..=10 => self.begin_statement(choice),
             _ => {
                 let zone = *ZONES.choose(&mut self.rng).unwrap_or(&"a");
                 self.rig
@@ -282,6 +254,33 @@
             .extend(active_fault.map(|fault| (until, fault)));
     }
 
+    /// Makes a target state a limit (8), that it leaves (9) or that it wants no requests for some time.
+    fn begin_statement(&mut self, choice: u32) -> (String, Option<ActiveFault>) {
+        let index = self.rng.random_range(0..self.rig.targets.len());
+        let values: &[&str] = match choice {
+            8 => &["0", "0.7", "3.5", "x"],
+            9 => &["1", "no"],
+            _ => &["0.4", "2", "-1"],
+        };
+        let value = *values.choose(&mut self.rng).unwrap_or(&"1");
+        let target = &self.rig.targets[index];
+        let (name, fault) = match choice {
+            8 => {
+                target.set_limit(Some(value));
+                ("limit", ActiveFault::LimitedTarget(index))
+            }
+            9 => {
+                target.set_leaving(Some(value));
+                ("leaving", ActiveFault::LeavingTarget(index))
+            }
+            _ => {
+                target.set_retry_after(Some(value));
+                ("closed", ActiveFault::ClosedTarget(index))
+            }
+        };
+        (format!("target {index} {name} {value}"), Some(fault))
+    }
+
     /// Publishes a configuration with one more route.
     fn add_route(&mut self) {
         let name = format!("added-{}", self.routes.len());
