--- a/crates/node/tests/gateway_metrics.rs
+++ b/crates/node/tests/gateway_metrics.rs
@@ -48,6 +48,12 @@
         let rig = FleetRig::start(binary, spec).await.unwrap();
         rig.targets[0].set_limit(Some("0.5"));
         rig.send_many(20, Duration::from_millis(5)).await;
+        rig.targets[1].set_retry_after(Some("0.1"));
+        rig.send_many(20, Duration::from_millis(5)).await;
+        rig.targets[1].set_retry_after(None);
+        rig.targets[2].set_leaving(Some("1"));
+        rig.send_many(20, Duration::from_millis(5)).await;
+        task::sleep(Duration::from_millis(200)).await;
         for fault in [TargetFault::Shed, TargetFault::Mute] {
             for target in &rig.targets {
                 target.set_fault(fault);
