--- a/crates/gateway/src/collecting.rs
+++ b/crates/gateway/src/collecting.rs
@@ -13,6 +13,7 @@
     digest::{Digest, envelope},
     digest_apply::{apply_outcomes, apply_rollout, confirm_entries},
     notices::{LeavingReport, apply_leaving},
+    operator_age::operator_age_ms,
     report::{MAX_BYTES, Report},
     reporting::{fresh_ms, rollout_reports},
     state::State,
@@ -116,6 +117,7 @@
     Digest {
         view: Some(view),
         operator_next: state.operator_next.get(),
+        operator_age_ms: operator_age_ms(state),
         config_version: state.config_version(),
         entries_era: state.entries.borrow().era(),
         fresh_ms: state.reported_fresh_ms.take().max(fresh_ms(state)),
@@ -176,6 +178,7 @@
     let collectors = members.collectors().into_iter();
     Digest {
         operator_next: state.operator_next.get(),
+        operator_age_ms: operator_age_ms(state),
         config_version: state.config_version(),
         entries_era: state.entries.borrow().era(),
         members: collectors.filter(|m| m.peer_addr != own).cloned().collect(),
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -18,7 +18,7 @@
 };
 
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 15;
+const FORMAT: u8 = 17;
 /// Encoded size of an address to forward a datagram to, in bytes.
 const ADDR_BYTES: usize = 6;
 
@@ -32,6 +32,9 @@
     pub view: Option<LiveView>,
     /// Position of the next record of the operator that the sender reads.
     pub operator_next: Position,
+    /// Time for which the operator may have written records that the sender does not know, in
+    /// milliseconds.
+    pub operator_age_ms: u64,
     /// Version of its configuration in force; 0 if it has none.
     pub config_version: u64,
     /// Era of the store in which its entries of targets were read.
@@ -61,6 +64,7 @@
             member: sender,
             view: None,
             operator_next: Position::default(),
+            operator_age_ms: u64::MAX,
             config_version: 0,
             entries_era: 0,
             fresh_ms: 0,
@@ -98,6 +102,7 @@
             return vec![bytes];
         }
         (rest.operator_next, rest.config_version) = (self.operator_next, self.config_version);
+        rest.operator_age_ms = self.operator_age_ms;
         (rest.entries_era, rest.fresh_ms) = (self.entries_era, self.fresh_ms);
         let mut parts = self.encode(forwards);
         parts.extend(rest.encode(forwards));
--- a/crates/gateway/src/digest/tests.rs
+++ b/crates/gateway/src/digest/tests.rs
@@ -15,6 +15,7 @@
     Digest {
         view: Some(LiveView::new(7, (0..471).map(|n| n % 3 != 0))),
         operator_next: Position { era: 1, offset: 40 },
+        operator_age_ms: 310,
         config_version: 12,
         members: (0..471).map(member).collect(),
         outcomes: (0..300)
@@ -54,6 +55,7 @@
         let received = ReceivedDigest::decode(&bytes).unwrap();
         assert_eq!(received.forward_to, forward_to);
         assert_eq!(received.digest.operator_next, sent.operator_next);
+        assert_eq!(received.digest.operator_age_ms, sent.operator_age_ms);
         let forwarded = ReceivedDigest::decode(&received.forwarded).unwrap();
         assert_eq!(forwarded.digest, received.digest);
         assert!(forwarded.forward_to.is_empty());
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -3,13 +3,13 @@
 use std::net::SocketAddrV4;
 
 use balance::{Member, ReportedOutcomes};
-use model::InstanceId;
+use model::{InstanceId, Time};
 use tracing::{info, warn};
 
 use crate::{
-    digest::Digest, notices::apply_leaving, operator_records::PeerAhead, report::RolloutReport,
-    reporting::is_running, state::State, store_era::check_peer_era,
-    target_limits::apply_limit_reports,
+    digest::Digest, notices::apply_leaving, operator_age::record_operator_as_of,
+    operator_records::PeerAhead, report::RolloutReport, reporting::is_running, state::State,
+    store_era::check_peer_era, target_limits::apply_limit_reports,
 };
 
 /// Time for which the entries of an instance must have been up to date to show that the store had no
@@ -23,19 +23,23 @@
 /// pending read of the operator's records.
 const CONFIG_RETRY_US: u64 = 1_000_000;
 
-/// Applies a digest. `from` is the instance that it was received from, which may have forwarded it.
-/// Calls `on_peer_ahead` if its sender knows more of the operator's records.
+/// Applies a digest. `from` is the instance that it was received from, which may have forwarded it,
+/// and `since` the time from which it may have waited in the socket. Calls `on_peer_ahead` if its
+/// sender knows more of the operator's records.
 pub fn apply_digest(
     state: &State,
     digest: Digest,
     from: SocketAddrV4,
+    since: Time,
     on_peer_ahead: &impl Fn(PeerAhead),
 ) {
     let now = state.now();
     let sender = &digest.member;
     let addr = sender.peer_addr;
     check_peer_era(state, digest.entries_era);
-    report_peer_ahead(state, &digest, on_peer_ahead);
+    let as_of = since.minus_ms(digest.operator_age_ms);
+    record_operator_as_of(state, digest.operator_next, as_of);
+    report_peer_ahead(state, &digest, as_of, on_peer_ahead);
     let mut members = state.members.borrow_mut();
     let is_direct = addr == from.into();
     let is_change = if is_direct {
@@ -51,10 +55,6 @@
     log_members(changed, sender.name.as_str());
     if let Some(view) = &digest.view {
         members.record_view(addr, view, now);
-        // The sender waits for records at the store.
-        if sender.has_store && digest.operator_next == state.operator_next.get() {
-            state.operator_read.set(now);
-        }
     }
     drop(members);
     confirm_entries(state, digest.entries_era, digest.fresh_ms, &sender.name);
@@ -90,12 +90,19 @@
     }
 }
 
-fn report_peer_ahead(state: &State, digest: &Digest, on_peer_ahead: &impl Fn(PeerAhead)) {
+fn report_peer_ahead(
+    state: &State,
+    digest: &Digest,
+    as_of: Time,
+    on_peer_ahead: &impl Fn(PeerAhead),
+) {
     let has_records = digest.operator_next > state.operator_next.get();
     if has_records || wants_config(state, digest.config_version) {
         on_peer_ahead(PeerAhead {
             addr: digest.member.peer_addr,
             has_records,
+            next: digest.operator_next,
+            as_of,
         });
     }
 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     join::{BUSY_STATUS, MAX_SENT, SNAPSHOT_PATH, encode_hints},
+    operator_age::operator_age_ms,
     phase::Phase,
     response::{encode_local, encode_relayed},
     roster::{ROSTER_PATH, encode_roster},
@@ -122,7 +123,7 @@
     let limited_targets = targets.all().filter(is_limited).count();
     vec![
         ("config_version", state.config().map_or(0, |m| m.version)),
-        ("orders_age_ms", age_ms(state.operator_read.get())),
+        ("orders_age_ms", operator_age_ms(state)),
         (
             "targets_age_ms",
             state.entries_as_of.get().map_or(0, age_ms),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,6 +16,7 @@
     attempt_permit::AttemptPermit,
     exchange::{ResponseError, SendResult},
     line_class::REQUESTS,
+    operator_age::operator_age_ms,
     outcome::{claims_not_run, is_slow, record_outcome, record_processing_time, record_reports},
     selection::{Criteria, SelectedTarget, is_target_eligible, processing_ms, select_target},
     send_limits::{limited_rate, reopens_ms},
@@ -184,6 +185,7 @@
             new_version = selected.new_version, limit = selected.limit.map(|l| l.rate),
             limit_age_ms = selected.limit.map(|l| l.age_ms),
             limit_share = selected.limit.map(|l| l.own_rate), left_ms = self.remaining_ms().round(),
+            config = self.state.config_version(), orders_age_ms = operator_age_ms(self.state),
             era = self.state.entries.borrow().era(),
             entries = self.state.entries_next().unwrap_or_default(),
             entries_age_ms = self.state.entries_age_us().unwrap_or_default() / 1_000);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod logs;
 mod metrics;
 mod notices;
+mod operator_age;
 mod operator_records;
 mod orders_apply;
 mod outcome;
--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     backoff::Backoff,
+    operator_age::record_operator_as_of,
     orders_apply::{Source, apply_orders, apply_verdict},
     reporting::send_report,
     state::State,
@@ -48,6 +49,19 @@
     /// Whether it has read more records. Otherwise only its configuration in force is newer, which
     /// the store may have lost.
     pub has_records: bool,
+    /// Position of the next record that it reads.
+    pub next: Position,
+    /// Time as of which there was none.
+    pub as_of: Time,
+}
+
+/// Up to where this instance knows the operator's records.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    /// Position of the next record.
+    next: Position,
+    /// Time as of which there was none.
+    as_of: Time,
 }
 
 /// Applies the records of the operator until the process ends. `peers_ahead` yields peers that know
@@ -84,7 +98,10 @@
             }
         };
         match result {
-            Ok(position) => {
+            Ok(Progress {
+                next: position,
+                as_of,
+            }) => {
                 if is_failing {
                     info!(event = "store_regained", reader = "orders");
                 }
@@ -96,7 +113,7 @@
                 let has_new_records = next != Some(position);
                 next = Some(position);
                 state.operator_next.set(position);
-                state.operator_read.set(state.now());
+                record_operator_as_of(&state, position, as_of);
                 if has_new_records && is_long_poller(&state) {
                     state.request_digest();
                 }
@@ -127,7 +144,7 @@
 
 /// Event that ends a wait for records.
 enum Event {
-    Read(Result<Position, PlatformError>),
+    Read(Result<Progress, PlatformError>),
     PeerAhead(PeerAhead),
     Closed,
 }
@@ -165,7 +182,7 @@
     let now = state.now();
     let instances = u32::try_from(state.members.borrow().live().count()).unwrap_or(u32::MAX);
     let (since, limit) = if state.has_store.get() {
-        (start.max(state.operator_read.get()), IDLE_READ_INTERVAL)
+        (start.max(state.operator_as_of.get()), IDLE_READ_INTERVAL)
     } else {
         let factor = (instances / RETRY_INSTANCES).max(1);
         (start, RETRY_INTERVAL.saturating_mul(factor))
@@ -177,28 +194,33 @@
 async fn fetch_from_peer(
     state: &Rc<State>,
     store: &mut Store,
-    peer: PeerAhead,
+    ahead: PeerAhead,
     next: Option<Position>,
-) -> Result<Position, PlatformError> {
+) -> Result<Progress, PlatformError> {
     let Some(from) = next.filter(|from| !must_list(state, *from)) else {
         return read_records(state, store, None).await;
     };
-    if !peer.has_records {
-        return Ok(from);
+    if !ahead.has_records {
+        let as_of = state.operator_as_of.get();
+        return Ok(Progress { next: from, as_of });
     }
-    let peer = peer.addr;
+    let peer = ahead.addr;
     let mut relay = Store::new(peer);
     let relayed = timeout(RELAY_TIMEOUT, relay.read(Topic::Operator, from, 0)).await;
     if let Ok(Ok(page)) = relayed
         && page.next > from
     {
         info!(event = "orders_passed_on", %peer, %from, next = %page.next);
-        return Ok(take_page(state, &page));
+        // A relay may give only a part of what its instance has read.
+        let is_whole = page.next >= ahead.next;
+        let as_of = if is_whole { ahead.as_of } else { Time(0) };
+        return Ok(take_page(state, &page, as_of));
     }
     state.metrics.count("store_calls", 1);
+    let asked = state.now();
     let read = timeout(READ_TIMEOUT, store.read(Topic::Operator, from, 0)).await;
     let page = read.map_err(|_| PlatformError::Timeout { limit_ms: 1_000 })??;
-    Ok(take_page(state, &page))
+    Ok(take_page(state, &page, asked))
 }
 
 /// Fetches the configuration in force at a peer, unless the records have brought it.
@@ -217,20 +239,24 @@
     }
 }
 
-/// Applies a page of records and keeps it for peers that fetch it here. Returns the next position.
-fn take_page(state: &State, page: &Page) -> Position {
+/// Applies a page of records, after which there were no more as of `as_of`, and keeps it for peers that
+/// fetch it here.
+fn take_page(state: &State, page: &Page, as_of: Time) -> Progress {
     state.relay.borrow_mut().append(&page.records);
     apply_orders(state, &page.records, Source::Read);
-    page.next
+    Progress {
+        next: page.next,
+        as_of,
+    }
 }
 
 /// Reads new records once this instance may, or lists all of them if `next` is unknown or of an
-/// earlier era of the store. Returns the next position.
+/// earlier era of the store.
 async fn read_records(
     state: &Rc<State>,
     store: &mut Store,
     next: Option<Position>,
-) -> Result<Position, PlatformError> {
+) -> Result<Progress, PlatformError> {
     let Some(from) = next else {
         return list_records(state, store).await;
     };
@@ -240,13 +266,18 @@
     }
     let wait_ms = if is_long_poller { LONG_POLL_MS } else { 0 };
     state.metrics.count("store_calls", 1);
+    let asked = state.now();
     let page = store.read(Topic::Operator, from, wait_ms).await?;
-    Ok(take_page(state, &page))
+    // The store answers when there is a record, at the latest after the wait. A response may have
+    // been held up after that.
+    let as_of = asked.plus_ms(wait_ms).min(state.now());
+    Ok(take_page(state, &page, as_of))
 }
 
-/// Lists all records, and the verdicts on rollouts. Returns the next position.
-async fn list_records(state: &Rc<State>, store: &mut Store) -> Result<Position, PlatformError> {
+/// Lists all records, and the verdicts on rollouts.
+async fn list_records(state: &Rc<State>, store: &mut Store) -> Result<Progress, PlatformError> {
     state.metrics.count("store_calls", 1);
+    let asked = state.now();
     let newest = store.newest(Topic::Operator).await?;
     record_era(state, newest.end.era, "orders");
     let now = state.now();
@@ -261,8 +292,12 @@
     };
     apply_orders(state, &newest.records, source);
     info!(event = "orders_listed", end = %newest.end, count = newest.records.len(), ?source);
+    let progress = Progress {
+        next: newest.end,
+        as_of: asked,
+    };
     if state.rollouts.borrow().is_empty() {
-        return Ok(newest.end);
+        return Ok(progress);
     }
     state.metrics.count("store_calls", 1);
     let verdicts = store.newest(Topic::Status).await?;
@@ -272,5 +307,5 @@
             apply_verdict(state, &recorded, "store");
         }
     }
-    Ok(newest.end)
+    Ok(progress)
 }
--- a/crates/gateway/src/orders_apply.rs
+++ b/crates/gateway/src/orders_apply.rs
@@ -7,7 +7,7 @@
 use platform::{Listing, OperatorChange, Record, RecordedVerdict, Topic};
 use tracing::{error, info, warn};
 
-use crate::state::State;
+use crate::{operator_age::operator_age_ms, state::State};
 
 /// Where records of the operator come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,7 +104,8 @@
         warn!(event = "config_ignored", version, current = old, offset = %position);
         return;
     }
-    info!(event = "config", version, old, offset = %position);
+    info!(event = "config", version, old, offset = %position,
+        old_age_ms = operator_age_ms(state));
     *current = Some(Rc::new(config));
     state.relay.borrow_mut().set_config(record.clone());
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 use async_std::{net::UdpSocket, task};
 use balance::Presence;
 use futures::{pin_mut, poll};
+use model::Time;
 use tracing::{debug, warn};
 
 use crate::{
@@ -15,6 +16,7 @@
     entries_apply::apply_update,
     entries_sender::forward,
     entries_update::EntriesUpdate,
+    operator_age::record_operator_as_of,
     operator_records::PeerAhead,
     report::Report,
     state::State,
@@ -67,9 +69,9 @@
                 let SocketAddr::V4(addr) = from else { continue };
                 if let Some(received) = ReceivedDigest::decode(bytes) {
                     forward_digest(&state, &socket, &received);
-                    apply_digest(&state, received.digest, addr, &on_peer_ahead);
+                    apply_digest(&state, received.digest, addr, empty_at, &on_peer_ahead);
                 } else if let Some(report) = Report::decode(bytes) {
-                    receive_report(&state, &socket, &report, from, &on_peer_ahead).await;
+                    receive_report(&state, &socket, &report, from, empty_at, &on_peer_ahead).await;
                 } else if let Some(update) = EntriesUpdate::decode(bytes) {
                     let as_of = empty_at.minus_ms(update.age_ms);
                     forward(&state, &socket, &update, as_of);
@@ -100,21 +102,27 @@
     });
 }
 
-/// Takes a report as a collector, or tells its sender who collects.
+/// Takes a report as a collector, or tells its sender who collects. `since` is the time from which it
+/// may have waited in the socket.
 async fn receive_report(
     state: &State,
     socket: &UdpSocket,
     report: &Report,
     from: SocketAddr,
+    since: Time,
     on_peer_ahead: &impl Fn(PeerAhead),
 ) {
     let now = state.now();
     check_peer_era(state, report.entries_era);
+    let as_of = since.minus_ms(report.operator_age_ms);
+    record_operator_as_of(state, report.operator_next, as_of);
     let has_records = report.operator_next > state.operator_next.get();
     if has_records || wants_config(state, report.config_version) {
         on_peer_ahead(PeerAhead {
             addr: from,
             has_records,
+            next: report.operator_next,
+            as_of,
         });
     }
     let Some(is_change) = record_sender(state, report, from) else {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -13,7 +13,7 @@
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 14;
+const FORMAT: u8 = 16;
 
 /// Report of an instance to the collectors. The order and the types of the fields are the wire
 /// format.
@@ -23,6 +23,8 @@
     pub member: Member,
     /// Position of the next record of the operator that it reads.
     pub operator_next: Position,
+    /// Time for which the operator may have written records that it does not know, in milliseconds.
+    pub operator_age_ms: u64,
     /// Version of its configuration in force; 0 if it has none.
     pub config_version: u64,
     /// Era of the store in which its entries of targets were read.
--- a/crates/gateway/src/report/tests.rs
+++ b/crates/gateway/src/report/tests.rs
@@ -18,6 +18,7 @@
             last_heard: None,
         },
         operator_next: Position { era: 1, offset: 12 },
+        operator_age_ms: 310,
         config_version: 5,
         entries_era: 1,
         fresh_ms: 900,
--- a/crates/gateway/src/reporting.rs
+++ b/crates/gateway/src/reporting.rs
@@ -10,6 +10,7 @@
 use crate::{
     collecting::apply_report,
     datagrams::send_paced,
+    operator_age::operator_age_ms,
     phase::Phase,
     report::{Report, RolloutReport},
     state::State,
@@ -125,6 +126,7 @@
         },
         member,
         operator_next: state.operator_next.get(),
+        operator_age_ms: operator_age_ms(state),
         config_version: state.config_version(),
         entries_era: state.entries.borrow().era(),
         fresh_ms: fresh_ms(state),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -13,6 +13,7 @@
     attempt_log::AttemptLog,
     forward::Forwarder,
     line_class::REQUESTS,
+    operator_age::operator_age_ms,
     phase::Phase,
     refusal::Refusal,
     response::{encode_forwarded, encode_refusal, status},
@@ -139,7 +140,8 @@
             attempts = self.attempt_log.attempts,
             unsent = self.attempt_log.unsent,
             targets = self.attempt_log.summary(),
-            config = state.config().map_or(0, |m| m.version),
+            config = state.config_version(),
+            orders_age_ms = operator_age_ms(state),
             targets_age_ms = state.entries_as_of.get().map_or(0, age_ms)
         );
     }
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -13,6 +13,7 @@
     digest_apply::apply_rollout,
     entries_apply::apply_listing,
     notices::{LeavingReport, apply_leaving, leaving_reports},
+    operator_age::{operator_age_ms, record_operator_as_of},
     orders_apply::{Source, apply_orders},
     phase::Phase,
     report::RolloutReport,
@@ -31,6 +32,8 @@
 pub struct Snapshot {
     /// Position of the next record of the operator.
     pub operator_next: Position,
+    /// Time for which the operator may have written records that are missing, in milliseconds.
+    pub operator_age_ms: u64,
     /// Latest record of each of the operator's keys: position, key and value.
     pub operator_records: Vec<(Position, String, Vec<u8>)>,
     /// State of the rollouts.
@@ -67,6 +70,7 @@
         let records = relay.newest().cloned();
         Some(Self {
             operator_next: state.operator_next.get(),
+            operator_age_ms: operator_age_ms(state),
             operator_records: records.map(|r| (r.position, r.key, r.value)).collect(),
             rollouts: rollout_reports(state, false),
             entries_next: Position {
@@ -105,7 +109,8 @@
             .collect();
         apply_orders(state, &records, Source::Listing);
         state.operator_next.set(self.operator_next);
-        state.operator_read.set(asked);
+        let as_of = asked.minus_ms(self.operator_age_ms);
+        record_operator_as_of(state, self.operator_next, as_of);
         for rollout in &self.rollouts {
             apply_rollout(state, &state.members.borrow().own().clone(), rollout);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -89,8 +89,8 @@
     pub caller_connections: Cell<usize>,
     /// Number of requests in progress.
     pub active_requests: Cell<usize>,
-    /// Time at which all records of the operator were last known to be read.
-    pub operator_read: Cell<Time>,
+    /// Time as of which the operator had written no record that this instance does not know.
+    pub operator_as_of: Cell<Time>,
     /// Position of the next record of the operator.
     pub operator_next: Cell<Position>,
     /// Newest version of a configuration that is in force at any other instance.
@@ -183,7 +183,7 @@
             phase: Cell::new(Phase::Starting),
             caller_connections: Cell::new(0),
             active_requests: Cell::new(0),
-            operator_read: Cell::new(Time(0)),
+            operator_as_of: Cell::new(Time(0)),
             operator_next: Cell::default(),
             peer_config: Cell::new(0),
             config_asked: Cell::new(None),
