Instances read the operator's records when nobody tells that their own are recent

Cause: an instance took its own view for current because of where others stand, not because of when the store was last known to have nothing newer. It read the store only when it ranked among the first three of the instances that it believed to live, or 25 s after the last digest. Without any digest it counts three instances as ended after 1.2 s, the next six after another 1.2 s, and so on: with 14 of 16 instances frozen, the calm ones came to themselves 3.3 s after the change. The same holds while the reads of the collectors hang.

Change: the age of the operator's records decides (balance::FollowSchedule). An instance that learns from nobody that its own are younger than one wait of a collector, one interval of digests and 0.2 s reads the store, 50 ms later for each doubling of its rank; after a failed read it tries again within 0.7 to 2.8 s. Waits last 0.8 instead of 1.2 s, so that the age stays below that limit while the collectors are well. What the first ones read reaches the others by reports and digests.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -17,6 +17,7 @@
 mod evidence;
 mod fan_out;
 mod fleet_usage;
+mod follow_schedule;
 mod gateway_config;
 mod health;
 mod hedge;
@@ -57,6 +58,7 @@
     evidence::{Evidence, Tally},
     fan_out::FanOut,
     fleet_usage::FleetUsage,
+    follow_schedule::FollowSchedule,
     gateway_config::GatewayConfig,
     health::Health,
     hedge::hedge_delay_ms,
--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -1,39 +1,34 @@
 //! Follows the records of the operator: configurations, orders of rollouts, zones taken out of
 //! service. The collectors wait for new records at the store; the others learn of them by digests and
-//! fetch them from the collectors.
+//! fetch them from the collectors. Whoever does not learn in time that there are no newer ones reads
+//! the store.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::{channel::Receiver, future::timeout, net::UdpSocket, prelude::FutureExt};
-use balance::{COLLECT, COLLECTORS, Position};
+use balance::{COLLECT, FollowSchedule, Position};
 use model::Time;
 use platform::{Change, Listing, Page, PlatformError, Store, Topic};
 use tracing::{info, warn};
 
 use crate::{
     backoff::Backoff,
-    operator_age::record_operator_as_of,
+    operator_age::{operator_age_ms, record_operator_as_of},
     orders_apply::{Source, apply_orders, apply_verdict},
     reporting::send_report,
     state::State,
     store_era::{REWRITE_US, record_era, record_failed_era},
 };
 
-/// Longest wait for a new record in one read, in milliseconds. Each read costs money, but a read
-/// that the store accepted before an outage or a network cut gets no response, and another instance
-/// takes over only when it has timed out.
-const LONG_POLL_MS: u64 = 1_200;
-/// Time without new records after which an instance that does not wait at the store reads it once.
-const IDLE_READ_INTERVAL: Duration = Duration::from_secs(25);
 /// Time after the start in which an instance discovers its peers. Before that, every instance would
 /// consider itself one of those that wait. A configuration must be in force within 2 s.
 const DISCOVERY_TIME: Duration = Duration::from_millis(700);
-/// Time after which an instance that does not wait at the store, and whose last call to it failed,
-/// tries again, for up to [`RETRY_INSTANCES`] instances. With more it grows, so that the calls of those
-/// that the store turns away do not grow with their number.
-const RETRY_INTERVAL: Duration = Duration::from_secs(5);
+/// Time after which an instance whose last call to the store failed, and that learns from others what
+/// is new, tries again, for up to [`RETRY_INSTANCES`] instances. With more it grows, so that the calls
+/// of those that the store turns away do not grow with their number.
+const RETRY_INTERVAL_MS: u64 = 5_000;
 /// Largest number of instances with that interval.
-const RETRY_INSTANCES: u32 = 50;
+const RETRY_INSTANCES: u64 = 50;
 /// Time between two checks of whether this instance is one of those that wait at the store.
 const DUTY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Timeout for fetching records from a peer.
@@ -73,14 +68,14 @@
 ) {
     let mut store = Store::new(state.settings.store);
     let mut next = state.joined_at.get();
-    let mut is_failing = false;
+    let mut failed_at = None;
     let mut backoff = Backoff::default();
     loop {
         let next_peer = async {
             // The channel closes only when the process ends.
             peers_ahead.recv().await.ok()
         };
-        let read = async { Event::Read(read_records(&state, &mut store, next).await) };
+        let read = async { Event::Read(read_records(&state, &mut store, next, failed_at).await) };
         let event = read
             .race(async { next_peer.await.map_or(Event::Closed, Event::PeerAhead) })
             .await;
@@ -102,10 +97,9 @@
                 next: position,
                 as_of,
             }) => {
-                if is_failing {
+                if failed_at.take().is_some() {
                     info!(event = "store_regained", reader = "orders");
                 }
-                is_failing = false;
                 backoff.reset();
                 if !is_from_peer {
                     state.has_store.set(true);
@@ -114,7 +108,7 @@
                 next = Some(position);
                 state.operator_next.set(position);
                 record_operator_as_of(&state, position, as_of);
-                if has_new_records && is_long_poller(&state) {
+                if has_new_records && schedule(&state).is_waiting() {
                     state.request_digest();
                 }
             }
@@ -128,10 +122,11 @@
             }
             Err(error) => {
                 record_failed_era(&state, &error, "orders");
-                if !is_failing {
-                    warn!(event = "store_lost", reader = "orders", %error);
+                if failed_at.is_none() {
+                    let age_ms = operator_age_ms(&state);
+                    warn!(event = "store_lost", reader = "orders", %error, age_ms);
                 }
-                is_failing = true;
+                failed_at = Some(state.now());
                 if state.has_store.replace(false) {
                     // The others take over the duty once they know.
                     send_report(&state, &socket).await;
@@ -149,10 +144,11 @@
     Closed,
 }
 
-/// Whether this instance is one of those that wait at the store.
-fn is_long_poller(state: &State) -> bool {
-    // There is no delay if one of them is cut off from the store and another one from its peers.
-    state.duty_rank(COLLECT) < COLLECTORS
+fn schedule(state: &State) -> FollowSchedule {
+    FollowSchedule {
+        rank: state.duty_rank(COLLECT),
+        interval_ms: state.members.borrow().interval_ms(),
+    }
 }
 
 /// Whether all records must be listed anew: the store has come back from an earlier copy since
@@ -163,31 +159,38 @@
 }
 
 /// Returns `true` once this instance is one of those that wait at the store, or `false` when it is
-/// time for a single read or for a listing.
-async fn wait_for_duty(state: &State, from: Position) -> bool {
+/// time for a single read or for a listing. `failed_at` is the time of the latest read if that failed.
+async fn wait_for_duty(state: &State, from: Position, failed_at: Option<Time>) -> bool {
     let start = state.now();
-    while !is_read_due(state, start) && !must_list(state, from) {
-        let age = Duration::from_micros(state.now().since_us(state.started));
-        if age >= DISCOVERY_TIME && is_long_poller(state) {
+    while !must_list(state, from) {
+        let now = state.now();
+        let schedule = schedule(state);
+        let age = Duration::from_micros(now.since_us(state.started));
+        if age >= DISCOVERY_TIME && schedule.is_waiting() {
             return true;
         }
-        async_std::task::sleep(DUTY_CHECK_INTERVAL).await;
+        let due_us = read_at(state, schedule, failed_at, start).since_us(now);
+        if due_us == 0 {
+            return false;
+        }
+        let pause = Duration::from_micros(due_us).min(DUTY_CHECK_INTERVAL);
+        async_std::task::sleep(pause).await;
     }
     false
 }
 
-/// Whether an instance that has waited since `start`, and is no collector, reads the store once. It
-/// does not while the collectors tell it that they have no newer records.
-fn is_read_due(state: &State, start: Time) -> bool {
-    let now = state.now();
-    let instances = u32::try_from(state.members.borrow().live().count()).unwrap_or(u32::MAX);
-    let (since, limit) = if state.has_store.get() {
-        (start.max(state.operator_as_of.get()), IDLE_READ_INTERVAL)
-    } else {
-        let factor = (instances / RETRY_INSTANCES).max(1);
-        (start, RETRY_INTERVAL.saturating_mul(factor))
-    };
-    Duration::from_micros(now.since_us(since)) >= limit
+/// Returns when an instance that does not wait at the store reads it: when its records may be out of
+/// date, and some time after a failed call, which was at `start` at the latest.
+fn read_at(state: &State, schedule: FollowSchedule, failed_at: Option<Time>, start: Time) -> Time {
+    let outdated_at = state.operator_as_of.get().plus_ms(schedule.read_age_ms());
+    let retry_at = failed_at.map(|at| at.plus_ms(schedule.retry_ms()));
+    let read_at = retry_at.map_or(outdated_at, |at| at.max(outdated_at));
+    if state.has_store.get() {
+        return read_at;
+    }
+    let instances = state.members.borrow().live().count() as u64;
+    let factor = (instances / RETRY_INSTANCES).max(1);
+    read_at.min(start.plus_ms(RETRY_INTERVAL_MS * factor))
 }
 
 /// Fetches records from a peer that has them, or from the store if that fails.
@@ -198,7 +201,7 @@
     next: Option<Position>,
 ) -> Result<Progress, PlatformError> {
     let Some(from) = next.filter(|from| !must_list(state, *from)) else {
-        return read_records(state, store, None).await;
+        return read_records(state, store, None, None).await;
     };
     if !ahead.has_records {
         let as_of = state.operator_as_of.get();
@@ -256,15 +259,21 @@
     state: &Rc<State>,
     store: &mut Store,
     next: Option<Position>,
+    failed_at: Option<Time>,
 ) -> Result<Progress, PlatformError> {
     let Some(from) = next else {
         return list_records(state, store).await;
     };
-    let is_long_poller = wait_for_duty(state, from).await;
+    let is_waiting = wait_for_duty(state, from, failed_at).await;
     if must_list(state, from) {
         return list_records(state, store).await;
     }
-    let wait_ms = if is_long_poller { LONG_POLL_MS } else { 0 };
+    let wait_ms = if is_waiting {
+        FollowSchedule::WAIT_MS
+    } else {
+        info!(event = "orders_outdated", age_ms = operator_age_ms(state), %from);
+        0
+    };
     state.metrics.count("store_calls", 1);
     let asked = state.now();
     let page = store.read(Topic::Operator, from, wait_ms).await?;
