Requests without a route are refused 503, not 404, while the configuration may be out of date

A caller does not try again after a 404, and an instance that was cut off or stood still answers it for any route that it does not know yet; 404s count from any machine.

Cause: "no route" was taken from whatever configuration is in force, without regard to its age.

Change: beyond `apply_s`, the time in which a configuration must be in force (setting, from the platform's bounds), an instance that has not learned that its records are current refuses such a request with code 3012: not run, 503, Retry-After 0.25 s. Since the age counts from the store's last word, a request that gets 404 was sent less than `apply_s` after any change that the instance lacks.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -173,7 +173,7 @@
     attempt_log: &mut AttemptLog,
 ) -> ServeResult {
     let config = state.config().ok_or(Code::NotReady)?;
-    let route = find_route(&config, request).ok_or(Code::UnknownRoute)?;
+    let route = find_route(&config, request).ok_or_else(|| unknown_route(state))?;
     let limit_ms = deadline_ms(request).map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
     let deadline = arrived.plus_ms(limit_ms);
     let draw = rand::rng().random::<f64>();
@@ -213,6 +213,16 @@
     config.route(name, request.path()).cloned()
 }
 
+/// Returns the code of a request without a route. While the configuration may be out of date, the route
+/// may have been added, and another instance may have it.
+fn unknown_route(state: &State) -> Code {
+    if operator_age_ms(state) < state.settings.apply_ms() {
+        Code::UnknownRoute
+    } else {
+        Code::RouteUnsure
+    }
+}
+
 /// Returns how long the caller waits for the response, in milliseconds, if the request states it.
 fn deadline_ms(request: &Request) -> Option<u64> {
     request
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -37,6 +37,9 @@
     /// Time after which a target whose entry says that it leaves must get no requests, in seconds.
     #[serde(default = "default_leave_s")]
     pub leave_s: f64,
+    /// Time after which a configuration must be in force, in seconds.
+    #[serde(default = "default_apply_s")]
+    pub apply_s: f64,
     /// Extra attempts (retries and hedges) allowed for each request, over all instances.
     pub retry_ratio: f64,
     /// Extra attempts allowed in addition in each window, over all instances.
@@ -61,6 +64,11 @@
     2.0
 }
 
+/// Default time for a configuration, in seconds: the shortest one that the platform requires.
+fn default_apply_s() -> f64 {
+    2.0
+}
+
 /// Default bandwidth, in Mbit/s: that of a usual server.
 fn default_link_mbps() -> f64 {
     1_000.0
@@ -96,7 +104,7 @@
     },
 }
 
-/// Longest time for a planned stop or for a leaving target, in seconds.
+/// Longest time for a planned stop, a leaving target or a configuration, in seconds.
 const MAX_STOP_S: f64 = 600.0;
 
 impl Settings {
@@ -132,6 +140,13 @@
         u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
     }
 
+    /// Returns the time after which a configuration must be in force, in milliseconds.
+    #[must_use]
+    pub fn apply_ms(&self) -> u64 {
+        let time = Duration::from_secs_f64(self.apply_s);
+        u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn check(&self, file: &str) -> Result<(), SettingsError> {
         let value = |key, value: String, allowed| {
             Err(SettingsError::Value {
@@ -153,7 +168,12 @@
                 );
             }
         }
-        for (key, time) in [("stop_s", self.stop_s), ("leave_s", self.leave_s)] {
+        let times = [
+            ("stop_s", self.stop_s),
+            ("leave_s", self.leave_s),
+            ("apply_s", self.apply_s),
+        ];
+        for (key, time) in times {
             if !(time > 0.0 && time <= MAX_STOP_S) {
                 return value(key, time.to_string(), "a number above 0 and at most 600");
             }
--- a/crates/gateway/src/settings/tests.rs
+++ b/crates/gateway/src/settings/tests.rs
@@ -14,6 +14,7 @@
         ("zone = \"a\"", "zone = \"\"", "zone"),
         ("stop_s = 6", "stop_s = -1", "stop_s"),
         ("stop_s = 6", "stop_s = 6\nleave_s = 0", "leave_s"),
+        ("stop_s = 6", "stop_s = 6\napply_s = -1", "apply_s"),
         ("stop_s = 6", "stop_s = 6\nlink_mbps = 0", "link_mbps"),
         ("retry_ratio = 0.2", "retry_ratio = nan", "retry_ratio"),
         ("10.1.0.35:8144", "nowhere", "callers"),
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -78,6 +78,8 @@
     ConnectFailed = 3010, "could not connect to the target";
     /// The caller went away before the call started.
     CancelledEarly = 3011, "caller went away before the start";
+    /// The request matches no route, but the instance may lack routes that were added.
+    RouteUnsure = 3012, "no route in a configuration that may be out of date";
 
     /// The upstream closed the connection before the response was complete.
     UpstreamClosed = 4001, "upstream closed before the whole answer";
