The clock of an instance counts the time for which its machine was suspended

After 4 s suspended, records of the operator and entries of targets counted as young as before, and the instance told others so.

Change: the clock reads CLOCK_BOOTTIME (rustix, which async-std's sockets use already). Timers stay on the steady clock.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,13 +1,15 @@
 //! Clock of an instance. All times except those of log lines come from here.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use model::Time;
+use rustix::time::{ClockId, clock_gettime};
 
-/// Clock of one instance.
+/// Clock of one instance. It counts the time for which the machine was suspended, unlike `Instant`:
+/// what the instance knew before is out of date after that.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    start: Duration,
 }
 
 impl Clock {
@@ -15,14 +17,15 @@
     /// represented.
     pub fn start() -> Self {
         Self {
-            start: Instant::now(),
+            start: since_boot(),
         }
     }
 
     /// Returns the monotonic time.
     pub fn now(self) -> Time {
         const START_US: u64 = 60_000_000;
-        let elapsed = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        let elapsed = since_boot().saturating_sub(self.start);
+        let elapsed = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
         Time(elapsed.saturating_add(START_US))
     }
 
@@ -35,3 +38,8 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     }
 }
+
+/// Returns the time since the machine was started.
+fn since_boot() -> Duration {
+    Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
+}
