Digests state for how long they were held on the way

A relay that stood still for 5 s made receivers take theirs for seconds younger than they were, and put off their own read.

Change: the datagram has the time since the digest was made, which the sender and each relay add to; the receiver dates what it says by that. Test: encode_splits_into_datagrams checks that the time is passed on (new field; there was none before).

--- a/crates/gateway/src/collecting.rs
+++ b/crates/gateway/src/collecting.rs
@@ -145,10 +145,12 @@
 /// Sends a digest to all live instances.
 async fn send_digest(state: &State, socket: &UdpSocket, digest: Digest) {
     let groups = groups(state);
+    let made = state.now();
     let forwards = groups.iter().map(|g| g.others.len()).max();
     for part in digest.encode(forwards.unwrap_or_default()) {
         for group in &groups {
-            let bytes = envelope(&part, &group.others);
+            let held_ms = state.now().since_us(made).div_ceil(1_000);
+            let bytes = envelope(&part, held_ms, &group.others);
             send_paced(state, socket, &state.report_pace, &bytes, group.relay).await;
         }
     }
@@ -165,7 +167,7 @@
 /// Tells an instance that has sent a report here, although this one is no collector, who collects.
 pub async fn send_welcome(state: &State, socket: &UdpSocket, to: SocketAddr) {
     for part in welcome(state).encode(0) {
-        if let Err(error) = socket.send_to(&envelope(&part, &[]), to).await {
+        if let Err(error) = socket.send_to(&envelope(&part, 0, &[]), to).await {
             tracing::debug!(event = "welcome_unsent", peer = %to, %error);
         }
     }
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -18,9 +18,11 @@
 };
 
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 17;
+const FORMAT: u8 = 18;
 /// Encoded size of an address to forward a datagram to, in bytes.
 const ADDR_BYTES: usize = 6;
+/// Size of the fields before the addresses, in bytes.
+const HEAD_BYTES: usize = 4;
 
 /// Digest of reports. The order and the types of the fields are the wire format.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -80,7 +82,7 @@
     /// Encodes the digest in parts that fit into datagrams of at most [`MAX_BYTES`], each with up to
     /// `forwards` addresses to forward it to. Everything that stands once is in the first part.
     pub fn encode(mut self, forwards: usize) -> Vec<Vec<u8>> {
-        let limit = MAX_BYTES.saturating_sub(2 + forwards * ADDR_BYTES);
+        let limit = MAX_BYTES.saturating_sub(HEAD_BYTES + forwards * ADDR_BYTES);
         let bytes = encode_to_vec(&self, standard()).unwrap_or_default();
         if bytes.len() <= limit {
             return vec![bytes];
@@ -121,16 +123,19 @@
     list.split_off(list.len().div_ceil(2))
 }
 
-/// Returns the datagram with an encoded digest, to be forwarded to `forward_to`.
-pub fn envelope(digest: &[u8], forward_to: &[SocketAddr]) -> Vec<u8> {
+/// Returns the datagram with an encoded digest that was made `held_ms` ago, to be forwarded to
+/// `forward_to`.
+pub fn envelope(digest: &[u8], held_ms: u64, forward_to: &[SocketAddr]) -> Vec<u8> {
     let addrs = forward_to.iter().filter_map(|addr| match addr {
         SocketAddr::V4(addr) => Some(addr),
         SocketAddr::V6(_) => None,
     });
     let addrs: Vec<&SocketAddrV4> = addrs.take(usize::from(u8::MAX)).collect();
-    let mut bytes = Vec::with_capacity(2 + addrs.len() * ADDR_BYTES + digest.len());
+    let mut bytes = Vec::with_capacity(HEAD_BYTES + addrs.len() * ADDR_BYTES + digest.len());
     bytes.push(FORMAT);
     bytes.push(u8::try_from(addrs.len()).unwrap_or(u8::MAX));
+    let held_ms = u16::try_from(held_ms).unwrap_or(u16::MAX);
+    bytes.extend_from_slice(&held_ms.to_be_bytes());
     for addr in addrs {
         bytes.extend_from_slice(&addr.ip().octets());
         bytes.extend_from_slice(&addr.port().to_be_bytes());
@@ -144,8 +149,10 @@
 pub struct ReceivedDigest {
     /// The digest.
     pub digest: Digest,
-    /// The datagram as it is to be forwarded.
-    pub forwarded: Vec<u8>,
+    /// The digest as it was encoded, to be forwarded.
+    pub encoded: Vec<u8>,
+    /// Time between the making of the digest and the latest send, in milliseconds.
+    pub held_ms: u64,
     /// Instances that it is to be forwarded to.
     pub forward_to: Vec<SocketAddr>,
 }
@@ -153,7 +160,7 @@
 impl ReceivedDigest {
     /// Decodes a datagram. Returns `None` if it is not a digest of this layout.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let [FORMAT, count, rest @ ..] = bytes else {
+        let [FORMAT, count, high, low, rest @ ..] = bytes else {
             return None;
         };
         let (addrs, digest) = rest.split_at_checked(usize::from(*count) * ADDR_BYTES)?;
@@ -165,14 +172,15 @@
                 SocketAddr::from((Ipv4Addr::new(*a, *b, *c, *d), port))
             })
             .collect();
-        let forwarded = if forward_to.is_empty() {
+        let encoded = if forward_to.is_empty() {
             Vec::new()
         } else {
-            envelope(digest, &[])
+            digest.to_vec()
         };
         Some(Self {
             digest: Digest::decode(digest)?,
-            forwarded,
+            encoded,
+            held_ms: u16::from_be_bytes([*high, *low]).into(),
             forward_to,
         })
     }
--- a/crates/gateway/src/digest/tests.rs
+++ b/crates/gateway/src/digest/tests.rs
@@ -50,14 +50,16 @@
     let mut leaving = Vec::new();
     let mut views = 0;
     for part in sent.clone().encode(forward_to.len()) {
-        let bytes = envelope(&part, &forward_to);
+        let bytes = envelope(&part, 20, &forward_to);
         assert!(bytes.len() <= MAX_BYTES, "{} bytes", bytes.len());
         let received = ReceivedDigest::decode(&bytes).unwrap();
         assert_eq!(received.forward_to, forward_to);
         assert_eq!(received.digest.operator_next, sent.operator_next);
         assert_eq!(received.digest.operator_age_ms, sent.operator_age_ms);
-        let forwarded = ReceivedDigest::decode(&received.forwarded).unwrap();
+        let bytes = envelope(&received.encoded, received.held_ms + 300, &[]);
+        let forwarded = ReceivedDigest::decode(&bytes).unwrap();
         assert_eq!(forwarded.digest, received.digest);
+        assert_eq!(forwarded.held_ms, 320);
         assert!(forwarded.forward_to.is_empty());
         views += usize::from(received.digest.view.is_some());
         members.extend(received.digest.members);
@@ -78,7 +80,7 @@
 #[test]
 fn decode_rejects_foreign_datagrams() {
     let part = Digest::new(member(1)).encode(0).remove(0);
-    let bytes = envelope(&part, &addrs(2));
+    let bytes = envelope(&part, 0, &addrs(2));
     assert!(ReceivedDigest::decode(&bytes).is_some());
     for len in 0..bytes.len() {
         assert!(
@@ -87,5 +89,5 @@
         );
     }
     assert!(ReceivedDigest::decode(&[&bytes[..], &[0]].concat()).is_none());
-    assert!(ReceivedDigest::decode(&[FORMAT, 255, 1, 2, 3]).is_none());
+    assert!(ReceivedDigest::decode(&[FORMAT, 255, 1, 2, 3, 4, 5]).is_none());
 }
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -24,7 +24,7 @@
 const CONFIG_RETRY_US: u64 = 1_000_000;
 
 /// Applies a digest. `from` is the instance that it was received from, which may have forwarded it,
-/// and `since` the time from which it may have waited in the socket. Calls `on_peer_ahead` if its
+/// and `since` the time at which it was made, or from which it may have waited in the socket. Calls `on_peer_ahead` if its
 /// sender knows more of the operator's records.
 pub fn apply_digest(
     state: &State,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
 use crate::{
     collecting::{apply_report, send_welcome},
     datagrams::send_paced,
-    digest::ReceivedDigest,
+    digest::{ReceivedDigest, envelope},
     digest_apply::{apply_digest, log_member, wants_config},
     entries_apply::apply_update,
     entries_sender::forward,
@@ -68,8 +68,9 @@
                 let bytes = &buffer[..count];
                 let SocketAddr::V4(addr) = from else { continue };
                 if let Some(received) = ReceivedDigest::decode(bytes) {
-                    forward_digest(&state, &socket, &received);
-                    apply_digest(&state, received.digest, addr, empty_at, &on_peer_ahead);
+                    forward_digest(&state, &socket, &received, empty_at);
+                    let since = empty_at.minus_ms(received.held_ms);
+                    apply_digest(&state, received.digest, addr, since, &on_peer_ahead);
                 } else if let Some(report) = Report::decode(bytes) {
                     receive_report(&state, &socket, &report, from, empty_at, &on_peer_ahead).await;
                 } else if let Some(update) = EntriesUpdate::decode(bytes) {
@@ -88,15 +89,24 @@
     }
 }
 
-/// Forwards a digest to the instances that its sender has named.
-fn forward_digest(state: &Rc<State>, socket: &Rc<UdpSocket>, received: &ReceivedDigest) {
+/// Forwards a digest to the instances that its sender has named. It may have waited in the socket from
+/// `since` on; it states how old it is, since what it says is as of its making.
+fn forward_digest(
+    state: &Rc<State>,
+    socket: &Rc<UdpSocket>,
+    received: &ReceivedDigest,
+    since: Time,
+) {
     if received.forward_to.is_empty() {
         return;
     }
     let (state, socket) = (Rc::clone(state), Rc::clone(socket));
-    let (bytes, addrs) = (received.forwarded.clone(), received.forward_to.clone());
+    let (encoded, addrs) = (received.encoded.clone(), received.forward_to.clone());
+    let made = since.minus_ms(received.held_ms);
     task::spawn_local(async move {
         for addr in addrs {
+            let held_ms = state.now().since_us(made).div_ceil(1_000);
+            let bytes = envelope(&encoded, held_ms, &[]);
             send_paced(&state, &socket, &state.report_pace, &bytes, addr).await;
         }
     });
