A read that brings records counts as current from when it was asked

If such a response was held up, the view counted as up to 0.8 s younger than it was, since the time was taken as that of a read which waits to its end.

Change: only a response without records says that there was nothing until the end of the wait. So that the age does not grow by that, a read of an instance that waits at the store ends when the records would be as old as one whole wait.

--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -269,7 +269,8 @@
         return list_records(state, store).await;
     }
     let wait_ms = if is_waiting {
-        FollowSchedule::WAIT_MS
+        // The read ends when the records may be as old as one whole wait.
+        FollowSchedule::WAIT_MS.saturating_sub(operator_age_ms(state))
     } else {
         info!(event = "orders_outdated", age_ms = operator_age_ms(state), %from);
         0
@@ -277,9 +278,13 @@
     state.metrics.count("store_calls", 1);
     let asked = state.now();
     let page = store.read(Topic::Operator, from, wait_ms).await?;
-    // The store answers when there is a record, at the latest after the wait. A response may have
+    // The store answers at once when there is a record, otherwise after the wait. A response may have
     // been held up after that.
-    let as_of = asked.plus_ms(wait_ms).min(state.now());
+    let as_of = if page.records.is_empty() {
+        asked.plus_ms(wait_ms).min(state.now())
+    } else {
+        asked
+    };
     Ok(take_page(state, &page, as_of))
 }
 
