Records of peers are fetched during the pause after a failed read

Change: the pause is a part of the read that a peer's word interrupts. Only a response of the store clears the failure.

--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -57,6 +57,8 @@
     next: Position,
     /// Time as of which there was none.
     as_of: Time,
+    /// Whether the store has answered.
+    from_store: bool,
 }
 
 /// Applies the records of the operator until the process ends. `peers_ahead` yields peers that know
@@ -69,17 +71,22 @@
     let mut store = Store::new(state.settings.store);
     let mut next = state.joined_at.get();
     let mut failed_at = None;
+    let mut retry_at = Time(0);
     let mut backoff = Backoff::default();
     loop {
         let next_peer = async {
             // The channel closes only when the process ends.
             peers_ahead.recv().await.ok()
         };
-        let read = async { Event::Read(read_records(&state, &mut store, next, failed_at).await) };
+        let pause = Duration::from_micros(retry_at.since_us(state.now()));
+        let read = async {
+            // Peers that know more are heard during the pause.
+            async_std::task::sleep(pause).await;
+            Event::Read(read_records(&state, &mut store, next, failed_at).await)
+        };
         let event = read
             .race(async { next_peer.await.map_or(Event::Closed, Event::PeerAhead) })
             .await;
-        let is_from_peer = matches!(event, Event::PeerAhead(_));
         let result = match event {
             Event::Read(result) => result,
             Event::Closed => return,
@@ -96,12 +103,13 @@
             Ok(Progress {
                 next: position,
                 as_of,
+                from_store,
             }) => {
-                if failed_at.take().is_some() {
-                    info!(event = "store_regained", reader = "orders");
-                }
-                backoff.reset();
-                if !is_from_peer {
+                if from_store {
+                    if failed_at.take().is_some() {
+                        info!(event = "store_regained", reader = "orders");
+                    }
+                    backoff.reset();
                     state.has_store.set(true);
                 }
                 let has_new_records = next != Some(position);
@@ -131,7 +139,8 @@
                     // The others take over the duty once they know.
                     send_report(&state, &socket).await;
                 }
-                async_std::task::sleep(backoff.pause()).await;
+                let pause_us = u64::try_from(backoff.pause().as_micros()).unwrap_or(u64::MAX);
+                retry_at = state.now().plus_us(pause_us);
             }
         }
     }
@@ -205,7 +214,11 @@
     };
     if !ahead.has_records {
         let as_of = state.operator_as_of.get();
-        return Ok(Progress { next: from, as_of });
+        return Ok(Progress {
+            next: from,
+            as_of,
+            from_store: false,
+        });
     }
     let peer = ahead.addr;
     let mut relay = Store::new(peer);
@@ -217,7 +230,11 @@
         // A relay may give only a part of what its instance has read.
         let is_whole = page.next >= ahead.next;
         let as_of = if is_whole { ahead.as_of } else { Time(0) };
-        return Ok(take_page(state, &page, as_of));
+        let progress = take_page(state, &page, as_of);
+        return Ok(Progress {
+            from_store: false,
+            ..progress
+        });
     }
     state.metrics.count("store_calls", 1);
     let asked = state.now();
@@ -250,6 +267,7 @@
     Progress {
         next: page.next,
         as_of,
+        from_store: true,
     }
 }
 
@@ -309,6 +327,7 @@
     let progress = Progress {
         next: newest.end,
         as_of: asked,
+        from_store: true,
     };
     if state.rollouts.borrow().is_empty() {
         return Ok(progress);
