--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -216,7 +216,11 @@
 /// Returns the code of a request without a route. While the configuration may be out of date, the route
 /// may have been added, and another instance may have it.
 fn unknown_route(state: &State) -> Code {
-    if operator_age_ms(state) < state.settings.apply_ms() {
+    let is_current = operator_age_ms(state) < state.settings.apply_ms();
+    // A store that has come back from an earlier copy may lack what was confirmed.
+    let is_complete =
+        state.era_since.get().is_none() && state.peer_config.get() <= state.config_version();
+    if is_current && is_complete {
         Code::UnknownRoute
     } else {
         Code::RouteUnsure
