--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -13,6 +13,7 @@
 use crate::{
     backoff::Backoff,
     entries_apply::{apply_listing, apply_read},
+    listing_log::log_unreadable,
     reporting::send_report,
     state::State,
     store_era::{record_era, record_failed_era},
@@ -135,6 +136,7 @@
         let asked = state.now();
         let newest = store.newest(Topic::Targets).await?;
         record_era(state, newest.end.era, "entries");
+        log_unreadable(Topic::Targets, &newest);
         let listing = Listing::decode(Topic::Targets, &newest.records);
         apply_listing(state, asked, listing, newest.end);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod limit_report;
 mod line_budget;
 mod line_class;
+mod listing_log;
 mod logs;
 mod metrics;
 mod notices;
--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     backoff::Backoff,
+    listing_log::log_unreadable,
     orders_apply::{Source, apply_orders, apply_verdict},
     reporting::send_report,
     state::State,
@@ -248,6 +249,7 @@
 async fn list_records(state: &Rc<State>, store: &mut Store) -> Result<Position, PlatformError> {
     state.metrics.count("store_calls", 1);
     let newest = store.newest(Topic::Operator).await?;
+    log_unreadable(Topic::Operator, &newest);
     record_era(state, newest.end.era, "orders");
     let now = state.now();
     let is_rewriting = |since: &model::Time| now.since_us(*since) < REWRITE_US;
@@ -266,6 +268,7 @@
     }
     state.metrics.count("store_calls", 1);
     let verdicts = store.newest(Topic::Status).await?;
+    log_unreadable(Topic::Status, &verdicts);
     let listing = Listing::decode(Topic::Status, &verdicts.records);
     for (_, change) in listing.changes {
         if let Change::Verdict(recorded) = change {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -9,7 +9,10 @@
 use platform::{Change, Listing, PlatformError, Store, Topic};
 use tracing::{info, warn};
 
-use crate::{orders_apply::apply_verdict, state::State, store_era::record_failed_era};
+use crate::{
+    listing_log::log_unreadable, orders_apply::apply_verdict, state::State,
+    store_era::record_failed_era,
+};
 
 /// Time between two checks of the rollouts.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
@@ -91,6 +94,7 @@
 ) -> Result<(), PlatformError> {
     state.metrics.count("store_calls", 2);
     let newest = store.newest(Topic::Status).await?;
+    log_unreadable(Topic::Status, &newest);
     let listing = Listing::decode(Topic::Status, &newest.records);
     for (_, change) in listing.changes {
         if let Change::Verdict(recorded) = change {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -22,6 +22,7 @@
     entries::follow_entries,
     entries_sender::send_updates,
     join::join,
+    listing_log::log_unreadable,
     operator_records::follow_operator_records,
     peers::{add_listed_peer, receive_datagrams},
     phase::Phase,
@@ -225,6 +226,7 @@
     state.metrics.count("store_calls", 2);
     let era = store.announce(entry).await?;
     let newest = store.newest(Topic::Instances).await?;
+    log_unreadable(Topic::Instances, &newest);
     let listing = Listing::decode(Topic::Instances, &newest.records);
     for (_, change) in listing.changes {
         if let Change::Instance(entry) = change {
