An instance without the store fetches a configuration it is told of

What callers saw: an instance cut off from the store answered 404 for a route of a later configuration, for as long as it was cut off, after a burst of more operator records than a relay keeps (32).

Cause: the version of a peer's configuration was noted only if the peer had no more records than this instance. An instance behind by more records than the relay has got none of them, and did not fetch the configuration either.

Zones and orders of such a gap are still missing until the store can be read.

Evidence: check_peer_ahead_notes_newer_config_beside_records (failed before with peer_config 0 instead of 7); the process test odd_records_of_operator_stop_nothing failed before ("answers 404 for /new0/x, not 200").

--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -1,8 +1,8 @@
 //! Applies what a collector tells.
 
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 
-use balance::{Member, ReportedOutcomes};
+use balance::{Member, Position, ReportedOutcomes};
 use model::InstanceId;
 use tracing::{info, warn};
 
@@ -35,7 +35,13 @@
     let sender = &digest.member;
     let addr = sender.peer_addr;
     check_peer_era(state, digest.entries_era);
-    report_peer_ahead(state, &digest, on_peer_ahead);
+    check_peer_ahead(
+        state,
+        addr,
+        digest.operator_next,
+        digest.config_version,
+        on_peer_ahead,
+    );
     let mut members = state.members.borrow_mut();
     let is_direct = addr == from.into();
     let is_change = if is_direct {
@@ -90,19 +96,26 @@
     }
 }
 
-fn report_peer_ahead(state: &State, digest: &Digest, on_peer_ahead: &impl Fn(PeerAhead)) {
-    let has_records = digest.operator_next > state.operator_next.get();
-    if has_records || wants_config(state, digest.config_version) {
-        on_peer_ahead(PeerAhead {
-            addr: digest.member.peer_addr,
-            has_records,
-        });
+/// Calls `on_peer_ahead` if the peer at `addr`, which has read the operator's records up to
+/// `operator_next`, knows more of them than this instance, or has a newer configuration in force.
+pub fn check_peer_ahead(
+    state: &State,
+    addr: SocketAddr,
+    operator_next: Position,
+    config_version: u64,
+    on_peer_ahead: &impl Fn(PeerAhead),
+) {
+    let has_records = operator_next > state.operator_next.get();
+    // The peer may have more records than it can pass on, so its configuration is noted in any case.
+    let wants_config = wants_config(state, config_version);
+    if has_records || wants_config {
+        on_peer_ahead(PeerAhead { addr, has_records });
     }
 }
 
 /// Whether a peer's configuration, of this version, is to be fetched: it is newer than the one here,
 /// and none was fetched a moment ago, which may have failed.
-pub fn wants_config(state: &State, version: u64) -> bool {
+fn wants_config(state: &State, version: u64) -> bool {
     let newest = state.peer_config.get().max(version);
     state.peer_config.set(newest);
     let now = state.now();
@@ -176,3 +189,6 @@
         state.request_digest();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,7 +11,7 @@
     collecting::{apply_report, send_welcome},
     datagrams::send_paced,
     digest::ReceivedDigest,
-    digest_apply::{apply_digest, log_member, wants_config},
+    digest_apply::{apply_digest, check_peer_ahead, log_member},
     entries_apply::apply_update,
     entries_sender::forward,
     entries_update::EntriesUpdate,
@@ -110,13 +110,13 @@
 ) {
     let now = state.now();
     check_peer_era(state, report.entries_era);
-    let has_records = report.operator_next > state.operator_next.get();
-    if has_records || wants_config(state, report.config_version) {
-        on_peer_ahead(PeerAhead {
-            addr: from,
-            has_records,
-        });
-    }
+    check_peer_ahead(
+        state,
+        from,
+        report.operator_next,
+        report.config_version,
+        on_peer_ahead,
+    );
     let Some(is_change) = record_sender(state, report, from) else {
         return;
     };
