Readers of the entries go on until the end of the records

What callers saw: requests to a target whose draining stood behind more than 1 MB of records of another writer; found by reading, shown by the test.

Cause: a read returns at most 1 MB. A reader applied this part, took its end for the end of all records, and told itself and others that the entries were current. The rest came with one page each 0.45 s.

Change: the response says where the records end; the reader reads on at once, and the entries count as current as of the last read only.

--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     backoff::Backoff,
-    entries_apply::{apply_listing, apply_read},
+    entries_apply::{apply_listing, apply_page, apply_read},
     listing_log::log_unreadable,
     reporting::send_report,
     state::State,
@@ -150,32 +150,40 @@
     Ok(())
 }
 
-/// Reads the records from offset `from` on. Returns whether the store still has them, in the era in
+/// Reads all records from offset `from` on. Returns whether the store still has them, in the era in
 /// which the offset was given out.
 async fn read_changes(
     state: &Rc<State>,
     store: &mut Store,
     from: u64,
 ) -> Result<bool, PlatformError> {
-    let asked = state.now();
     let era = state.entries.borrow().era();
-    let from = Position { era, offset: from };
-    match store.read(Topic::Targets, from, 0).await {
-        Ok(page) => {
-            let listing = Listing::decode(Topic::Targets, &page.records);
-            apply_read(state, asked, listing, page.next);
-            Ok(true)
-        }
-        Err(PlatformError::NotRetained { first }) => {
-            info!(event = "entries_dropped", first, %from);
-            Ok(false)
-        }
-        // An earlier era is an answer from before the store came back.
-        Err(PlatformError::OtherEra { era, .. }) if era > from.era => {
-            record_era(state, era, "entries");
-            Ok(false)
+    let mut from = Position { era, offset: from };
+    loop {
+        let asked = state.now();
+        match store.read(Topic::Targets, from, 0).await {
+            Ok(page) => {
+                let listing = Listing::decode(Topic::Targets, &page.records);
+                if page.is_last {
+                    apply_read(state, asked, listing, page.next);
+                    return Ok(true);
+                }
+                // Huge records of another writer can fill more than a page.
+                apply_page(state, listing, page.next);
+                from = page.next;
+                state.metrics.count("store_calls", 1);
+            }
+            Err(PlatformError::NotRetained { first }) => {
+                info!(event = "entries_dropped", first, %from);
+                return Ok(false);
+            }
+            // An earlier era is an answer from before the store came back.
+            Err(PlatformError::OtherEra { era, .. }) if era > from.era => {
+                record_era(state, era, "entries");
+                return Ok(false);
+            }
+            Err(error) => return Err(error),
         }
-        Err(error) => Err(error),
     }
 }
 
--- a/crates/gateway/src/entries/tests.rs
+++ b/crates/gateway/src/entries/tests.rs
@@ -58,6 +58,31 @@
     }
 }
 
+/// Guards against a reader that takes the entries as current after a page, although huge records of
+/// another writer keep the draining of a target for the next one.
+#[test]
+fn read_continues_until_end() {
+    task::block_on(async {
+        let fleet = FleetStore::start().await.unwrap();
+        register(&fleet, "i-1", "ready");
+        let (state, mut store) = reader_of(&fleet);
+        read(&state, &mut store).await.unwrap();
+        for _ in 0..15 {
+            fleet.put("keyed.servers", "odd", &" ".repeat(200_000));
+        }
+        register(&fleet, "i-1", "draining");
+        read(&state, &mut store).await.unwrap();
+        assert_eq!(state.entries_next(), Some(17));
+        assert!(
+            state
+                .targets
+                .borrow()
+                .get(&TargetId::new("i-1"))
+                .is_some_and(balance::Target::is_leaving)
+        );
+    });
+}
+
 /// Guards against targets that leave and still get requests from some instances: a reader learns of
 /// them from the other reader while its own read is pending, and sends an update that covers their
 /// records but does not contain them.
--- a/crates/gateway/src/entries_apply.rs
+++ b/crates/gateway/src/entries_apply.rs
@@ -16,15 +16,22 @@
 /// Targets renew their entries every 1.5 s, and an entry lapses after three missed renewals.
 const OUTAGE_US: u64 = 1_200_000;
 
-/// Applies the records that this instance has read. They continue those that were known when it
-/// read; updates that arrived meanwhile may be ahead of some or all of them. `as_of` is the time at
-/// which it asked, and `end` the end of the records at that time or later.
+/// Applies the last records before `end`, which this instance has read. `as_of` is the time at which it
+/// asked.
 pub fn apply_read(state: &State, as_of: Time, listing: Listing, end: Position) {
-    if end.era != state.entries.borrow().era() {
+    if apply_page(state, listing, end) {
+        record_current(state, as_of, true);
+    }
+}
+
+/// Applies records that this instance has read, up to the position `next`. They continue those that were
+/// known when it read; updates that arrived meanwhile may be ahead of some or all of them. Returns
+/// whether they are of the era in force.
+pub fn apply_page(state: &State, listing: Listing, next: Position) -> bool {
+    if next.era != state.entries.borrow().era() {
         // Another task has found a later era meanwhile.
-        return;
+        return false;
     }
-    let end = end.offset;
     record_store_regained(state);
     log_malformed(&listing);
     let known = state.entries_next().unwrap_or_default();
@@ -35,8 +42,8 @@
     let applied: Vec<(u64, EntryChange)> = new
         .filter_map(|(offset, change)| Some((offset, apply_own_change(state, offset, change)?)))
         .collect();
-    state.entries.borrow_mut().extend(end, applied);
-    record_current(state, as_of, true);
+    state.entries.borrow_mut().extend(next.offset, applied);
+    true
 }
 
 /// Applies a complete listing of the records before offset `end`, which this instance asked for at
