Log lines are cut at 8,192 bytes

What was seen: an order of a rollout with a version of 261,000 bytes wrote log lines of that length at every instance. 1,024 lines wait in the queue, so that a slow reader of the logs would let it grow to 256 MB.

Change: a line of more than 8,192 bytes is cut at a character and ends with "...".

--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -18,8 +18,12 @@
 
 use crate::{line_budget::LineBudget, line_class::LineClass};
 
-/// Most lines in the queue; at 400 bytes each they take 400 KB.
+/// Most lines in the queue; at 400 bytes each they take 400 KB, and never more than 8 MB.
 const QUEUE_LINES: usize = 1_024;
+/// Longest line, in bytes. A record of another writer can have names of 262,144 bytes.
+const MAX_LINE_BYTES: usize = 8_192;
+/// End of a line that was cut.
+const CUT_END: &[u8] = b"...\n";
 /// Time for which lines are collected before they are written at once.
 const BATCH_TIME: Duration = Duration::from_millis(50);
 /// Most bytes written at once, unless one line is longer. A pipe takes as many without cutting them
@@ -105,8 +109,16 @@
     }
 
     fn try_send(&self, line: &[u8]) -> bool {
-        let line = [&self.prefix[..], line].concat();
-        self.sender.try_send(line).is_ok()
+        let mut bytes = [&self.prefix[..], line].concat();
+        if bytes.len() > MAX_LINE_BYTES {
+            let end = (0..=MAX_LINE_BYTES - CUT_END.len())
+                .rfind(|at| bytes[*at] & 0xc0 != 0x80)
+                .unwrap_or_default();
+            bytes.truncate(end);
+            bytes.extend_from_slice(CUT_END);
+            bytes.shrink_to_fit();
+        }
+        self.sender.try_send(bytes).is_ok()
     }
 }
 
--- a/crates/gateway/src/logs/tests.rs
+++ b/crates/gateway/src/logs/tests.rs
@@ -41,6 +41,21 @@
     assert!(first.contains("class=belief count=20"), "{first}");
 }
 
+/// Guards against a queue that holds hundreds of megabytes because of names that another writer chose.
+#[test]
+fn push_cuts_long_line() {
+    let (queue, receiver) = queue(100);
+    for start in ["", "x"] {
+        let line = format!("{start}{}\n", "\u{e9}".repeat(130_000));
+        queue.push(LineClass::Belief, line.as_bytes(), Instant::now());
+    }
+    for line in texts(&receiver) {
+        let is_cut = line.starts_with("instance=edge-1 ") && line.ends_with("\u{e9}...\n");
+        assert!(is_cut && line.len() <= MAX_LINE_BYTES);
+        assert!(line.len() > MAX_LINE_BYTES - 2);
+    }
+}
+
 /// Writer that takes no more than a pipe does at once and loses the rest.
 #[derive(Default)]
 struct Pipe(Vec<u8>);
