Tests: odd records in all topics, over real processes

The stand-in of the store lists in pages (500 items or 1 MB, "after"), returns at most 1 MB in a read, and takes any bytes as key and value.

--- a/crates/testkit/src/fleet/store.rs
+++ b/crates/testkit/src/fleet/store.rs
@@ -20,6 +20,10 @@
 
 /// Interval at which a waiting read checks for new records.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Most items in a page of a listing.
+const PAGE_ITEMS: usize = 500;
+/// Most bytes in a page of a listing or in the response to a read, unless one record is larger.
+const PAGE_BYTES: usize = 1 << 20;
 
 /// How the store misbehaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,8 +55,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct StoreCopy {
     topics: HashMap<String, Topic>,
-    /// Latest offset and value of each key, by topic.
+    /// Latest offset and value of each key, by topic. Bytes of a key that are not UTF-8 are replaced.
     latest: HashMap<String, BTreeMap<String, (u64, Vec<u8>)>>,
+    /// Items in JSON that the listing of a topic has besides the records.
+    odd_items: HashMap<String, Vec<String>>,
 }
 
 #[derive(Debug)]
@@ -120,12 +126,29 @@
     /// Appends a record with a key, as the operator or a target does. An empty value removes the
     /// key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
+        self.put_bytes(topic, key.as_bytes(), value.as_bytes());
+    }
+
+    /// Appends a record whose key and value may be any bytes, as another writer may.
+    pub fn put_bytes(&self, topic: &str, key: &[u8], value: &[u8]) {
         let mut content = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
-        content.extend_from_slice(key.as_bytes());
-        content.extend_from_slice(value.as_bytes());
+        content.extend_from_slice(key);
+        content.extend_from_slice(value);
         self.lock().append(topic, content);
     }
 
+    /// Appends a record of a keyed topic that does not have the form of a key and a value.
+    pub fn put_record(&self, topic: &str, content: &[u8]) {
+        self.lock().append(topic, content.to_vec());
+    }
+
+    /// Adds items, given as JSON, to the first page of each listing of a topic.
+    pub fn set_odd_items(&self, topic: &str, items: &[&str]) {
+        let items = items.iter().map(|item| (*item).to_owned()).collect();
+        let mut shared = self.lock();
+        shared.contents.odd_items.insert(topic.to_owned(), items);
+    }
+
     /// Returns the latest value of a key.
     #[must_use]
     pub fn get(&self, topic: &str, key: &str) -> Option<String> {
@@ -146,7 +169,7 @@
             .unwrap_or_default();
         let parsed = records.iter().filter_map(|r| split_key(r));
         parsed
-            .filter(|(k, _)| *k == key)
+            .filter(|(k, _)| *k == key.as_bytes())
             .map(|(_, value)| String::from_utf8_lossy(value).into_owned())
             .collect()
     }
@@ -220,7 +243,10 @@
         let number = |key| request.query(key).and_then(|text| text.parse::<u64>().ok());
         match request.path() {
             "/-/log-append" => self.append(&topic, number("at"), &request.body),
-            "/-/log-newest" => self.latest(&topic),
+            "/-/log-newest" => {
+                let after = request.query("after").map(percent_decode);
+                self.latest(&topic, after.as_deref())
+            }
             "/-/log-read" => {
                 let (from, wait) = (number("from").unwrap_or(0), number("wait_ms").unwrap_or(0));
                 self.read(&topic, from, wait).await
@@ -264,21 +290,31 @@
         )
     }
 
-    fn latest(&self, topic: &str) -> (u16, Vec<u8>) {
+    /// Returns one page of the newest records: those whose keys come after `after`.
+    fn latest(&self, topic: &str, after: Option<&str>) -> (u16, Vec<u8>) {
         let shared = self.lock();
-        let end = shared
-            .contents
-            .topics
-            .get(topic)
-            .map_or(0, Topic::end_offset);
-        let latest = shared.contents.latest.get(topic).into_iter().flatten();
-        let items: Vec<_> = latest
-            .map(|(key, (offset, value))| {
-                json!({ "key": key, "value": BASE64_STANDARD.encode(value), "offset": offset })
-            })
-            .collect();
-        let body = json!({ "items": items, "has_more": false, "end": end });
-        (200, body.to_string().into_bytes())
+        let contents = &shared.contents;
+        let end = contents.topics.get(topic).map_or(0, Topic::end_offset);
+        let mut items: Vec<String> = Vec::new();
+        if after.is_none() {
+            items.extend(contents.odd_items.get(topic).into_iter().flatten().cloned());
+        }
+        let latest = contents.latest.get(topic).into_iter().flatten();
+        let mut left = latest.filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
+        let (mut bytes, mut has_more) = (0, false);
+        for (key, (offset, value)) in left.by_ref() {
+            let value = BASE64_STANDARD.encode(value);
+            let item = json!({ "key": key, "value": value, "offset": offset }).to_string();
+            if items.len() >= PAGE_ITEMS || (bytes > 0 && bytes + item.len() > PAGE_BYTES) {
+                has_more = true;
+                break;
+            }
+            bytes += item.len();
+            items.push(item);
+        }
+        let items = items.join(",");
+        let body = format!(r#"{{"items":[{items}],"has_more":{has_more},"end":{end}}}"#);
+        (200, body.into_bytes())
     }
 
     async fn read(&self, topic: &str, from: u64, wait_ms: u64) -> (u16, Vec<u8>) {
@@ -310,6 +346,9 @@
         bytes.extend_from_slice(&topic.first_offset.to_be_bytes());
         let skip = usize::try_from(from.saturating_sub(topic.first_offset)).unwrap_or(usize::MAX);
         for record in topic.records.iter().skip(skip) {
+            if bytes.len() > 16 && bytes.len() + record.len() > PAGE_BYTES {
+                break;
+            }
             bytes.extend_from_slice(&(record.len() as u32).to_be_bytes());
             bytes.extend_from_slice(record);
         }
@@ -323,10 +362,11 @@
         let offset = topic.end_offset();
         if let Some((key, value)) = split_key(&content) {
             let latest = self.contents.latest.entry(name.to_owned()).or_default();
+            let key = String::from_utf8_lossy(key);
             if value.is_empty() {
-                latest.remove(key);
+                latest.remove(&*key);
             } else {
-                latest.insert(key.to_owned(), (offset, value.to_vec()));
+                latest.insert(key.into_owned(), (offset, value.to_vec()));
             }
         }
         topic.records.push(content);
@@ -334,8 +374,32 @@
 }
 
 /// Splits a record into its key, which is preceded by its length in one byte, and its value.
-fn split_key(content: &[u8]) -> Option<(&str, &[u8])> {
+fn split_key(content: &[u8]) -> Option<(&[u8], &[u8])> {
     let (len, rest) = content.split_first()?;
-    let (key, value) = rest.split_at_checked(usize::from(*len))?;
-    Some((str::from_utf8(key).ok()?, value))
+    rest.split_at_checked(usize::from(*len))
+}
+
+/// Decodes a value of a query. A plus sign stands for a space, as in forms, which some servers follow.
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, tail @ ..] = rest {
+        let escaped = tail.get(..2).and_then(|hex| str::from_utf8(hex).ok());
+        let escaped = escaped.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        match (*first, escaped) {
+            (b'%', Some(byte)) => {
+                bytes.push(byte);
+                rest = &tail[2..];
+            }
+            (b'+', _) => {
+                bytes.push(b' ');
+                rest = tail;
+            }
+            (byte, _) => {
+                bytes.push(byte);
+                rest = tail;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
 }
