CONFIG: one unreadable value keeps no configuration out of force

What callers saw: 404 for added routes, and answers by an earlier version, at all instances, with one order_malformed line each, when a configuration had a weight of 0.5, a limit of 1e6, or one route that could not be decoded. The store takes only valid configurations, so that these were limits of our types.

Each such value is logged (config_part_malformed).

--- a/crates/gateway/src/orders_apply.rs
+++ b/crates/gateway/src/orders_apply.rs
@@ -4,11 +4,14 @@
 
 use balance::{GatewayConfig, Position, Rollout, RolloutOrder};
 use model::Zone;
-use platform::{Listing, OperatorChange, Record, RecordedVerdict, Topic};
+use platform::{ConfigFault, Listing, OperatorChange, Record, RecordedVerdict, Topic};
 use tracing::{error, info, warn};
 
 use crate::state::State;
 
+/// Most unreadable parts of a configuration that are logged.
+const MAX_FAULTS: usize = 20;
+
 /// Where records of the operator come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -72,7 +75,7 @@
 ) {
     let position = record.position;
     match change {
-        OperatorChange::Config(config) => apply_config(state, record, *config),
+        OperatorChange::Config(config, faults) => apply_config(state, record, *config, &faults),
         OperatorChange::Rollout(order) => apply_rollout(state, order, is_known),
         OperatorChange::RolloutWithdrawn(service) => {
             info!(event = "rollout_withdrawn", service = %service, offset = %position);
@@ -94,8 +97,8 @@
     }
 }
 
-/// Puts a configuration into force, unless a newer version is.
-fn apply_config(state: &State, record: &Record, config: GatewayConfig) {
+/// Puts a configuration into force, unless a newer version is. Logs the parts that cannot be read.
+fn apply_config(state: &State, record: &Record, config: GatewayConfig, faults: &[ConfigFault]) {
     let position = record.position;
     let mut current = state.config.borrow_mut();
     let old = current.as_ref().map_or(0, |m| m.version);
@@ -105,6 +108,15 @@
         return;
     }
     info!(event = "config", version, old, offset = %position);
+    for ConfigFault { part, error } in faults.iter().take(MAX_FAULTS) {
+        error!(
+            event = "config_part_malformed",
+            version,
+            part,
+            error,
+            count = faults.len()
+        );
+    }
     *current = Some(Rc::new(config));
     state.relay.borrow_mut().set_config(record.clone());
 }
