Versions and services without targets do not stay in memory

Found by reading.

Change: from 1,024 known versions on, those without a target are forgotten when a new one is seen; a service is forgotten with its last target.

Evidence: versions_without_targets_are_bounded (5,001 versions kept without the fix) and remove_last_target_forgets_service (101 services instead of 2).

--- a/crates/balance/src/targets.rs
+++ b/crates/balance/src/targets.rs
@@ -346,10 +346,15 @@
         let Some(service) = self.service_of.remove(id) else {
             return;
         };
-        let of_service = self.services.get_mut(&service);
-        if let Some(target) = of_service.and_then(|s| s.remove(id)) {
+        let Some(of_service) = self.services.get_mut(&service) else {
+            return;
+        };
+        if let Some(target) = of_service.remove(id) {
             self.removed.insert(id.clone(), (target.entry.born, now));
         }
+        if of_service.is_empty() {
+            self.services.remove(&service);
+        }
     }
 
     /// Returns a target.
--- a/crates/balance/src/targets/tests.rs
+++ b/crates/balance/src/targets/tests.rs
@@ -18,6 +18,26 @@
 
 const NOW: Time = Time(10_000_000);
 
+/// Guards against services that another writer names once and that stay in memory.
+#[test]
+fn remove_last_target_forgets_service() {
+    let mut targets = Targets::default();
+    targets.put(entry("i-1", 1), NOW);
+    for index in 0..100 {
+        let service = ServiceName::new(&format!("odd-{index}"));
+        targets.put(
+            TargetEntry {
+                service,
+                ..entry("odd", 1)
+            },
+            NOW,
+        );
+    }
+    assert_eq!((targets.len(), targets.services.len()), (2, 2));
+    targets.remove(&TargetId::new("odd"), NOW);
+    assert_eq!((targets.len(), targets.services.len()), (1, 1));
+}
+
 #[test]
 fn missing_entry_removes_target_at_once() {
     let mut targets = Targets::default();
--- a/crates/gateway/src/entries_apply.rs
+++ b/crates/gateway/src/entries_apply.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 use balance::{EntryChange, Position, TargetEntry};
-use model::{TargetId, Time};
+use model::{ServiceName, TargetId, Time, Version};
 use platform::{Change, Listing};
 use tracing::{debug, info, warn};
 
@@ -15,6 +15,8 @@
 /// Age of the entries from which failed reads count as an outage of the store, in microseconds.
 /// Targets renew their entries every 1.5 s, and an entry lapses after three missed renewals.
 const OUTAGE_US: u64 = 1_200_000;
+/// Number of known versions from which on those without a target are forgotten.
+const MAX_VERSIONS: usize = 1_024;
 
 /// Applies the last records before `end`, which this instance has read. `as_of` is the time at which it
 /// asked.
@@ -253,11 +255,22 @@
         version = %entry.version, draining = entry.draining, cold_ms = entry.cold_ms, era, offset);
 }
 
-/// Records when a version of a service was first seen.
+/// Records when a version of a service was first seen. Of many versions, forgets those without a target.
 fn record_version(state: &State, entry: &TargetEntry) {
     let key = (entry.service.clone(), entry.version.clone());
     let mut versions = state.versions_seen.borrow_mut();
-    versions.entry(key).or_insert_with(|| state.now());
+    if versions.contains_key(&key) {
+        return;
+    }
+    if versions.len() >= MAX_VERSIONS {
+        let targets = state.targets.borrow();
+        let is_used = |service: &ServiceName, version: &Version| {
+            let mut of_service = targets.of_service(service);
+            of_service.any(|target| target.entry.version == *version)
+        };
+        versions.retain(|(service, version), _| is_used(service, version));
+    }
+    versions.insert(key, state.now());
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/entries_apply/tests.rs
+++ b/crates/gateway/src/entries_apply/tests.rs
@@ -113,6 +113,34 @@
     assert!(state.early_updates.borrow().is_empty());
 }
 
+/// Guards against versions that another writer changes again and again and that fill the memory, and
+/// against a version in use that is forgotten meanwhile.
+#[test]
+fn versions_without_targets_are_bounded() {
+    let state = state(1_000.0);
+    state.entries.borrow_mut().extend(0, []);
+    let entry = |id: &str, version: &str| TargetEntry {
+        id: TargetId::new(id),
+        service: model::ServiceName::new("orders"),
+        addr: "10.1.64.1:8505".parse().unwrap(),
+        zone: model::Zone::new("a"),
+        version: model::Version::new(version),
+        slots: 3,
+        draining: false,
+        cold_ms: 0,
+        born: 1,
+    };
+    put(&state, &entry("i-1", "used"), 0);
+    let used = (entry("i-1", "used").service, entry("i-1", "used").version);
+    let first_seen = state.versions_seen.borrow()[&used];
+    for index in 0..5_000 {
+        put(&state, &entry("odd", &format!("v{index}")), index);
+    }
+    let versions = state.versions_seen.borrow();
+    assert!(versions.len() <= MAX_VERSIONS, "{}", versions.len());
+    assert_eq!(versions[&used], first_seen);
+}
+
 /// Guards against parts of an update that stay for ever, or fill the memory, after one was lost.
 #[test]
 fn early_updates_are_bounded() {
