Test of odd configurations waits for its log lines

Failed in 1 of 8 runs, beside other builds (load 17): the lines of the first instance were not written yet, since they are written in batches of 50 ms.

--- a/crates/node/tests/gateway_odd_config.rs
+++ b/crates/node/tests/gateway_odd_config.rs
@@ -11,6 +11,8 @@
 
 /// Time within which a configuration must be in force at every instance.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which a log line must be written.
+const LOG_TIMEOUT: Duration = Duration::from_secs(1);
 
 async fn start_rig() -> FleetRig {
     let spec = RigSpec {
@@ -85,7 +87,6 @@
                 assert!(response.header("Retry-After").is_some(), "{path}");
             }
             assert_eq!(get(&rig, instance, "/unknown/x").await.status(), 404);
-            let log = instance.log_text().unwrap();
             for part in [
                 "no-service",
                 "bad-weight",
@@ -96,7 +97,12 @@
                 let is_logged = |line: &str| {
                     line.contains("event=config_part_malformed") && line.contains(part)
                 };
-                assert!(log.lines().any(is_logged), "{part} is not logged");
+                // Lines are written in batches.
+                let start = Instant::now();
+                while !instance.log_text().unwrap().lines().any(is_logged) {
+                    assert!(start.elapsed() < LOG_TIMEOUT, "{part} is not logged");
+                    task::sleep(Duration::from_millis(20)).await;
+                }
             }
         }
     });
