--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -1,8 +1,8 @@
 //! Applies what a collector tells.
 
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 
-use balance::{Member, ReportedOutcomes};
+use balance::{Member, Position, ReportedOutcomes};
 use model::{InstanceId, Time};
 use tracing::{info, warn};
 
@@ -38,8 +38,8 @@
     let addr = sender.peer_addr;
     check_peer_era(state, digest.entries_era);
     let as_of = since.minus_ms(digest.operator_age_ms);
-    record_operator_as_of(state, digest.operator_next, as_of);
-    report_peer_ahead(state, &digest, as_of, on_peer_ahead);
+    let progress = (digest.operator_next, as_of);
+    check_peer_ahead(state, addr, progress, digest.config_version, on_peer_ahead);
     let mut members = state.members.borrow_mut();
     let is_direct = addr == from.into();
     let is_change = if is_direct {
@@ -90,18 +90,26 @@
     }
 }
 
-fn report_peer_ahead(
+/// Records how far the peer at `addr` has read the operator's records (`progress`: position of the next
+/// one, and the time as of which there was none). Calls `on_peer_ahead` if it knows more of them than
+/// this instance, or has a newer configuration in force.
+pub fn check_peer_ahead(
     state: &State,
-    digest: &Digest,
-    as_of: Time,
+    addr: SocketAddr,
+    progress: (Position, Time),
+    config_version: u64,
     on_peer_ahead: &impl Fn(PeerAhead),
 ) {
-    let has_records = digest.operator_next > state.operator_next.get();
-    if has_records || wants_config(state, digest.config_version) {
+    let (next, as_of) = progress;
+    record_operator_as_of(state, next, as_of);
+    let has_records = next > state.operator_next.get();
+    // The peer may have more records than it can pass on, so its configuration is noted in any case.
+    let wants_config = wants_config(state, config_version);
+    if has_records || wants_config {
         on_peer_ahead(PeerAhead {
-            addr: digest.member.peer_addr,
+            addr,
             has_records,
-            next: digest.operator_next,
+            next,
             as_of,
         });
     }
@@ -109,7 +117,7 @@
 
 /// Whether a peer's configuration, of this version, is to be fetched: it is newer than the one here,
 /// and none was fetched a moment ago, which may have failed.
-pub fn wants_config(state: &State, version: u64) -> bool {
+fn wants_config(state: &State, version: u64) -> bool {
     let newest = state.peer_config.get().max(version);
     state.peer_config.set(newest);
     let now = state.now();
@@ -183,3 +191,6 @@
         state.request_digest();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/entries_apply.rs
+++ b/crates/gateway/src/entries_apply.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, net::SocketAddr};
 
 use balance::{EntryChange, Position, TargetEntry};
-use model::{TargetId, Time};
+use model::{ServiceName, TargetId, Time, Version};
 use platform::{Change, Listing};
 use tracing::{debug, info, warn};
 
@@ -15,16 +15,25 @@
 /// Age of the entries from which failed reads count as an outage of the store, in microseconds.
 /// Targets renew their entries every 1.5 s, and an entry lapses after three missed renewals.
 const OUTAGE_US: u64 = 1_200_000;
+/// Number of known versions from which on those without a target are forgotten.
+const MAX_VERSIONS: usize = 1_024;
 
-/// Applies the records that this instance has read. They continue those that were known when it
-/// read; updates that arrived meanwhile may be ahead of some or all of them. `as_of` is the time at
-/// which it asked, and `end` the end of the records at that time or later.
+/// Applies the last records before `end`, which this instance has read. `as_of` is the time at which it
+/// asked.
 pub fn apply_read(state: &State, as_of: Time, listing: Listing, end: Position) {
-    if end.era != state.entries.borrow().era() {
+    if apply_page(state, listing, end) {
+        record_current(state, as_of, true);
+    }
+}
+
+/// Applies records that this instance has read, up to the position `next`. They continue those that were
+/// known when it read; updates that arrived meanwhile may be ahead of some or all of them. Returns
+/// whether they are of the era in force.
+pub fn apply_page(state: &State, listing: Listing, next: Position) -> bool {
+    if next.era != state.entries.borrow().era() {
         // Another task has found a later era meanwhile.
-        return;
+        return false;
     }
-    let end = end.offset;
     record_store_regained(state);
     log_malformed(&listing);
     let known = state.entries_next().unwrap_or_default();
@@ -35,8 +44,8 @@
     let applied: Vec<(u64, EntryChange)> = new
         .filter_map(|(offset, change)| Some((offset, apply_own_change(state, offset, change)?)))
         .collect();
-    state.entries.borrow_mut().extend(end, applied);
-    record_current(state, as_of, true);
+    state.entries.borrow_mut().extend(next.offset, applied);
+    true
 }
 
 /// Applies a complete listing of the records before offset `end`, which this instance asked for at
@@ -246,11 +255,22 @@
         version = %entry.version, draining = entry.draining, cold_ms = entry.cold_ms, era, offset);
 }
 
-/// Records when a version of a service was first seen.
+/// Records when a version of a service was first seen. Of many versions, forgets those without a target.
 fn record_version(state: &State, entry: &TargetEntry) {
     let key = (entry.service.clone(), entry.version.clone());
     let mut versions = state.versions_seen.borrow_mut();
-    versions.entry(key).or_insert_with(|| state.now());
+    if versions.contains_key(&key) {
+        return;
+    }
+    if versions.len() >= MAX_VERSIONS {
+        let targets = state.targets.borrow();
+        let is_used = |service: &ServiceName, version: &Version| {
+            let mut of_service = targets.of_service(service);
+            of_service.any(|target| target.entry.version == *version)
+        };
+        versions.retain(|(service, version), _| is_used(service, version));
+    }
+    versions.insert(key, state.now());
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     backoff::Backoff,
+    listing_log::log_unreadable,
     operator_age::{operator_age_ms, record_operator_as_of},
     orders_apply::{Source, apply_orders, apply_verdict},
     reporting::send_report,
@@ -311,6 +312,7 @@
     state.metrics.count("store_calls", 1);
     let asked = state.now();
     let newest = store.newest(Topic::Operator).await?;
+    log_unreadable(Topic::Operator, &newest);
     record_era(state, newest.end.era, "orders");
     let now = state.now();
     let is_rewriting = |since: &model::Time| now.since_us(*since) < REWRITE_US;
@@ -334,6 +336,7 @@
     }
     state.metrics.count("store_calls", 1);
     let verdicts = store.newest(Topic::Status).await?;
+    log_unreadable(Topic::Status, &verdicts);
     let listing = Listing::decode(Topic::Status, &verdicts.records);
     for (_, change) in listing.changes {
         if let Change::Verdict(recorded) = change {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,11 +12,10 @@
     collecting::{apply_report, send_welcome},
     datagrams::send_paced,
     digest::{ReceivedDigest, envelope},
-    digest_apply::{apply_digest, log_member, wants_config},
+    digest_apply::{apply_digest, check_peer_ahead, log_member},
     entries_apply::apply_update,
     entries_sender::forward,
     entries_update::EntriesUpdate,
-    operator_age::record_operator_as_of,
     operator_records::PeerAhead,
     report::Report,
     state::State,
@@ -125,16 +124,8 @@
     let now = state.now();
     check_peer_era(state, report.entries_era);
     let as_of = since.minus_ms(report.operator_age_ms);
-    record_operator_as_of(state, report.operator_next, as_of);
-    let has_records = report.operator_next > state.operator_next.get();
-    if has_records || wants_config(state, report.config_version) {
-        on_peer_ahead(PeerAhead {
-            addr: from,
-            has_records,
-            next: report.operator_next,
-            as_of,
-        });
-    }
+    let progress = (report.operator_next, as_of);
+    check_peer_ahead(state, from, progress, report.config_version, on_peer_ahead);
     let Some(is_change) = record_sender(state, report, from) else {
         return;
     };
