Pipelined requests are all answered in a planned stop

Cause: after SIGTERM every response closed the connection. Requests that were sent behind it and had already been passed on to targets were dropped with the connection. Change: in a planned stop no request is started while earlier ones of the connection are in progress, and the connection is closed after the last response. Whether it is closed is decided when the response is written, not when the request ends. A request that asks to close the connection is the last one that is started.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -16,13 +16,16 @@
 use socket2::SockRef;
 
 use crate::{
-    request::{EncodedResponse, serve},
+    request::{CallerResponse, serve},
     response::encode_refusal,
     state::State,
 };
 
 /// Requests of one connection that are served at the same time. Further ones are not read.
 const MAX_PIPELINED: usize = 16;
+/// Bytes that are read ahead, in order to notice that the caller closes the connection, while further
+/// requests are not started.
+const MAX_READ_AHEAD: usize = 64 * 1_024;
 /// Size of one read from the socket, in bytes.
 const READ_BYTES: usize = 8 * 1_024;
 /// Timeout for writing a response to the caller.
@@ -36,7 +39,7 @@
 /// Event that ends a wait of a connection.
 enum Event {
     Read(std::io::Result<usize>),
-    Response(EncodedResponse),
+    Response(CallerResponse),
     Timeout,
     IdleClosed,
 }
@@ -59,6 +62,7 @@
         decoder: RequestDecoder::default(),
         input: Vec::new(),
         responses: FuturesOrdered::new(),
+        is_last: false,
         failure: None,
     };
     connection.run().await;
@@ -72,7 +76,9 @@
     stream: TcpStream,
     decoder: RequestDecoder,
     input: Vec<u8>,
-    responses: FuturesOrdered<LocalBoxFuture<'static, EncodedResponse>>,
+    responses: FuturesOrdered<LocalBoxFuture<'static, CallerResponse>>,
+    /// Whether the latest request asked to close the connection after its response.
+    is_last: bool,
     /// Error with which the connection ends once all earlier requests are answered.
     failure: Option<Code>,
 }
@@ -98,10 +104,11 @@
                 Event::Read(Ok(0) | Err(_)) | Event::IdleClosed => return,
                 Event::Read(Ok(count)) => self.input.extend_from_slice(&chunk[..count]),
                 Event::Response(response) => {
-                    if !self.write(&response.bytes).await {
+                    let close = self.closes_after(&response);
+                    if !self.write(&response.encode(close)).await {
                         return;
                     }
-                    if response.close {
+                    if close {
                         self.lingering_close().await;
                         return;
                     }
@@ -117,12 +124,16 @@
     /// Starts the requests that have arrived completely. Returns `false` if writing to the caller
     /// failed.
     async fn start_requests(&mut self) -> bool {
-        while self.accepts_requests() {
+        if !self.may_start() {
+            return true;
+        }
+        while self.failure.is_none() && self.responses.len() < MAX_PIPELINED && !self.is_last {
             let limits = self.limits();
             match self.decoder.decode(&mut self.input, limits) {
                 Ok(Decoded::Complete(request)) => {
                     let state = Rc::clone(&self.state);
                     let arrived = state.now();
+                    self.is_last = !request.keep_alive;
                     self.responses
                         .push_back(serve(state, *request, arrived).boxed_local());
                 }
@@ -140,10 +151,23 @@
         true
     }
 
-    /// Whether further requests may be started. Near the end of a planned stop none are; the last
-    /// response with `Connection: close` makes the caller send them to another instance.
-    fn accepts_requests(&self) -> bool {
-        self.failure.is_none() && self.responses.len() < MAX_PIPELINED && !self.state.is_closing()
+    /// Whether further requests may be started. In a planned stop none are while earlier ones are in
+    /// progress: the last response closes the connection, and the caller sends what follows it to
+    /// another instance.
+    fn may_start(&self) -> bool {
+        let is_leaving = self.state.is_leaving();
+        !self.is_last && !self.state.is_closing() && (!is_leaving || self.responses.is_empty())
+    }
+
+    fn may_read(&self) -> bool {
+        let has_room = self.may_start() || self.input.len() < MAX_READ_AHEAD;
+        self.failure.is_none() && self.responses.len() < MAX_PIPELINED && has_room
+    }
+
+    /// Whether the connection is closed after `response`. In a planned stop it stays open until all
+    /// requests that were passed on are answered.
+    fn closes_after(&self, response: &CallerResponse) -> bool {
+        !response.keep_alive || (self.state.is_leaving() && self.responses.is_empty())
     }
 
     fn limits(&self) -> RequestLimits {
@@ -157,16 +181,11 @@
     /// Waits for the next event: a response, input into `chunk`, a timeout, or the end of idle
     /// connections.
     async fn next_event(&mut self, chunk: &mut [u8]) -> Event {
-        let limits = self.state.config().map(|m| m.limits).unwrap_or_default();
-        let is_idle = self.responses.is_empty() && self.input.is_empty() && !self.decoder.in_body();
-        let limit_ms = if is_idle {
-            limits.idle_ms
-        } else {
-            limits.head_ms.max(1)
-        };
-        let may_read = self.accepts_requests();
+        let is_idle = self.is_idle();
+        let limit = self.input_limit(is_idle);
+        let may_read = self.may_read();
         let waits_response = !self.responses.is_empty();
-        let idle_closed = self.state.idle_closed.clone();
+        let idle_closed = is_idle.then(|| self.state.idle_closed.clone());
         let mut stream = &self.stream;
         let read = async {
             if may_read {
@@ -185,10 +204,10 @@
         let event = async {
             let (read, response) = (read.fuse(), response.fuse());
             let ended = async {
-                if is_idle {
-                    let _ = idle_closed.recv().await;
-                } else {
-                    std::future::pending::<()>().await;
+                match idle_closed {
+                    // Fails when the sender is dropped, which is the signal.
+                    Some(idle_closed) => drop(idle_closed.recv().await),
+                    None => std::future::pending().await,
                 }
             }
             .fuse();
@@ -202,9 +221,21 @@
         if waits_response {
             return event.await;
         }
-        timeout(Duration::from_millis(limit_ms), event)
-            .await
-            .unwrap_or(Event::Timeout)
+        timeout(limit, event).await.unwrap_or(Event::Timeout)
+    }
+
+    fn is_idle(&self) -> bool {
+        self.responses.is_empty() && self.input.is_empty() && !self.decoder.in_body()
+    }
+
+    /// Returns the timeout for input from the caller.
+    fn input_limit(&self, is_idle: bool) -> Duration {
+        let limits = self.state.config().map(|m| m.limits).unwrap_or_default();
+        Duration::from_millis(if is_idle {
+            limits.idle_ms
+        } else {
+            limits.head_ms.max(1)
+        })
     }
 
     /// Writes to the caller. Returns whether that succeeded in time.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -13,37 +13,44 @@
     attempt_log::AttemptLog,
     forward::Forwarder,
     line_class::REQUESTS,
-    phase::Phase,
     refusal::Refusal,
     response::{encode_forwarded, encode_refusal, status},
     send_limits::{limited_rate, reopens_ms},
     state::State,
 };
 
-/// Response to a request, encoded for the caller's connection.
+/// Response to a request of a caller.
 #[derive(Debug)]
-pub struct EncodedResponse {
-    /// Head and body.
-    pub bytes: Vec<u8>,
-    /// Whether the connection is closed after the response.
-    pub close: bool,
+pub struct CallerResponse {
+    /// Whether the caller keeps the connection for further requests.
+    pub keep_alive: bool,
+    result: Result<Response, Refusal>,
+    to_head: bool,
+    id: Option<String>,
+}
+
+impl CallerResponse {
+    /// Encodes the response. `close` states whether the connection is closed after it.
+    pub fn encode(&self, close: bool) -> Vec<u8> {
+        match &self.result {
+            Ok(response) => encode_forwarded(response, self.to_head, close),
+            Err(refusal) => encode_refusal(*refusal, self.id.as_deref(), close),
+        }
+    }
 }
 
 /// Serves one request that arrived at `arrived` and returns the response for the caller.
-pub async fn serve(state: Rc<State>, request: Request, arrived: Time) -> EncodedResponse {
+pub async fn serve(state: Rc<State>, request: Request, arrived: Time) -> CallerResponse {
     let mut active = ActiveRequest::begin(Rc::clone(&state), &request, arrived);
     let result = route_and_send(&state, &request, arrived, &mut active.attempt_log).await;
-    let close = !request.keep_alive || state.phase.get() == Phase::Leaving;
     active.end(&request, &result);
-    let bytes = match result {
-        Ok((response, _)) => encode_forwarded(&response, request.method == "HEAD", close),
-        Err(refusal) => encode_refusal(
-            refusal,
-            request.headers.single_value(headers::REQUEST_ID),
-            close,
-        ),
-    };
-    EncodedResponse { bytes, close }
+    let id = request.headers.single_value(headers::REQUEST_ID);
+    CallerResponse {
+        keep_alive: request.keep_alive,
+        result: result.map(|(response, _)| response),
+        to_head: request.method == "HEAD",
+        id: id.map(str::to_owned),
+    }
 }
 
 type ServeResult = Result<(Response, Arc<Route>), Refusal>;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -359,6 +359,11 @@
         self.now() < self.confirmed_until.get()
     }
 
+    /// Whether a planned stop has started.
+    pub fn is_leaving(&self) -> bool {
+        self.phase.get() == Phase::Leaving
+    }
+
     /// Whether the instance starts no further requests.
     pub fn is_closing(&self) -> bool {
         self.idle_closed.is_closed()
