Callers lose the address of an instance before its planned stop ends

Cause: addresses could be kept for 3 s, and some callers keep them three times as long. That is 9 s, and a planned stop has 6 s. Change: the time is taken from stop_s, so that three times as long and a second for the notice end at four fifths of it: 1.27 s at 6 s, never more than 3 s. Test: addresses_lapse_before_stop_ends failed before (3 s).

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -40,6 +40,7 @@
 mod senders;
 mod service_config;
 mod stated_limit;
+mod stop_plan;
 mod target_entry;
 mod target_notes;
 mod targets;
@@ -80,6 +81,7 @@
     senders::Senders,
     service_config::ServiceConfig,
     stated_limit::StatedLimit,
+    stop_plan::StopPlan,
     target_entry::TargetEntry,
     target_notes::{TargetNote, TargetNotes},
     targets::{Target, Targets},
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -31,9 +31,6 @@
 };
 /// Time after which an idle connection is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
-/// Time for which callers may cache the result of an address query, in milliseconds. A longer time
-/// saves queries, but callers of a stopping instance must have queried again before it ends.
-const ADDRESS_TTL_MS: u64 = 3_000;
 
 /// Serves requests to the instance's endpoints on one connection.
 pub async fn serve_endpoints(state: Rc<State>, mut stream: TcpStream) {
@@ -155,7 +152,7 @@
                 return encode_local(503, "Service Unavailable", "application/json", b"{}", close);
             }
             state.metrics.count("address_queries", 1);
-            let body = directory_answer(&addresses, ADDRESS_TTL_MS);
+            let body = directory_answer(&addresses, state.address_ttl_ms());
             encode_local(200, "OK", "application/json", &body, close)
         }
         RELAY_PATH => {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -125,6 +125,13 @@
         self.link_mbps.max(1.0) as u32
     }
 
+    /// Returns the time allowed for a planned stop, in microseconds.
+    #[must_use]
+    pub fn stop_us(&self) -> u64 {
+        let time = Duration::from_secs_f64(self.stop_s);
+        u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the time after which a leaving target must get no requests, in microseconds.
     #[must_use]
     pub fn leave_us(&self) -> u64 {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,7 +12,7 @@
 use balance::{
     Collector, EntryLog, FleetUsage, GatewayConfig, Member, Members, OutcomeLog, PeerUsage,
     Position, Presence, ProcessingTimes, ResponseSizes, RetryBudget, Rollout, SendPace, Senders,
-    Targets,
+    StopPlan, Targets,
 };
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
@@ -369,6 +369,11 @@
         self.idle_closed.is_closed()
     }
 
+    /// Returns the time for which callers may keep the result of an address query, in milliseconds.
+    pub fn address_ttl_ms(&self) -> u64 {
+        StopPlan::address_ttl_ms(self.settings.stop_us())
+    }
+
     /// Closes idle connections of callers and stops starting further requests.
     pub fn close_idle(&self) {
         self.idle_guard.borrow_mut().take();
--- a/crates/node/tests/gateway_stop.rs
+++ b/crates/node/tests/gateway_stop.rs
@@ -10,7 +10,11 @@
     task,
 };
 use h1::{Response, ResponseDecoder};
-use testkit::fleet::{FleetRequest, FleetResult, FleetRig, RigSpec};
+use testkit::fleet::{FleetRequest, FleetResult, FleetRig, RigSpec, fetch};
+
+/// Time after the signal until which a stopping instance must accept connections: three times the
+/// time for which callers may keep the addresses that name it.
+const OPEN_TIME: Duration = Duration::from_millis(4_700);
 
 async fn start_rig(processing_ms: u64) -> FleetRig {
     let spec = RigSpec {
@@ -66,3 +70,21 @@
         assert_eq!(stream.read(&mut byte).await.unwrap(), 0);
     });
 }
+
+/// Guards against addresses that callers may keep for longer than a stopping instance runs. Some keep
+/// them for three times the stated time.
+#[test]
+fn addresses_lapse_before_stop_ends() {
+    task::block_on(async {
+        let rig = start_rig(20).await;
+        let query = b"GET /-/resolve?name=shop.example&region=r&zone=a HTTP/1.1\r\nHost: d\r\n\r\n";
+        let result = fetch(rig.instances[0].directory_addr(), "GET", query).await;
+        let FleetResult::Response(response) = result else {
+            panic!("no answer: {result:?}");
+        };
+        let body: serde_json::Value = serde_json::from_slice(&response.body).unwrap();
+        let ttl_s = body["ttl_s"].as_f64().unwrap();
+        assert!(ttl_s >= 0.5, "{ttl_s}");
+        assert!(ttl_s * 3.0 <= OPEN_TIME.as_secs_f64(), "{ttl_s}");
+    });
+}
