Requests late in a planned stop are served or refused as not run

What callers saw: in the second half of a planned stop there was no connection at the instance, although callers still had its address; a request on a kept connection found it closed; and one that still ran when the process ended was cut without an answer. Cause: the listener and idle connections were closed at half of stop_s, whoever still had the address. Nothing compared the time that a request may take with the time left, and the process ended 0.4 s before stop_s with its connections. Change: StopPlan decides by times alone. Connections are taken until no caller has the address any more (0.8 of stop_s) and all requests are answered, at 0.9 at the latest. In the second half a request is sent to a target only if its deadline is before that; in the first half also if twice its usual processing time is left. Others get 503 with code 3012, Retry-After 0 and Connection: close. No target is given a deadline later than the end of answers, and what still runs then is answered 504. A caller that connects after idle connections were closed is waited for.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -14,6 +14,7 @@
 use h1::{Decoded, MessageError, RequestDecoder, RequestLimits};
 use model::Code;
 use socket2::SockRef;
+use tracing::debug;
 
 use crate::{
     request::{CallerResponse, serve},
@@ -54,7 +55,7 @@
         .set_tcp_nodelay(true)
         .and_then(|()| socket.set_tcp_user_timeout(Some(ACK_LIMIT)));
     if let Err(error) = options {
-        tracing::debug!(event = "caller_socket", %error);
+        debug!(event = "caller_socket", %error);
     }
     let mut connection = Connection {
         state: Rc::clone(&state),
@@ -62,13 +63,21 @@
         decoder: RequestDecoder::default(),
         input: Vec::new(),
         responses: FuturesOrdered::new(),
+        requests: 0,
         is_last: false,
         failure: None,
     };
-    connection.run().await;
+    let reason = connection.run().await;
     state
         .caller_connections
         .set(state.caller_connections.get() - 1);
+    if state.is_leaving() {
+        debug!(
+            event = "caller_closed",
+            requests = connection.requests,
+            reason
+        );
+    }
 }
 
 struct Connection {
@@ -77,6 +86,8 @@
     decoder: RequestDecoder,
     input: Vec<u8>,
     responses: FuturesOrdered<LocalBoxFuture<'static, CallerResponse>>,
+    /// Number of requests that were started.
+    requests: u64,
     /// Whether the latest request asked to close the connection after its response.
     is_last: bool,
     /// Error with which the connection ends once all earlier requests are answered.
@@ -84,12 +95,12 @@
 }
 
 impl Connection {
-    /// Reads, serves and writes until the connection ends.
-    async fn run(&mut self) {
+    /// Reads, serves and writes until the connection ends. Returns why it ended, for the log.
+    async fn run(&mut self) -> &'static str {
         let mut chunk = vec![0; READ_BYTES];
         loop {
             if !self.start_requests().await {
-                return;
+                return "write_failed";
             }
             if self.responses.is_empty()
                 && let Some(code) = self.failure
@@ -98,25 +109,26 @@
                 if self.write(&bytes).await {
                     self.lingering_close().await;
                 }
-                return;
+                return "failure";
             }
             match self.next_event(&mut chunk).await {
-                Event::Read(Ok(0) | Err(_)) | Event::IdleClosed => return,
+                Event::Read(Ok(0) | Err(_)) => return "by_caller",
+                Event::IdleClosed => return "idle",
                 Event::Read(Ok(count)) => self.input.extend_from_slice(&chunk[..count]),
                 Event::Response(response) => {
                     let close = self.closes_after(&response);
                     if !self.write(&response.encode(close)).await {
-                        return;
+                        return "write_failed";
                     }
                     if close {
                         self.lingering_close().await;
-                        return;
+                        return "answered";
                     }
                 }
                 Event::Timeout if self.decoder.in_body() || !self.input.is_empty() => {
                     self.failure = Some(Code::SlowSender);
                 }
-                Event::Timeout => return,
+                Event::Timeout => return "timeout",
             }
         }
     }
@@ -133,6 +145,7 @@
                 Ok(Decoded::Complete(request)) => {
                     let state = Rc::clone(&self.state);
                     let arrived = state.now();
+                    self.requests += 1;
                     self.is_last = !request.keep_alive;
                     self.responses
                         .push_back(serve(state, *request, arrived).boxed_local());
@@ -155,8 +168,7 @@
     /// progress: the last response closes the connection, and the caller sends what follows it to
     /// another instance.
     fn may_start(&self) -> bool {
-        let is_leaving = self.state.is_leaving();
-        !self.is_last && !self.state.is_closing() && (!is_leaving || self.responses.is_empty())
+        !self.is_last && (!self.state.is_leaving() || self.responses.is_empty())
     }
 
     fn may_read(&self) -> bool {
@@ -183,9 +195,11 @@
     async fn next_event(&mut self, chunk: &mut [u8]) -> Event {
         let is_idle = self.is_idle();
         let limit = self.input_limit(is_idle);
+        // A caller that has just connected is about to send a request.
+        let is_new = self.requests == 0 && self.state.is_leaving();
         let may_read = self.may_read();
         let waits_response = !self.responses.is_empty();
-        let idle_closed = is_idle.then(|| self.state.idle_closed.clone());
+        let idle_closed = (is_idle && !is_new).then(|| self.state.idle_closed.clone());
         let mut stream = &self.stream;
         let read = async {
             if may_read {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -193,7 +193,7 @@
             self.route,
             self.request,
             selected,
-            self.deadline,
+            self.state.deadline_in_stop(self.deadline),
         )
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -57,6 +57,7 @@
 mod settings;
 mod snapshot;
 mod state;
+mod stop_counts;
 mod store_era;
 mod target_limits;
 mod version_filter;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -49,6 +49,8 @@
     fn from(code: Code) -> Self {
         let retry_ms = match code {
             Code::NotReady | Code::NoTarget | Code::ConnectFailed => Some(UNKNOWN_RETRY_MS),
+            // Another instance takes the request at once.
+            Code::Stopping => Some(0),
             Code::CannotMeet | Code::UpstreamRefused => Some(BUSY_RETRY_MS),
             _ => None,
         };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -3,8 +3,12 @@
 use std::{rc::Rc, sync::Arc};
 
 use balance::{GatewayConfig, Route, choose_service};
+use futures::{
+    future::{Either, select},
+    pin_mut,
+};
 use h1::{Request, Response};
-use model::{Code, ServiceName, Time};
+use model::{Code, Outcome, ServiceName, Time};
 use platform::headers;
 use rand::Rng;
 use tracing::{info, warn};
@@ -15,6 +19,7 @@
     line_class::REQUESTS,
     refusal::Refusal,
     response::{encode_forwarded, encode_refusal, status},
+    selection::processing_ms,
     send_limits::{limited_rate, reopens_ms},
     state::State,
 };
@@ -42,7 +47,7 @@
 /// Serves one request that arrived at `arrived` and returns the response for the caller.
 pub async fn serve(state: Rc<State>, request: Request, arrived: Time) -> CallerResponse {
     let mut active = ActiveRequest::begin(Rc::clone(&state), &request, arrived);
-    let result = route_and_send(&state, &request, arrived, &mut active.attempt_log).await;
+    let result = send_until_stopped(&state, &request, arrived, &mut active.attempt_log).await;
     active.end(&request, &result);
     let id = request.headers.single_value(headers::REQUEST_ID);
     CallerResponse {
@@ -87,12 +92,24 @@
     /// Counts and logs the result of the request.
     fn end(&mut self, request: &Request, result: &ServeResult) {
         self.is_ended = true;
+        if self.state.is_leaving() {
+            self.count_in_stop(result);
+        }
         match result {
             Ok((response, route)) => self.log_response(response, route),
             Err(refusal) => self.log_refusal(request, *refusal),
         }
     }
 
+    fn count_in_stop(&self, result: &ServeResult) {
+        let is_refused =
+            matches!(result, Err(refusal) if refusal.code.outcome() == Outcome::NotRun);
+        let mut counts = self.state.stop_counts.get();
+        counts.answered += 1;
+        counts.refused += u64::from(is_refused);
+        self.state.stop_counts.set(counts);
+    }
+
     fn log_response(&self, response: &Response, route: &Route) {
         let took_ms = self.took_ms();
         let is_late = took_ms > route.objective_ms;
@@ -170,6 +187,31 @@
     }
 }
 
+/// Forwards the request. If it is still in progress at the end of a planned stop, it is answered all
+/// the same: a connection that ends without a response says even less.
+async fn send_until_stopped(
+    state: &Rc<State>,
+    request: &Request,
+    arrived: Time,
+    attempt_log: &mut AttemptLog,
+) -> ServeResult {
+    {
+        let sending = route_and_send(state, request, arrived, attempt_log);
+        let ended = state.requests_ended();
+        pin_mut!(sending, ended);
+        if let Either::Left((result, _)) = select(sending, ended).await {
+            return result;
+        }
+    }
+    if attempt_log.attempts == 0 {
+        return Err(Code::Stopping.into());
+    }
+    let mut counts = state.stop_counts.get();
+    counts.broken_off += 1;
+    state.stop_counts.set(counts);
+    Err(Code::UpstreamTimeout.into())
+}
+
 /// Forwards the request to a service of its route.
 async fn route_and_send(
     state: &Rc<State>,
@@ -181,6 +223,11 @@
     let route = find_route(&config, request).ok_or(Code::UnknownRoute)?;
     let limit_ms = deadline_ms(request).map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
     let deadline = arrived.plus_ms(limit_ms);
+    if let Some(plan) = state.stop_plan.get()
+        && !plan.accepts(arrived, deadline, processing_ms(state, &route))
+    {
+        return Err(Code::Stopping.into());
+    }
     let draw = rand::rng().random::<f64>();
     let chosen = choose_service(&route.split, draw).ok_or(Code::NoTarget)?;
     state.with_budget(&chosen.service, |budget| budget.record_request(state.now()));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,6 +7,7 @@
     net::{TcpListener, TcpStream, UdpSocket},
     task,
 };
+use model::Time;
 use platform::{Change, Listing, PeerEntry, PlatformError, Store, Topic};
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
@@ -38,11 +39,6 @@
 const READY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Time between two checks of whether the instance may end.
 const PHASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Share of the time for a planned stop in which requests are still accepted. Callers have queried
-/// the addresses again by then, and accepted requests have the other half to finish.
-const INTAKE_SHARE: f64 = 0.5;
-/// Time before the end of a planned stop at which the process ends even if requests are unfinished.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Time for an instance to discover its peers through the seeds.
 const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
 /// Pause after a failed attempt to announce the instance in the store.
@@ -276,11 +272,10 @@
     }
 }
 
-/// Serves the requests that callers still send and finishes them, within the time for a planned
-/// stop.
+/// Serves the requests that callers still send, within the time for a planned stop. Connections are
+/// taken until no caller has the address any more and all requests are answered.
 async fn stop(state: &Rc<State>, socket: &UdpSocket, accepting: task::JoinHandle<()>) {
-    state.phase.set(Phase::Leaving);
-    let total = Duration::from_secs_f64(state.settings.stop_s);
+    let plan = state.begin_stop();
     info!(
         event = "stopping",
         callers = state.caller_connections.get(),
@@ -288,28 +283,33 @@
         limit_ms = state.settings.stop_s * 1_000.0
     );
     send_report(state, socket).await;
-    let start = state.now();
-    let elapsed = || Duration::from_micros(state.now().since_us(start));
-    while elapsed() < total.mul_f64(INTAKE_SHARE) {
-        task::sleep(PHASE_CHECK_INTERVAL).await;
-    }
-    // Cancelling the task closes its listener; the task has no result.
-    accepting.cancel().await;
+    wait_until(state, plan.callers_gone(), || false).await;
     state.close_idle();
     info!(
         event = "callers_closed",
         callers = state.caller_connections.get(),
         busy = state.active_requests.get()
     );
-    while elapsed() < total.saturating_sub(STOP_MARGIN) {
-        if state.caller_connections.get() == 0 {
-            break;
-        }
-        task::sleep(PHASE_CHECK_INTERVAL).await;
-    }
+    let has_no_callers = || state.caller_connections.get() == 0;
+    wait_until(state, plan.answers_end(), has_no_callers).await;
+    // Cancelling the task closes its listener; the task has no result.
+    accepting.cancel().await;
+    state.end_requests();
+    wait_until(state, plan.exit(), has_no_callers).await;
+    let counts = state.stop_counts.get();
     info!(
         event = "stopped",
         callers = state.caller_connections.get(),
-        busy = state.active_requests.get()
+        busy = state.active_requests.get(),
+        answered = counts.answered,
+        refused = counts.refused,
+        broken_off = counts.broken_off
     );
 }
+
+/// Waits until `time`, or until `is_done`.
+async fn wait_until(state: &State, time: Time, is_done: impl Fn() -> bool) {
+    while state.now() < time && !is_done() {
+        task::sleep(PHASE_CHECK_INTERVAL).await;
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,7 +20,7 @@
 use crate::{
     buffer_share::ResponseBuffers, clock::Clock, entries_update::EntriesUpdate,
     known_records::KnownRecords, limit_report::LimitReport, metrics::Metrics,
-    notices::LeavingReport, phase::Phase, pool::Pool, settings::Settings,
+    notices::LeavingReport, phase::Phase, pool::Pool, settings::Settings, stop_counts::StopCounts,
 };
 
 /// Shared state of one instance.
@@ -134,8 +134,14 @@
     pub entries_failed: Cell<bool>,
     /// Number of good and of bad outcomes by target since the last heartbeat.
     pub outcomes: RefCell<HashMap<model::TargetId, (u32, u32)>>,
+    /// Times of the planned stop, once the instance is told to stop.
+    pub stop_plan: Cell<Option<StopPlan>>,
+    /// Requests since then.
+    pub stop_counts: Cell<StopCounts>,
     /// Channel whose closing ends the idle connections of callers.
     pub idle_closed: Receiver<()>,
+    requests_ended: Receiver<()>,
+    requests_guard: RefCell<Option<Sender<()>>>,
     idle_guard: RefCell<Option<Sender<()>>>,
     probe_tokens: Cell<(Time, f64)>,
     entries_requests: (Sender<()>, Receiver<()>),
@@ -149,6 +155,7 @@
     /// Returns the state of a starting instance.
     pub fn new(settings: Settings) -> Rc<Self> {
         let (idle_guard, idle_closed) = bounded(1);
+        let (requests_guard, requests_ended) = bounded(1);
         let (join_guard, join_ended) = bounded(1);
         let clock = Clock::start();
         let incarnation = Clock::incarnation();
@@ -205,7 +212,11 @@
             has_store: Cell::new(true),
             entries_failed: Cell::new(false),
             outcomes: RefCell::default(),
+            stop_plan: Cell::new(None),
+            stop_counts: Cell::default(),
             idle_closed,
+            requests_ended,
+            requests_guard: RefCell::new(Some(requests_guard)),
             idle_guard: RefCell::new(Some(idle_guard)),
             probe_tokens: Cell::new((clock.now(), 0.0)),
             entries_requests: bounded(1),
@@ -359,26 +370,47 @@
         self.now() < self.confirmed_until.get()
     }
 
+    /// Starts a planned stop and returns its times.
+    pub fn begin_stop(&self) -> StopPlan {
+        let plan = StopPlan::new(self.now(), self.settings.stop_us());
+        self.phase.set(Phase::Leaving);
+        self.stop_plan.set(Some(plan));
+        plan
+    }
+
     /// Whether a planned stop has started.
     pub fn is_leaving(&self) -> bool {
         self.phase.get() == Phase::Leaving
     }
 
-    /// Whether the instance starts no further requests.
-    pub fn is_closing(&self) -> bool {
-        self.idle_closed.is_closed()
-    }
-
     /// Returns the time for which callers may keep the result of an address query, in milliseconds.
     pub fn address_ttl_ms(&self) -> u64 {
         StopPlan::address_ttl_ms(self.settings.stop_us())
     }
 
-    /// Closes idle connections of callers and stops starting further requests.
+    /// Returns the earlier one of `deadline` and the time at which a planned stop answers the last
+    /// requests.
+    pub fn deadline_in_stop(&self, deadline: Time) -> Time {
+        let plan = self.stop_plan.get();
+        plan.map_or(deadline, |plan| deadline.min(plan.answers_end()))
+    }
+
+    /// Closes idle connections of callers.
     pub fn close_idle(&self) {
         self.idle_guard.borrow_mut().take();
     }
 
+    /// Ends the requests in progress; each is answered at once.
+    pub fn end_requests(&self) {
+        self.requests_guard.borrow_mut().take();
+    }
+
+    /// Waits until a planned stop ends the requests in progress.
+    pub async fn requests_ended(&self) {
+        // Fails when the sender is dropped, which is the signal.
+        let _ = self.requests_ended.recv().await;
+    }
+
     /// Returns the addresses for callers in `zone`: those of the ready instances there, or of all
     /// ready instances if the zone has none.
     pub fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -78,6 +78,8 @@
     ConnectFailed = 3010, "could not connect to the target";
     /// The caller went away before the call started.
     CancelledEarly = 3011, "caller went away before the start";
+    /// The instance is stopping and has no time left for the request.
+    Stopping = 3012, "instance is stopping";
 
     /// The upstream closed the connection before the response was complete.
     UpstreamClosed = 4001, "upstream closed before the whole answer";
--- a/crates/node/tests/gateway_stop.rs
+++ b/crates/node/tests/gateway_stop.rs
@@ -1,7 +1,11 @@
 //! Gateway processes that are stopped as planned while callers go on sending requests. The rig gives
 //! them 6 s for it (`stop_s`).
 
-use std::{path::Path, time::Duration};
+use std::{
+    net::SocketAddr,
+    path::Path,
+    time::{Duration, Instant},
+};
 
 use async_std::{
     future::timeout,
@@ -9,9 +13,13 @@
     net::TcpStream,
     task,
 };
+use futures::future::{join, join_all};
 use h1::{Response, ResponseDecoder};
-use testkit::fleet::{FleetRequest, FleetResult, FleetRig, RigSpec, fetch};
+use serde_json::json;
+use testkit::fleet::{FleetRequest, FleetResult, FleetRig, RigSpec, TargetFault, fetch, send};
 
+/// Time that the rig allows for a planned stop.
+const STOP_TIME: Duration = Duration::from_secs(6);
 /// Time after the signal until which a stopping instance must accept connections: three times the
 /// time for which callers may keep the addresses that name it.
 const OPEN_TIME: Duration = Duration::from_millis(4_700);
@@ -27,6 +35,14 @@
         .unwrap()
 }
 
+/// Returns whether the request was refused with the promise that it has not run, and told to use a
+/// new connection at once.
+fn is_refused(result: &FleetResult) -> bool {
+    result.status() == 503
+        && result.header("retry-after") == Some("0.000")
+        && result.header("connection") == Some("close")
+}
+
 /// Reads one response from `stream`; `input` holds what was read beyond the previous one.
 async fn read_response(stream: &mut TcpStream, input: &mut Vec<u8>) -> Option<Response> {
     let mut decoder = ResponseDecoder::new("GET", 100_000);
@@ -41,6 +57,59 @@
     }
 }
 
+/// Sends a request on a new connection every 40 ms, every third one a write, until the instance
+/// takes no more connections. Returns each with the time after `start` at which it was sent.
+async fn send_until_closed(
+    rig: &FleetRig,
+    addr: SocketAddr,
+    start: Instant,
+) -> Vec<(Duration, FleetRequest, FleetResult)> {
+    let mut sent = Vec::new();
+    let mut index = 0;
+    while start.elapsed() < STOP_TIME + Duration::from_millis(500) {
+        let request = rig.request(index % 3 == 0);
+        index += 1;
+        let at = start.elapsed();
+        sent.push(task::spawn(async move {
+            let result = send(addr, &request).await;
+            (at, request, result)
+        }));
+        task::sleep(Duration::from_millis(40)).await;
+    }
+    join_all(sent).await
+}
+
+/// Guards against requests that come late in the time for a planned stop and are passed on to a
+/// target, but cut without a response when the process ends, and against an instance that takes no
+/// connections while callers still have its address.
+#[test]
+fn request_late_in_stop_is_served_or_refused() {
+    task::block_on(async {
+        let rig = start_rig(300).await;
+        let stopping = rig.instances[0].caller_addr();
+        let start = Instant::now();
+        rig.instances[0].signal("TERM").unwrap();
+        let sent = send_until_closed(&rig, stopping, start).await;
+        let mut served = Vec::new();
+        for (at, request, result) in sent {
+            if result.is_served(&request.id) {
+                served.push(at);
+                continue;
+            }
+            let runs = rig.run_count(&request.id);
+            let is_not_run = runs == 0 && is_refused(&result);
+            // The connection may be reset while it waits in the accept queue of a process that ends.
+            let is_closed = runs == 0 && at > OPEN_TIME && result.status() == 0;
+            assert!(
+                is_not_run || is_closed,
+                "sent {at:?} after the signal, run {runs} times: {result:?}"
+            );
+        }
+        let half = STOP_TIME / 2;
+        assert!(served.iter().any(|at| *at > half), "served at {served:?}");
+    });
+}
+
 /// Guards against pipelined requests that are passed on to targets and cut when the response to the
 /// first one closes the connection.
 #[test]
@@ -71,6 +140,72 @@
     });
 }
 
+/// Guards against a request that still runs at the end of a planned stop, may not be repeated, and
+/// is cut without a response.
+#[test]
+fn request_running_at_end_of_stop_is_answered() {
+    task::block_on(async {
+        let mut rig = start_rig(20).await;
+        let route = json!({ "name": "slow", "host": "shop.example", "path_prefix": "/slow/",
+            "kind": "non_idempotent", "timeout_s": 20, "aim_s": 1, "service": "orders",
+            "attempts": 2 });
+        rig.publish(&[route]);
+        task::sleep(Duration::from_secs(2)).await;
+        for target in &rig.targets {
+            target.set_fault(TargetFault::Mute);
+        }
+        let stopping = rig.instances[0].caller_addr();
+        let mut before = rig.request(true);
+        before.path = String::from("/slow/before");
+        before.deadline_ms = 15_000;
+        let mut after = rig.request(true);
+        after.path = String::from("/slow/after");
+        after.deadline_ms = 15_000;
+        let first = task::spawn(async move { send(stopping, &before).await });
+        task::sleep(Duration::from_millis(200)).await;
+        let start = Instant::now();
+        rig.instances[0].signal("TERM").unwrap();
+        let (first, second) = join(first, send(stopping, &after)).await;
+        for result in [first, second] {
+            assert_eq!(result.status(), 504, "{result:?}");
+        }
+        // The platform forgives a request that its target works on in the last sixth of the time.
+        let took = start.elapsed();
+        assert!(took > STOP_TIME * 5 / 6, "answered after {took:?}");
+        while rig.instances[0].exit_status().unwrap().is_none() {
+            assert!(start.elapsed() < STOP_TIME, "the process still runs");
+            task::sleep(Duration::from_millis(20)).await;
+        }
+    });
+}
+
+/// Guards against a connection that is closed in the second half of a planned stop although its
+/// caller may still use it, and against one that is kept open after a response.
+#[test]
+fn kept_connection_serves_late_in_stop() {
+    task::block_on(async {
+        let rig = start_rig(20).await;
+        let mut stream = TcpStream::connect(rig.instances[0].caller_addr())
+            .await
+            .unwrap();
+        let mut input = Vec::new();
+        let request = rig.request(false);
+        stream.write_all(&request.bytes()).await.unwrap();
+        let response = read_response(&mut stream, &mut input).await.unwrap();
+        assert!(!response.headers.has("connection"), "{response:?}");
+        rig.instances[0].signal("TERM").unwrap();
+        task::sleep(Duration::from_millis(3_500)).await;
+        let request = rig.request(false);
+        stream.write_all(&request.bytes()).await.unwrap();
+        let response = read_response(&mut stream, &mut input)
+            .await
+            .expect("a response late in the stop");
+        assert_eq!(response.headers.single_value("connection"), Some("close"));
+        let result = FleetResult::Response(Box::new(response));
+        assert!(result.is_served(&request.id), "{result:?}");
+    });
+}
+
 /// Guards against addresses that callers may keep for longer than a stopping instance runs. Some keep
 /// them for three times the stated time.
 #[test]
