The last log lines are written before the process ends

What operators saw: the logs of a stopped instance end with "stopping"; neither "callers_closed" nor "stopped" need be there. Cause: a thread writes the lines and collects them for 50 ms; the process ended without waiting for it. Change: lines that are not written yet are counted, and the process waits for them for up to 0.15 s at its end. Test: stop_is_logged_with_counts failed before ("a line at the end of the stop").

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -63,7 +63,7 @@
 mod version_filter;
 
 pub use crate::{
-    logs::init_logging,
+    logs::{LogFlush, init_logging},
     run::{RunError, run},
     settings::{Settings, SettingsError},
 };
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -4,7 +4,8 @@
 use std::{
     io::{self, Write},
     sync::{
-        Mutex, PoisonError,
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
@@ -26,33 +27,62 @@
 /// or mixing them with what others write.
 const WRITE_BYTES: usize = 4_096;
 
+/// Longest time to wait for the last lines when the process ends. A reader may have stopped.
+const FLUSH_LIMIT: Duration = Duration::from_millis(150);
+/// Time between two checks of whether the last lines are written.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Waits for lines that are not written yet.
+#[derive(Clone, Debug, Default)]
+pub struct LogFlush {
+    unwritten: Arc<AtomicUsize>,
+}
+
+impl LogFlush {
+    /// Waits until all lines are written, for a limited time.
+    pub fn wait(&self) {
+        let start = Instant::now();
+        while self.unwritten.load(Ordering::Acquire) > 0 && start.elapsed() < FLUSH_LIMIT {
+            thread::sleep(FLUSH_INTERVAL);
+        }
+    }
+}
+
 /// Installs the logger. Each line begins with the name of the instance. `level` is the filter and
-/// `lines` the most lines in a second. Only the first call has an effect.
-pub fn init_logging(level: &str, instance: &str, lines: u32) {
+/// `lines` the most lines in a second. Only the first call has an effect. Returns what waits for the
+/// last lines before the process ends.
+#[must_use]
+pub fn init_logging(level: &str, instance: &str, lines: u32) -> LogFlush {
     let filter = EnvFilter::try_new(level).unwrap_or_else(|_| EnvFilter::new("info"));
     let (sender, receiver) = sync_channel::<Vec<u8>>(QUEUE_LINES);
     let writer = thread::Builder::new().name(String::from("logs"));
-    let spawned = writer.spawn(move || write_lines(&receiver, &mut io::stdout()));
+    let flush = LogFlush::default();
+    let unwritten = Arc::clone(&flush.unwritten);
+    let queue = Queue::new(sender, instance, lines, &flush);
+    let spawned = writer.spawn(move || write_lines(&receiver, &mut io::stdout(), &unwritten));
     if let Err(error) = spawned {
         eprintln!("cannot start the log thread: {error}");
-        return;
+        return LogFlush::default();
     }
     let layer = tracing_logfmt::builder()
         .with_target(false)
         .layer()
-        .with_writer(Queue::new(sender, instance, lines));
+        .with_writer(queue);
     let _ = tracing_subscriber::registry()
         .with(filter)
         .with(layer)
         .try_init();
+    flush
 }
 
-/// Writes the lines of a queue until its senders are gone.
-fn write_lines(receiver: &Receiver<Vec<u8>>, output: &mut impl Write) {
+/// Writes the lines of a queue until its senders are gone, and counts down the `unwritten` ones.
+fn write_lines(receiver: &Receiver<Vec<u8>>, output: &mut impl Write, unwritten: &AtomicUsize) {
     while let Ok(first) = receiver.recv() {
         thread::sleep(BATCH_TIME);
         let mut batch = first;
+        let mut count = 1;
         for line in receiver.try_iter() {
+            count += 1;
             if batch.len() + line.len() > WRITE_BYTES {
                 write_batch(output, &batch);
                 batch.clear();
@@ -60,6 +90,7 @@
             batch.extend_from_slice(&line);
         }
         write_batch(output, &batch);
+        unwritten.fetch_sub(count, Ordering::AcqRel);
     }
 }
 
@@ -72,16 +103,18 @@
 #[derive(Debug)]
 struct Queue {
     sender: SyncSender<Vec<u8>>,
+    unwritten: Arc<AtomicUsize>,
     prefix: Vec<u8>,
     /// Budgets of the classes, by their numbers.
     budgets: Mutex<[LineBudget; 3]>,
 }
 
 impl Queue {
-    fn new(sender: SyncSender<Vec<u8>>, instance: &str, lines: u32) -> Self {
+    fn new(sender: SyncSender<Vec<u8>>, instance: &str, lines: u32, flush: &LogFlush) -> Self {
         let now = Instant::now();
         Self {
             sender,
+            unwritten: Arc::clone(&flush.unwritten),
             prefix: format!("instance={instance} ").into_bytes(),
             budgets: Mutex::new(LineClass::ALL.map(|class| LineBudget::new(class, lines, now))),
         }
@@ -106,7 +139,13 @@
 
     fn try_send(&self, line: &[u8]) -> bool {
         let line = [&self.prefix[..], line].concat();
-        self.sender.try_send(line).is_ok()
+        // Counted before it is sent, so that the writer never counts down below zero.
+        self.unwritten.fetch_add(1, Ordering::AcqRel);
+        let is_sent = self.sender.try_send(line).is_ok();
+        if !is_sent {
+            self.unwritten.fetch_sub(1, Ordering::AcqRel);
+        }
+        is_sent
     }
 }
 
--- a/crates/gateway/src/logs/tests.rs
+++ b/crates/gateway/src/logs/tests.rs
@@ -2,7 +2,8 @@
 
 fn queue(lines: u32) -> (Queue, Receiver<Vec<u8>>) {
     let (sender, receiver) = sync_channel(QUEUE_LINES);
-    (Queue::new(sender, "edge-1", lines), receiver)
+    let queue = Queue::new(sender, "edge-1", lines, &LogFlush::default());
+    (queue, receiver)
 }
 
 fn texts(receiver: &Receiver<Vec<u8>>) -> Vec<String> {
@@ -64,9 +65,12 @@
         let line = format!("ts={number} event=target target_id=i-29e6ff567a draining=true\n");
         queue.push(LineClass::Belief, line.as_bytes(), Instant::now());
     }
+    let unwritten = Arc::clone(&queue.unwritten);
+    assert_eq!(unwritten.load(Ordering::Acquire), 500);
     drop(queue);
     let mut pipe = Pipe::default();
-    write_lines(&receiver, &mut pipe);
+    write_lines(&receiver, &mut pipe, &unwritten);
+    assert_eq!(unwritten.load(Ordering::Acquire), 0);
     let text = String::from_utf8(pipe.0).unwrap();
     let whole = text.lines().filter(|l| l.ends_with("draining=true"));
     assert_eq!(whole.count(), 500);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -108,9 +108,11 @@
         println!("{file}: no errors");
         return ExitCode::SUCCESS;
     }
-    gateway::init_logging(&args.log, settings.instance.as_str(), settings.log_lines);
+    let logs = gateway::init_logging(&args.log, settings.instance.as_str(), settings.log_lines);
     start_threads(1);
-    match gateway::run(settings, Path::new(file)) {
+    let result = gateway::run(settings, Path::new(file));
+    logs.wait();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             error!(event = "start_failed", %error);
--- a/crates/node/tests/gateway_stop.rs
+++ b/crates/node/tests/gateway_stop.rs
@@ -223,3 +223,29 @@
         assert!(ttl_s * 3.0 <= OPEN_TIME.as_secs_f64(), "{ttl_s}");
     });
 }
+
+/// Guards against a stop whose last line is lost, so that nobody learns what became of its requests.
+#[test]
+fn stop_is_logged_with_counts() {
+    task::block_on(async {
+        let mut rig = start_rig(20).await;
+        let stopping = rig.instances[0].caller_addr();
+        let start = Instant::now();
+        rig.instances[0].signal("TERM").unwrap();
+        task::sleep(Duration::from_millis(100)).await;
+        for _ in 0..3 {
+            let request = rig.request(false);
+            assert!(send(stopping, &request).await.is_served(&request.id));
+        }
+        while rig.instances[0].exit_status().unwrap().is_none() {
+            assert!(start.elapsed() < STOP_TIME, "the process still runs");
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        let log = rig.instances[0].log_text().unwrap();
+        let line = log.lines().find(|l| l.contains("event=stopped "));
+        let line = line.expect("a line at the end of the stop");
+        for field in ["answered=3", "refused=0", "broken_off=0", "callers=0"] {
+            assert!(line.contains(field), "{field}: {line}");
+        }
+    });
+}
