Requests read behind others are started in a planned stop

Cause: to close a connection soon after SIGTERM, requests that were read while earlier ones were in progress were dropped with the connection. Callers send them again, but lose the time. Change: in a planned stop a connection is closed once nothing that was read from it is left.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -24,8 +24,7 @@
 
 /// Requests of one connection that are served at the same time. Further ones are not read.
 const MAX_PIPELINED: usize = 16;
-/// Bytes that are read ahead, in order to notice that the caller closes the connection, while further
-/// requests are not started.
+/// Bytes that are read after the last request, in order to notice that the caller is gone.
 const MAX_READ_AHEAD: usize = 64 * 1_024;
 /// Size of one read from the socket, in bytes.
 const READ_BYTES: usize = 8 * 1_024;
@@ -136,10 +135,7 @@
     /// Starts the requests that have arrived completely. Returns `false` if writing to the caller
     /// failed.
     async fn start_requests(&mut self) -> bool {
-        if !self.may_start() {
-            return true;
-        }
-        while self.failure.is_none() && self.responses.len() < MAX_PIPELINED && !self.is_last {
+        while self.accepts_requests() {
             let limits = self.limits();
             match self.decoder.decode(&mut self.input, limits) {
                 Ok(Decoded::Complete(request)) => {
@@ -164,22 +160,26 @@
         true
     }
 
-    /// Whether further requests may be started. In a planned stop none are while earlier ones are in
-    /// progress: the last response closes the connection, and the caller sends what follows it to
-    /// another instance.
-    fn may_start(&self) -> bool {
-        !self.is_last && (!self.state.is_leaving() || self.responses.is_empty())
+    /// Whether further requests may be started.
+    fn accepts_requests(&self) -> bool {
+        self.failure.is_none() && self.responses.len() < MAX_PIPELINED && !self.is_last
     }
 
+    /// Whether to read. After the last request, only in order to notice that the caller is gone.
     fn may_read(&self) -> bool {
-        let has_room = self.may_start() || self.input.len() < MAX_READ_AHEAD;
-        self.failure.is_none() && self.responses.len() < MAX_PIPELINED && has_room
+        self.accepts_requests() || (self.is_last && self.input.len() < MAX_READ_AHEAD)
     }
 
     /// Whether the connection is closed after `response`. In a planned stop it stays open until all
-    /// requests that were passed on are answered.
+    /// requests that were read are answered. What arrives later was not read: the caller sends it to
+    /// another instance.
     fn closes_after(&self, response: &CallerResponse) -> bool {
-        !response.keep_alive || (self.state.is_leaving() && self.responses.is_empty())
+        !response.keep_alive || (self.state.is_leaving() && !self.has_requests())
+    }
+
+    /// Whether a request is in progress or has been read in part.
+    fn has_requests(&self) -> bool {
+        !self.responses.is_empty() || !self.input.is_empty() || self.decoder.in_body()
     }
 
     fn limits(&self) -> RequestLimits {
@@ -193,7 +193,7 @@
     /// Waits for the next event: a response, input into `chunk`, a timeout, or the end of idle
     /// connections.
     async fn next_event(&mut self, chunk: &mut [u8]) -> Event {
-        let is_idle = self.is_idle();
+        let is_idle = !self.has_requests();
         let limit = self.input_limit(is_idle);
         // A caller that has just connected is about to send a request.
         let is_new = self.requests == 0 && self.state.is_leaving();
@@ -238,10 +238,6 @@
         timeout(limit, event).await.unwrap_or(Event::Timeout)
     }
 
-    fn is_idle(&self) -> bool {
-        self.responses.is_empty() && self.input.is_empty() && !self.decoder.in_body()
-    }
-
     /// Returns the timeout for input from the caller.
     fn input_limit(&self, is_idle: bool) -> Duration {
         let limits = self.state.config().map(|m| m.limits).unwrap_or_default();
