--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -79,7 +79,7 @@
     /// The caller went away before the call started.
     CancelledEarly = 3011, "caller went away before the start";
     /// The instance is stopping and has no time left for the request.
-    Stopping = 3012, "instance is stopping";
+    Stopping = 3014, "instance is stopping";
 
     /// The upstream closed the connection before the response was complete.
     UpstreamClosed = 4001, "upstream closed before the whole answer";
