Testkit: a target that crashes when a marked request begins to run

The target closes its listener and all connections, refuses new ones for a stated time, and then is back as another process with another start. The proxy in front of it can do the same for crashes without a request.

--- a/crates/testkit/src/fleet/target.rs
+++ b/crates/testkit/src/fleet/target.rs
@@ -25,6 +25,10 @@
 
 /// Interval at which a target writes its entry to the store.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a target is down after it has crashed, unless another one is set.
+const DEFAULT_OUTAGE: Duration = Duration::from_secs(3);
+/// Part of the path of a request that crashes each target that begins to run it.
+const CRASHING: &str = "/crash/";
 
 /// How a target misbehaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -101,6 +105,11 @@
     leaving: Mutex<Option<String>>,
     /// Value of the header in refusals that says for how long no requests are wanted, if it is sent.
     retry_after: Mutex<Option<String>>,
+    /// For how long the target is down after it has crashed.
+    outage: Mutex<Duration>,
+    /// Times at which requests that crash the target began to run.
+    crashes: Mutex<Vec<Instant>>,
+    is_down: AtomicBool,
     run_counts: Mutex<HashMap<String, u32>>,
     arrivals: Mutex<Vec<Instant>>,
     cancelled: AtomicU32,
@@ -134,6 +143,9 @@
             limit: Mutex::default(),
             leaving: Mutex::default(),
             retry_after: Mutex::default(),
+            outage: Mutex::new(DEFAULT_OUTAGE),
+            crashes: Mutex::default(),
+            is_down: AtomicBool::new(false),
             run_counts: Mutex::default(),
             arrivals: Mutex::default(),
             cancelled: AtomicU32::new(0),
@@ -149,13 +161,13 @@
             shared: Arc::clone(&shared),
         };
         target.write_entry(0);
-        let server_state = Arc::clone(&shared);
+        let (server_state, proxy) = (Arc::clone(&shared), target.proxy.clone());
         task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 if !server_state.is_up.load(Ordering::Acquire) {
                     return;
                 }
-                task::spawn(serve(Arc::clone(&server_state), stream));
+                task::spawn(serve(Arc::clone(&server_state), proxy.clone(), stream));
             }
         });
         task::spawn(write_heartbeats(shared, store.clone(), target.proxy.addr));
@@ -182,6 +194,22 @@
         *lock(&self.shared.retry_after) = value.map(str::to_owned);
     }
 
+    /// Sets for how long the target is down after it has crashed.
+    pub fn set_outage(&self, outage: Duration) {
+        *lock(&self.shared.outage) = outage;
+    }
+
+    /// Ends the target's process as a crash would. Another one starts later under the same id.
+    pub fn crash(&self) {
+        crash(&self.shared, &self.proxy);
+    }
+
+    /// Returns when requests began to run that crash the target.
+    #[must_use]
+    pub fn crashes(&self) -> Vec<Instant> {
+        lock(&self.shared.crashes).clone()
+    }
+
     /// Starts the target's process anew, under the same id and at the same address.
     pub fn restart(&self) {
         self.shared.born.fetch_add(1_000, Ordering::AcqRel);
@@ -270,7 +298,9 @@
         if !shared.is_up.load(Ordering::Acquire) {
             return;
         }
-        if shared.has_entry.load(Ordering::Acquire) {
+        // A process that has crashed writes nothing.
+        let is_down = shared.is_down.load(Ordering::Acquire);
+        if shared.has_entry.load(Ordering::Acquire) && !is_down {
             write_entry(&shared, &store, addr, seq);
         }
         seq += 1;
@@ -278,7 +308,7 @@
 }
 
 /// Serves a connection until it ends, the target stops or a fault closes it.
-async fn serve(shared: Arc<TargetState>, stream: TcpStream) {
+async fn serve(shared: Arc<TargetState>, proxy: FleetProxy, stream: TcpStream) {
     let mut decoder = RequestDecoder::default();
     let mut input = Vec::new();
     let mut refused = None;
@@ -297,12 +327,31 @@
             }
             continue;
         }
+        if request.path().contains(CRASHING) {
+            lock(&shared.crashes).push(Instant::now());
+            return crash(&shared, &proxy);
+        }
         if !answer_request(&shared, &stream, &request, &mut refused).await {
             return;
         }
     }
 }
 
+/// Ends the target's process. Another one starts later under the same id and at the same address.
+fn crash(shared: &Arc<TargetState>, proxy: &FleetProxy) {
+    let outage = *lock(&shared.outage);
+    if shared.is_down.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    proxy.crash(outage);
+    let shared = Arc::clone(shared);
+    task::spawn(async move {
+        task::sleep(outage).await;
+        shared.born.fetch_add(1_000, Ordering::AcqRel);
+        shared.is_down.store(false, Ordering::Release);
+    });
+}
+
 /// Returns the header lines that report the target's load, its limit and that it leaves.
 fn load_header(shared: &TargetState) -> String {
     let running = shared.running.load(Ordering::Acquire);
