Requests that crash the targets that run them are refused

Callers saw: a request that crashes each target that begins to run it was sent on each time that it came.

Cause: nothing remembered what a request did to earlier targets.

Change: CrashSuspects keeps, by a hash of what is the same each time that a request comes, the processes that crashed while they ran it. A crash is the end of the connection followed by a refused new one. After two crashes the instance does not retry; after three one after the other the request is refused (503, 3013) for ten minutes. A success clears a request. Layouts of reports (16) and digests (17) change.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -11,6 +11,9 @@
 mod budget_usage;
 mod caller_limits;
 mod collector;
+mod crash;
+mod crash_report;
+mod crash_suspects;
 mod duty_candidate;
 mod entry_change;
 mod entry_log;
@@ -40,6 +43,7 @@
 mod senders;
 mod service_config;
 mod stated_limit;
+mod suspicion;
 mod target_entry;
 mod target_notes;
 mod targets;
@@ -51,6 +55,9 @@
     budget_usage::BudgetUsage,
     caller_limits::CallerLimits,
     collector::Collector,
+    crash::Crash,
+    crash_report::{CrashAge, CrashReport},
+    crash_suspects::CrashSuspects,
     duty_candidate::DutyCandidate,
     entry_change::EntryChange,
     entry_log::EntryLog,
@@ -80,6 +87,7 @@
     senders::Senders,
     service_config::ServiceConfig,
     stated_limit::StatedLimit,
+    suspicion::Suspicion,
     target_entry::TargetEntry,
     target_notes::{TargetNote, TargetNotes},
     targets::{Target, Targets},
--- a/crates/ctl/src/commands/explain.rs
+++ b/crates/ctl/src/commands/explain.rs
@@ -18,6 +18,9 @@
     "ready",
     "stopping",
     "config",
+    "crash_suspected",
+    "crash_confirmed",
+    "crash_cleared",
     "zone_out",
     "zone_back",
     "store_lost",
@@ -111,6 +114,11 @@
         if let Some(name) = STATE_EVENTS.iter().find(|name| **name == event) {
             match event {
                 "store_regained" => drop(state.remove(&("store_lost", line.subject()))),
+                "crash_cleared" => {
+                    for event in ["crash_suspected", "crash_confirmed"] {
+                        state.remove(&(event, line.subject()));
+                    }
+                }
                 "zone_back" => drop(state.remove(&("zone_out", line.subject()))),
                 _ => drop(state.insert((name, line.subject()), line)),
             }
--- a/crates/ctl/src/log_line.rs
+++ b/crates/ctl/src/log_line.rs
@@ -39,10 +39,10 @@
         self.get("instance").unwrap_or_default()
     }
 
-    /// Returns the id of the target, zone, service or reader that the event concerns, or an empty string
-    /// if there is none.
+    /// Returns the key of the request, or the id of the target, zone, service or reader, that the event
+    /// concerns, or an empty string if there is none.
     pub fn subject(&self) -> &str {
-        let keys = ["target_id", "zone", "service", "reader"];
+        let keys = ["key", "target_id", "zone", "service", "reader"];
         keys.iter()
             .find_map(|key| self.get(key))
             .unwrap_or_default()
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -1,4 +1,4 @@
-//! Tests of `hibiscusctl explain` with log files of two gateway instances, recorded in a run against the
+//! Tests of `hibiscusctl explain` with log files of gateway instances, recorded in runs against the
 //! stand-ins of the crate `testkit`.
 
 use std::{
@@ -15,7 +15,7 @@
 fn explain(id: &str) -> Output {
     Command::new(env!("CARGO_BIN_EXE_hibiscusctl"))
         .args(["explain", id])
-        .args([data("edge-1.log"), data("edge-2.log")])
+        .args(["edge-1.log", "edge-2.log", "edge-7.log"].map(data))
         .output()
         .unwrap()
 }
@@ -73,3 +73,22 @@
         "{output:?}"
     );
 }
+
+/// Guards against a refusal for crashes that names no crash, and against a crash that does not name the
+/// request under which it was seen.
+#[test]
+fn explain_shows_crashes_under_request() {
+    let crashed = text(&explain("0000000000000002"));
+    for target in ["i-1", "i-4"] {
+        let line = crashed.lines().find(|line| {
+            line.contains("event=crash_suspected") && line.contains(&format!("target_id={target}"))
+        });
+        assert!(line.is_some(), "{crashed}");
+    }
+    let refused = text(&explain("0000000000000005"));
+    assert!(refused.contains("code=3013"), "{refused}");
+    assert!(
+        refused.contains("event=crash_confirmed key=e34a0865d0901630 crashes=3"),
+        "{refused}"
+    );
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,8 +9,10 @@
 use platform::headers;
 
 use crate::{
+    crash_check::has_crashed,
+    crashes::{SentRequest, record_crash, record_run},
     entries_wait::await_recent_entries,
-    exchange::{EncodedRequest, Identity, SendResult, exchange},
+    exchange::{EncodedRequest, Identity, ResponseError, SendResult, exchange},
     notices::record_notices,
     pending_outcome::PendingOutcome,
     selection::{SelectedTarget, is_target_eligible},
@@ -29,12 +31,13 @@
 }
 
 impl Attempt {
-    /// Sends `request` to `selected`. The attempt times out at `deadline`.
+    /// Sends `request`, which has the key `key`, to `selected`. The attempt times out at `deadline`.
     pub fn start(
         state: &Rc<State>,
         service: &ServiceName,
         route: &Route,
         request: &Request,
+        key: u64,
         selected: SelectedTarget,
         deadline: Time,
     ) -> Self {
@@ -61,10 +64,15 @@
                 is_target_eligible(&state, &target)
             })
             .await;
-            if let SendResult::Response(response) = &result {
-                record_notices(&state, &target, born, response, "response");
-            }
-            result
+            let sent = SentRequest {
+                key,
+                id: id.as_deref(),
+                target: &target,
+                born,
+                addr,
+                sent: started,
+            };
+            record_result(&state, &sent, result).await
         };
         Self {
             selected,
@@ -86,6 +94,32 @@
     }
 }
 
+/// Records what the result of a request says of its target, and of the request itself. Returns the
+/// result, in which a crash is told from other ends of the connection.
+async fn record_result(
+    state: &Rc<State>,
+    request: &SentRequest<'_>,
+    result: SendResult,
+) -> SendResult {
+    let ended = state.now();
+    match &result {
+        SendResult::Response(response) => {
+            record_notices(state, request.target, request.born, response, "response");
+            if response.headers.has(headers::SIGNATURE) {
+                record_run(state, request.key);
+            }
+        }
+        SendResult::NoResponse(ResponseError::Closed)
+            if has_crashed(state, request.target, request.born, request.addr).await =>
+        {
+            record_crash(state, request, ended);
+            return SendResult::NoResponse(ResponseError::Crashed);
+        }
+        _ => {}
+    }
+    result
+}
+
 /// Whether the target ran the request and responded without a server error.
 pub fn is_good(result: &SendResult) -> bool {
     matches!(result, SendResult::Response(r) if r.status < 500 && !r.headers.has(headers::NOT_RUN))
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -11,8 +11,8 @@
 }
 
 impl Clock {
-    /// Starts a clock. Its time begins at one minute, so that times before the start can be
-    /// represented.
+    /// Starts a clock. Its time begins at one hour, so that times before the start can be
+    /// represented, such as those of crashes that other instances saw.
     pub fn start() -> Self {
         Self {
             start: Instant::now(),
@@ -21,7 +21,7 @@
 
     /// Returns the monotonic time.
     pub fn now(self) -> Time {
-        const START_US: u64 = 60_000_000;
+        const START_US: u64 = 3_600_000_000;
         let elapsed = u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX);
         Time(elapsed.saturating_add(START_US))
     }
--- a/crates/gateway/src/collecting.rs
+++ b/crates/gateway/src/collecting.rs
@@ -9,6 +9,7 @@
 use tracing::info;
 
 use crate::{
+    crashes::{collect_crashes, take_untold_crashes},
     datagrams::{send_paced, transmission_us},
     digest::{Digest, envelope},
     digest_apply::{apply_outcomes, apply_rollout, confirm_entries},
@@ -43,6 +44,7 @@
     let mut leaving = state.untold_leaving.borrow_mut();
     leaving.extend(report.leaving.iter().map(|l| (l.clone(), LEAVING_REPEATS)));
     drop(leaving);
+    collect_crashes(state, &report.crashes, from.name.as_str());
     if !is_own {
         apply_limit_reports(state, &report.limits, &from.name);
     }
@@ -124,6 +126,7 @@
         members: changed.cloned().collect(),
         outcomes: if tells { outcomes } else { Vec::new() },
         leaving: take_leaving(state),
+        crashes: take_untold_crashes(state),
         limits: if tells { limits.collect() } else { Vec::new() },
         ..Digest::new(members.own().clone())
     }
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -3,7 +3,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
-use balance::{BudgetUsage, LiveView, Member, Position, ReportedOutcomes};
+use balance::{BudgetUsage, CrashReport, LiveView, Member, Position, ReportedOutcomes};
 use bincode::{
     config::standard,
     serde::{decode_from_slice, encode_to_vec},
@@ -18,7 +18,7 @@
 };
 
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 15;
+const FORMAT: u8 = 17;
 /// Encoded size of an address to forward a datagram to, in bytes.
 const ADDR_BYTES: usize = 6;
 
@@ -52,6 +52,8 @@
     pub leaving: Vec<LeavingReport>,
     /// News of the limits that targets state.
     pub limits: Vec<LimitReport>,
+    /// Requests near crashes of targets.
+    pub crashes: Vec<CrashReport>,
 }
 
 impl Digest {
@@ -70,6 +72,7 @@
             outcomes: Vec::new(),
             leaving: Vec::new(),
             limits: Vec::new(),
+            crashes: Vec::new(),
         }
     }
 
@@ -91,9 +94,12 @@
         if rest.members.is_empty() && rest.outcomes.is_empty() {
             rest.leaving = halve(&mut self.leaving);
             rest.limits = halve(&mut self.limits);
+            rest.crashes = halve(&mut self.crashes);
         }
         let has_lists = !rest.members.is_empty() || !rest.outcomes.is_empty();
-        if !has_lists && rest.leaving.is_empty() && rest.limits.is_empty() {
+        let has_news =
+            !rest.leaving.is_empty() || !rest.limits.is_empty() || !rest.crashes.is_empty();
+        if !has_lists && !has_news {
             // What stands once does not fit; IP divides the datagram.
             return vec![bytes];
         }
--- a/crates/gateway/src/digest/tests.rs
+++ b/crates/gateway/src/digest/tests.rs
@@ -1,3 +1,4 @@
+use balance::CrashAge;
 use model::TargetId;
 
 use super::*;
@@ -10,6 +11,20 @@
     member
 }
 
+fn crash(key: u64) -> CrashReport {
+    CrashReport {
+        key,
+        cleared_us: Some(59_000_000),
+        crashes: (0..4)
+            .map(|n| CrashAge {
+                process: u64::MAX - n,
+                age_us: 59_000_000,
+                ran_us: 300_000,
+            })
+            .collect(),
+    }
+}
+
 /// Returns a digest after several hundred instances have joined and many targets have failed.
 fn large() -> Digest {
     Digest {
@@ -30,6 +45,7 @@
                 born,
             })
             .collect(),
+        crashes: (0..40).map(crash).collect(),
         ..Digest::new(member(1))
     }
 }
@@ -47,6 +63,7 @@
     let mut members = Vec::new();
     let mut outcomes = Vec::new();
     let mut leaving = Vec::new();
+    let mut crashes = Vec::new();
     let mut views = 0;
     for part in sent.clone().encode(forward_to.len()) {
         let bytes = envelope(&part, &forward_to);
@@ -61,6 +78,7 @@
         members.extend(received.digest.members);
         outcomes.extend(received.digest.outcomes);
         leaving.extend(received.digest.leaving);
+        crashes.extend(received.digest.crashes);
     }
     members.sort_by_key(|m| m.peer_addr);
     let mut expected = sent.members.clone();
@@ -70,6 +88,8 @@
     assert_eq!(outcomes, sent.outcomes);
     leaving.sort_by_key(|l| l.born);
     assert_eq!(leaving, sent.leaving);
+    crashes.sort_by_key(|c| c.key);
+    assert_eq!(crashes, sent.crashes);
 }
 
 /// Guards against bytes of others that end the process or count as a digest.
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -7,8 +7,8 @@
 use tracing::{info, warn};
 
 use crate::{
-    digest::Digest, notices::apply_leaving, operator_records::PeerAhead, report::RolloutReport,
-    reporting::is_running, state::State, store_era::check_peer_era,
+    crashes::apply_crashes, digest::Digest, notices::apply_leaving, operator_records::PeerAhead,
+    report::RolloutReport, reporting::is_running, state::State, store_era::check_peer_era,
     target_limits::apply_limit_reports,
 };
 
@@ -67,6 +67,7 @@
     }
     apply_leaving(state, &digest.leaving, sender.name.as_str());
     apply_limit_reports(state, &digest.limits, &sender.name);
+    apply_crashes(state, &digest.crashes, sender.name.as_str());
     for rollout in &digest.rollouts {
         apply_rollout(state, sender, rollout);
     }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -130,6 +130,10 @@
         ("store_era", state.store_era.get().unwrap_or_default()),
         ("targets", targets.len() as u64),
         ("limited_targets", limited_targets as u64),
+        (
+            "suspected_requests",
+            state.crash_suspects.borrow().len() as u64,
+        ),
         ("peers", state.members.borrow().live().count() as u64),
         ("caller_connections", state.caller_connections.get() as u64),
         ("requests_in_progress", state.active_requests.get() as u64),
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -182,6 +182,7 @@
 fn sweep(state: &State) {
     let now = state.now();
     let mut targets = state.targets.borrow_mut();
+    state.crash_suspects.borrow_mut().sweep(now);
     if targets.sweep(now) {
         info!(event = "targets_lapsed", left = targets.len());
     }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -48,6 +48,8 @@
     Timeout,
     /// The connection was closed or reset.
     Closed,
+    /// The same, and the target has crashed: it refuses connections.
+    Crashed,
     /// The bytes are not a valid response, or the response is too large.
     Malformed(MessageError),
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use async_std::{future::timeout, task};
-use balance::{AdmissionLimits, Route, Verdict};
+use balance::{AdmissionLimits, Route, Suspicion, Verdict};
 use futures::future::{Either, select};
 use h1::{Request, Response};
 use model::{Code, ServiceName, TargetId, Time};
@@ -14,12 +14,14 @@
     attempt::{Attempt, is_good, states_not_run},
     attempt_log::AttemptLog,
     attempt_permit::AttemptPermit,
+    crashes::suspicion,
     exchange::{ResponseError, SendResult},
     line_class::REQUESTS,
     outcome::{claims_not_run, is_slow, record_outcome, record_processing_time, record_reports},
     selection::{Criteria, SelectedTarget, is_target_eligible, processing_ms, select_target},
     send_limits::{limited_rate, reopens_ms},
     state::State,
+    suspect_trial::SuspectTrial,
 };
 
 /// Failed connection attempts after which a request is refused. They do not count towards the
@@ -42,6 +44,8 @@
     pub state: &'a Rc<State>,
     /// Request to forward.
     pub request: &'a Request,
+    /// Hash of what is the same each time that the request comes.
+    pub key: u64,
     /// Route of the request.
     pub route: &'a Arc<Route>,
     /// Service that the request is sent to.
@@ -71,6 +75,9 @@
     pub async fn run(&mut self) -> Result<Response, Code> {
         loop {
             let selected = self.await_admission().await?;
+            let Some(_trial) = self.begin_trial() else {
+                return Err(self.failure_code(Code::Quarantined, Code::UpstreamClosed));
+            };
             let started = self.state.now();
             if started >= self.deadline {
                 return Err(self.failure_code(Code::DeadlinePassed, Code::UpstreamTimeout));
@@ -83,6 +90,12 @@
         }
     }
 
+    /// Returns `None` if the request must not be sent, because it crashes targets or may do so and is in
+    /// progress here already.
+    fn begin_trial(&self) -> Option<SuspectTrial> {
+        SuspectTrial::begin(self.state, self.key)
+    }
+
     /// Sends the request to `selected` and waits for the result. If the route is idempotent and the
     /// result takes too long, sends a hedge to a second target, returns the first good result and
     /// cancels the other attempt.
@@ -94,7 +107,7 @@
             return (first, result);
         }
         first.record_overdue();
-        if !self.route.idempotent {
+        if !self.route.idempotent || suspicion(self.state, self.key) != Suspicion::Clear {
             let result = first.result().await;
             return (first, result);
         }
@@ -163,7 +176,7 @@
         self.attempt_log.record(&done.selected, "failed", took_us);
         if !matches!(result, SendResult::NotSent(_)) && !states_not_run(&result) {
             self.may_have_run = true;
-            self.record_outcome(&done.selected, false);
+            self.record_failure(&done.selected, &result);
         }
         std::mem::swap(&mut done, &mut other);
         let result = done.result().await;
@@ -192,6 +205,7 @@
             self.service,
             self.route,
             self.request,
+            self.key,
             selected,
             self.deadline,
         )
@@ -298,30 +312,36 @@
                 None
             }
             SendResult::Response(response) => self.handle_response(selected, *response, took_us),
-            SendResult::NoResponse(error) => {
-                self.attempt_log.record(
-                    selected,
-                    if error == ResponseError::Timeout {
-                        "timeout"
-                    } else {
-                        "lost"
-                    },
-                    took_us,
-                );
-                self.may_have_run = true;
-                self.record_outcome(selected, false);
-                if error == ResponseError::Timeout {
-                    return Some(Err(Code::UpstreamTimeout));
-                }
-                if self.route.idempotent && self.reserve_retry(self.retry_share()) {
-                    return None;
-                }
-                Some(Err(match error {
-                    ResponseError::Malformed(_) => Code::BadAnswer,
-                    _ => Code::UpstreamClosed,
-                }))
-            }
+            SendResult::NoResponse(error) => self.handle_no_response(selected, error, took_us),
+        }
+    }
+
+    /// Same as [`Self::handle_result`], for an attempt that got no complete response.
+    fn handle_no_response(
+        &mut self,
+        selected: &SelectedTarget,
+        error: ResponseError,
+        took_us: u64,
+    ) -> Option<Result<Response, Code>> {
+        let what = match error {
+            ResponseError::Timeout => "timeout",
+            ResponseError::Crashed => "crashed",
+            _ => "lost",
+        };
+        self.attempt_log.record(selected, what, took_us);
+        self.may_have_run = true;
+        self.record_failure(selected, &SendResult::NoResponse(error));
+        if error == ResponseError::Timeout {
+            return Some(Err(Code::UpstreamTimeout));
         }
+        let may_retry = self.route.idempotent && suspicion(self.state, self.key).allows_retry();
+        if may_retry && self.reserve_retry(self.retry_share()) {
+            return None;
+        }
+        Some(Err(match error {
+            ResponseError::Malformed(_) => Code::BadAnswer,
+            _ => Code::UpstreamClosed,
+        }))
     }
 
     /// Same as [`Self::handle_result`], for an attempt that got a response.
@@ -398,6 +418,15 @@
         self.permit.is_some()
     }
 
+    /// Records a failed attempt, unless the request is the likely reason: it has crashed more than one
+    /// target, and neither the target nor its version is at fault.
+    fn record_failure(&self, selected: &SelectedTarget, result: &SendResult) {
+        let has_crashed = matches!(result, SendResult::NoResponse(ResponseError::Crashed));
+        if !has_crashed || suspicion(self.state, self.key).allows_retry() {
+            self.record_outcome(selected, false);
+        }
+    }
+
     fn record_outcome(&self, selected: &SelectedTarget, is_good: bool) {
         record_outcome(self.state, self.service, self.route, selected, is_good);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,8 @@
 mod caller;
 mod clock;
 mod collecting;
+mod crash_check;
+mod crashes;
 mod datagrams;
 mod digest;
 mod digest_apply;
@@ -58,6 +60,7 @@
 mod snapshot;
 mod state;
 mod store_era;
+mod suspect_trial;
 mod target_limits;
 mod version_filter;
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -8,6 +8,12 @@
 /// Time after which a caller may retry while all targets are busy, in milliseconds. A slot becomes
 /// free in about this time.
 const BUSY_RETRY_MS: u32 = 40;
+/// Time after which a caller may send a request again that is in progress here and under which two
+/// targets have crashed, in milliseconds. By then all instances know whether it crashes a third.
+const SUSPECTED_RETRY_MS: u64 = 1_000;
+/// Longest time after which a caller is told to send a request again that crashes targets, in
+/// milliseconds.
+const MAX_HELD_MS: u64 = 60_000;
 /// Longest time after which a caller is told to retry, in milliseconds. Limits of targets may end
 /// any moment.
 const MAX_RETRY_MS: f64 = 2_000.0;
@@ -22,6 +28,16 @@
 }
 
 impl Refusal {
+    /// Returns the refusal of a request that crashes targets, for `left_us` more, or of one that may do
+    /// so and is in progress here already.
+    pub fn quarantined(left_us: Option<u64>) -> Self {
+        let retry_ms = left_us.map_or(SUSPECTED_RETRY_MS, |us| (us / 1_000).min(MAX_HELD_MS));
+        Self {
+            code: Code::Quarantined,
+            retry_ms: u32::try_from(retry_ms).ok(),
+        }
+    }
+
     /// Returns the refusal of a request whose targets take none now. Those that state a limit take
     /// `rate` requests a second from all instances together; the first of those that have turned
     /// requests away takes them again after `reopens_ms`.
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -1,6 +1,6 @@
 //! Datagram by which an instance tells the collectors of its state and its recent data.
 
-use balance::{BudgetUsage, Evidence, Member, Position, ReportedOutcomes, Stage};
+use balance::{BudgetUsage, CrashReport, Evidence, Member, Position, ReportedOutcomes, Stage};
 use bincode::{
     config::standard,
     serde::{decode_from_slice, encode_to_vec},
@@ -13,7 +13,7 @@
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 14;
+const FORMAT: u8 = 16;
 
 /// Report of an instance to the collectors. The order and the types of the fields are the wire
 /// format.
@@ -40,6 +40,8 @@
     pub budget_usage: Vec<(ServiceName, BudgetUsage)>,
     /// Its reports on rollouts.
     pub rollouts: Vec<RolloutReport>,
+    /// Requests near crashes of targets.
+    pub crashes: Vec<CrashReport>,
 }
 
 /// Report of an instance on one rollout. The order and the types of the fields are the wire format.
--- a/crates/gateway/src/report/tests.rs
+++ b/crates/gateway/src/report/tests.rs
@@ -1,4 +1,4 @@
-use balance::Presence;
+use balance::{CrashAge, Presence};
 use model::{InstanceId, TargetId, Zone};
 
 use super::*;
@@ -44,6 +44,15 @@
             },
         )],
         rollouts: vec![],
+        crashes: vec![CrashReport {
+            key: u64::MAX,
+            cleared_us: Some(900),
+            crashes: vec![CrashAge {
+                process: u64::MAX,
+                age_us: 12,
+                ran_us: 30_000,
+            }],
+        }],
     }
 }
 
--- a/crates/gateway/src/reporting.rs
+++ b/crates/gateway/src/reporting.rs
@@ -2,13 +2,14 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use async_std::{net::UdpSocket, task};
+use async_std::{future::timeout, net::UdpSocket, task};
 use balance::{Presence, ReportedOutcomes, Rollout, Verdict};
 use rand::seq::IndexedRandom;
 use tracing::info;
 
 use crate::{
     collecting::apply_report,
+    crashes::take_crash_news,
     datagrams::send_paced,
     phase::Phase,
     report::{Report, RolloutReport},
@@ -22,6 +23,9 @@
 /// must be stopped within seconds.
 const ROLLOUT_DIVISOR: u64 = 2;
 
+/// Shortest time between two reports of an instance.
+const MIN_PAUSE: Duration = Duration::from_millis(20);
+
 /// Sends reports until the process ends.
 pub async fn send_reports(state: Rc<State>, socket: Rc<UdpSocket>) {
     loop {
@@ -29,7 +33,10 @@
         let rollout_runs = state.rollouts.borrow().values().any(is_running);
         let interval_ms = state.members.borrow().interval_ms();
         let divisor = if rollout_runs { ROLLOUT_DIVISOR } else { 1 };
-        task::sleep(Duration::from_millis(interval_ms / divisor)).await;
+        task::sleep(MIN_PAUSE).await;
+        let pause = Duration::from_millis(interval_ms / divisor).saturating_sub(MIN_PAUSE);
+        // Whether the time is over or something urgent has happened makes no difference.
+        let _ = timeout(pause, state.report_wanted()).await;
     }
 }
 
@@ -132,6 +139,7 @@
         limits: take_limit_reports(state),
         budget_usage,
         rollouts: rollout_reports(state, true),
+        crashes: take_crash_news(state),
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use balance::{GatewayConfig, Route, choose_service};
+use balance::{GatewayConfig, Route, Suspicion, choose_service};
 use h1::{Request, Response};
 use model::{Code, ServiceName, Time};
 use platform::headers;
@@ -11,6 +11,7 @@
 
 use crate::{
     attempt_log::AttemptLog,
+    crashes::{hex, request_key, suspicion},
     forward::Forwarder,
     line_class::REQUESTS,
     phase::Phase,
@@ -128,6 +129,7 @@
         let (state, code) = (&self.state, refusal.code);
         state.metrics.record_refusal(code);
         let age_ms = |at| state.now().since_us(at) / 1_000;
+        let key = (code == Code::Quarantined).then(|| hex(request_key(request)));
         warn!(
             event = "refused",
             id = &*self.id,
@@ -139,6 +141,7 @@
             attempts = self.attempt_log.attempts,
             unsent = self.attempt_log.unsent,
             targets = self.attempt_log.summary(),
+            key,
             config = state.config().map_or(0, |m| m.version),
             targets_age_ms = state.entries_as_of.get().map_or(0, age_ms)
         );
@@ -174,6 +177,10 @@
     let route = find_route(&config, request).ok_or(Code::UnknownRoute)?;
     let limit_ms = deadline_ms(request).map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
     let deadline = arrived.plus_ms(limit_ms);
+    let key = request_key(request);
+    if let Suspicion::Confirmed { left_us } = suspicion(state, key) {
+        return Err(Refusal::quarantined(Some(left_us)));
+    }
     let draw = rand::rng().random::<f64>();
     let chosen = choose_service(&route.split, draw).ok_or(Code::NoTarget)?;
     state.with_budget(&chosen.service, |budget| budget.record_request(state.now()));
@@ -181,6 +188,7 @@
     let mut forwarder = Forwarder {
         state,
         request,
+        key,
         route: &route,
         service: &chosen.service,
         deadline,
@@ -200,6 +208,7 @@
             let reopens_ms = reopens_ms(state, &chosen.service);
             Err(Refusal::at_limit(rate, reopens_ms))
         }
+        Err(Code::Quarantined) => Err(Refusal::quarantined(suspicion(state, key).left_us())),
         Err(code) => Err(code.into()),
     }
 }
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -1,6 +1,6 @@
 //! What a starting instance gets from one that runs, so that it need not read it from the store.
 
-use balance::{Position, TargetEntry};
+use balance::{CrashReport, Position, TargetEntry};
 use bincode::{
     config::standard,
     serde::{decode_from_slice, encode_to_vec},
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    crashes::apply_crashes,
     digest_apply::apply_rollout,
     entries_apply::apply_listing,
     notices::{LeavingReport, apply_leaving, leaving_reports},
@@ -43,6 +44,8 @@
     pub leaving: Vec<LeavingReport>,
     /// Entries of all targets, with the time for which they are still cold.
     pub entries: Vec<TargetEntry>,
+    /// Requests near crashes of targets.
+    pub crashes: Vec<CrashReport>,
 }
 
 impl Snapshot {
@@ -76,6 +79,7 @@
             entries_age_ms,
             leaving: leaving_reports(&targets),
             entries: entries.collect(),
+            crashes: state.crash_suspects.borrow().reports(now),
         })
     }
 
@@ -110,6 +114,7 @@
             apply_rollout(state, &state.members.borrow().own().clone(), rollout);
         }
         apply_leaving(state, &self.leaving, "snapshot");
+        apply_crashes(state, &self.crashes, "snapshot");
         let offset = self.entries_next.offset.saturating_sub(1);
         let changes = self.entries.into_iter();
         let listing = Listing {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,17 +10,17 @@
 
 use async_std::channel::{Receiver, Sender, bounded};
 use balance::{
-    Collector, EntryLog, FleetUsage, GatewayConfig, Member, Members, OutcomeLog, PeerUsage,
-    Position, Presence, ProcessingTimes, ResponseSizes, RetryBudget, Rollout, SendPace, Senders,
-    Targets,
+    Collector, CrashSuspects, EntryLog, FleetUsage, GatewayConfig, Member, Members, OutcomeLog,
+    PeerUsage, Position, Presence, ProcessingTimes, ResponseSizes, RetryBudget, Rollout, SendPace,
+    Senders, Targets,
 };
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
 
 use crate::{
-    buffer_share::ResponseBuffers, clock::Clock, entries_update::EntriesUpdate,
-    known_records::KnownRecords, limit_report::LimitReport, metrics::Metrics,
-    notices::LeavingReport, phase::Phase, pool::Pool, settings::Settings,
+    buffer_share::ResponseBuffers, clock::Clock, crash_check::CrashChecks,
+    entries_update::EntriesUpdate, known_records::KnownRecords, limit_report::LimitReport,
+    metrics::Metrics, notices::LeavingReport, phase::Phase, pool::Pool, settings::Settings,
 };
 
 /// Shared state of one instance.
@@ -66,6 +66,18 @@
     pub leaving_news: RefCell<Vec<LeavingReport>>,
     /// Targets that leave, of which a collector is still to tell, with the digests left to do so.
     pub untold_leaving: RefCell<Vec<(LeavingReport, u8)>>,
+    /// Requests near crashes of targets.
+    pub crash_suspects: RefCell<CrashSuspects>,
+    /// Requests near crashes of which the collectors are still to be told, with the reports left.
+    pub crash_news: RefCell<BTreeMap<u64, u8>>,
+    /// Requests near crashes of which a collector is still to tell, with the digests left.
+    pub untold_crashes: RefCell<BTreeMap<u64, u8>>,
+    /// When this collector last told of all confirmed requests.
+    pub crashes_told: Cell<Time>,
+    /// Requests under which two targets have crashed and that are in progress here.
+    pub suspects_running: RefCell<BTreeSet<u64>>,
+    /// Recent checks of whether a process of a target has crashed.
+    pub crash_checks: RefCell<CrashChecks>,
     /// News of limits that a collector is still to tell, with the time at which it received them.
     pub untold_limits: RefCell<Vec<(Time, LimitReport)>>,
     /// Longest time for which the entries of an instance have been up to date, as reported since the
@@ -140,6 +152,7 @@
     probe_tokens: Cell<(Time, f64)>,
     entries_requests: (Sender<()>, Receiver<()>),
     digest_requests: (Sender<()>, Receiver<()>),
+    report_requests: (Sender<()>, Receiver<()>),
     senders: RefCell<Option<(Time, Rc<Senders>)>>,
     join_guard: RefCell<Option<Sender<()>>>,
     join_ended: Receiver<()>,
@@ -173,6 +186,12 @@
             outcome_log: RefCell::default(),
             leaving_news: RefCell::default(),
             untold_leaving: RefCell::default(),
+            crash_suspects: RefCell::default(),
+            crash_news: RefCell::default(),
+            untold_crashes: RefCell::default(),
+            crashes_told: Cell::new(Time(0)),
+            suspects_running: RefCell::default(),
+            crash_checks: RefCell::default(),
             untold_limits: RefCell::default(),
             reported_fresh_ms: Cell::new(0),
             joined_at: Cell::new(None),
@@ -210,6 +229,7 @@
             probe_tokens: Cell::new((clock.now(), 0.0)),
             entries_requests: bounded(1),
             digest_requests: bounded(1),
+            report_requests: bounded(1),
             senders: RefCell::default(),
             join_guard: RefCell::new(Some(join_guard)),
             join_ended,
@@ -327,6 +347,18 @@
         self.members.borrow().duty_rank(duty)
     }
 
+    /// Asks for a report to the collectors at once.
+    pub fn request_report(&self) {
+        // If the channel is full, a report is requested already.
+        let _ = self.report_requests.0.try_send(());
+    }
+
+    /// Waits until a report is requested.
+    pub async fn report_wanted(&self) {
+        // The state holds the sender, so that the channel never closes.
+        let _ = self.report_requests.1.recv().await;
+    }
+
     /// Whether this instance ranks first among the live ones for `duty`.
     pub fn has_duty(&self, duty: &str) -> bool {
         self.duty_rank(duty) == 0
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -78,6 +78,8 @@
     ConnectFailed = 3010, "could not connect to the target";
     /// The caller went away before the call started.
     CancelledEarly = 3011, "caller went away before the start";
+    /// Targets crashed while they ran the same request before.
+    Quarantined = 3013, "targets crashed under this request";
 
     /// The upstream closed the connection before the response was complete.
     UpstreamClosed = 4001, "upstream closed before the whole answer";
--- a/crates/model/src/hash.rs
+++ b/crates/model/src/hash.rs
@@ -14,6 +14,17 @@
     hasher.finish()
 }
 
+/// Returns a hash of `parts` in this order. Parts that are divided differently have another hash.
+#[must_use]
+pub fn hash_parts(parts: &[&[u8]]) -> u64 {
+    let mut hasher = XxHash64::with_seed(0);
+    for part in parts {
+        hasher.write_usize(part.len());
+        hasher.write(part);
+    }
+    hasher.finish()
+}
+
 /// Sorts `nodes` by descending weight for `key`, and nodes of equal weight by name.
 pub fn rendezvous_rank<T: AsRef<str>>(key: &str, nodes: &mut [T]) {
     nodes.sort_by(|a, b| {
--- a/crates/node/tests/gateway_metrics.rs
+++ b/crates/node/tests/gateway_metrics.rs
@@ -33,6 +33,20 @@
     names
 }
 
+/// Crashes targets until the request that does so is refused, and waits until they are back.
+async fn crash_targets(rig: &FleetRig) {
+    for target in &rig.targets {
+        target.set_outage(Duration::from_millis(300));
+    }
+    for _ in 0..8 {
+        let mut request = rig.request(false);
+        request.path = String::from("/read/crash/1");
+        send(rig.instances[0].caller_addr(), &request).await;
+        task::sleep(Duration::from_millis(200)).await;
+    }
+    task::sleep(Duration::from_millis(1_200)).await;
+}
+
 /// Guards against metrics that are served but not documented, or documented but not served. The
 /// metrics of probes over the budget and of hedges appear only under an overload that this test
 /// does not cause.
@@ -46,6 +60,7 @@
         };
         let binary = Path::new(env!("CARGO_BIN_EXE_hibiscusway"));
         let rig = FleetRig::start(binary, spec).await.unwrap();
+        crash_targets(&rig).await;
         rig.targets[0].set_limit(Some("0.5"));
         rig.send_many(20, Duration::from_millis(5)).await;
         rig.targets[1].set_retry_after(Some("0.1"));
