Sound requests that meet a crash-inducing one are not confirmed

Callers would have seen: a sound request refused for ten minutes.

Cause: a crash sends all requests on that were in progress there, and at different instances they choose the same next target.

Change: a request is not confirmed while another one that may be was in progress at all processes that crashed under it; the next crash of either tells them apart. Up to six crashes are kept for a request, also those that do not count, and four requests go into one datagram.

--- a/crates/balance/src/crash_suspects.rs
+++ b/crates/balance/src/crash_suspects.rs
@@ -10,8 +10,8 @@
 /// Crashes of different processes after which a request is confirmed to cause them. One or two also
 /// happen to a sound request that is retried while targets fail for another reason.
 const CONFIRMING_CRASHES: usize = 3;
-/// Most crashes kept for a request; the latest ones.
-const MAX_CRASHES: usize = 4;
+/// Most crashes kept for a request.
+const MAX_CRASHES: usize = 6;
 /// Most requests kept, which bounds the memory that callers with ever new requests can take.
 const MAX_KEYS: usize = 1_024;
 /// Time after the latest crash for which an unconfirmed request stays suspected, in microseconds.
@@ -26,8 +26,7 @@
 /// What is known of one request.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    /// Crashes of different processes, by time. The request was sent to each one after the one before
-    /// had crashed: many requests are in progress at several targets when these fail at once.
+    /// Crashes of different processes, by time.
     crashes: Vec<Crash>,
     /// Time of the latest success. Crashes before it had another cause.
     cleared_at: Option<Time>,
@@ -39,8 +38,32 @@
         times.chain(self.cleared_at).max().unwrap_or_default()
     }
 
+    /// Returns which crashes came one after the other: those of processes to which the request was sent
+    /// after the one before had crashed. Many requests are in progress at several targets when these
+    /// fail at once.
+    fn chain(&self) -> impl Iterator<Item = bool> {
+        let mut latest = None;
+        self.crashes.iter().map(move |crash| {
+            let follows = latest.is_none_or(|at| crash.sent >= at);
+            if follows {
+                latest = Some(crash.at);
+            }
+            follows
+        })
+    }
+
+    fn chain_len(&self) -> usize {
+        self.chain().filter(|follows| *follows).count()
+    }
+
     fn is_confirmable(&self) -> bool {
-        self.crashes.len() >= CONFIRMING_CRASHES
+        self.chain_len() >= CONFIRMING_CRASHES
+    }
+
+    /// Whether `other` was in progress at all processes that crashed while they ran this request.
+    fn is_covered_by(&self, other: &Self) -> bool {
+        let has = |crash: &Crash| other.crashes.iter().any(|c| c.process == crash.process);
+        other.is_confirmable() && self.crashes.iter().all(has)
     }
 
     fn kept_us(&self) -> u64 {
@@ -59,16 +82,9 @@
         }
         self.crashes.push(crash);
         self.crashes.sort_by_key(|crash| crash.at);
-        let mut latest = None;
-        self.crashes.retain(|crash| {
-            let follows = latest.is_none_or(|at| crash.sent >= at);
-            if follows {
-                latest = Some(crash.at);
-            }
-            follows
-        });
         if self.crashes.len() > MAX_CRASHES {
-            self.crashes.remove(0);
+            let spare = self.chain().position(|follows| !follows);
+            self.crashes.remove(spare.unwrap_or_default());
         }
         self.crashes.contains(&crash)
     }
@@ -112,15 +128,23 @@
         if suspect.crashes.is_empty() || age_us >= suspect.kept_us() {
             return Suspicion::Clear;
         }
-        if suspect.is_confirmable() && age_us < HELD_US {
+        if suspect.is_confirmable() && age_us < HELD_US && !self.is_covered(key, suspect) {
             return Suspicion::Confirmed {
                 left_us: HELD_US - age_us,
             };
         }
-        let crashes = suspect.crashes.len().min(CONFIRMING_CRASHES - 1);
+        let crashes = suspect.chain_len().min(CONFIRMING_CRASHES - 1);
         Suspicion::Suspected { crashes }
     }
 
+    /// Whether all crashes under the request are explained by another one that may be confirmed. After a
+    /// crash the requests that were in progress there often meet again at the next target.
+    fn is_covered(&self, key: u64, suspect: &Suspect) -> bool {
+        let others = self.suspects.iter().filter(|(other, _)| **other != key);
+        let mut others = others.map(|(_, other)| other);
+        others.any(|other| suspect.is_covered_by(other))
+    }
+
     /// Records a crash of a target while it ran the request `key`. Returns whether it is news.
     pub fn record_crash(&mut self, key: u64, crash: Crash, now: Time) -> bool {
         let suspect = self.entry(key, 1, now);
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -10,8 +10,8 @@
 
 use crate::state::State;
 
-/// Most requests in one report or digest. With four crashes each they take about a third of a datagram.
-const MAX_REPORTS: usize = 6;
+/// Most requests in one report or digest. With six crashes each they take about a third of a datagram.
+const MAX_REPORTS: usize = 4;
 /// Reports of an instance, and digests of each collector, that tell of a crash.
 const REPEATS: u8 = 2;
 /// Time after which a collector tells again of confirmed requests, in microseconds. An instance that
