--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -7,9 +7,10 @@
 use tracing::{info, warn};
 
 use crate::{
-    digest::Digest, notices::apply_leaving, operator_age::record_operator_as_of,
-    operator_records::PeerAhead, report::RolloutReport, reporting::is_running, state::State,
-    store_era::check_peer_era, target_limits::apply_limit_reports,
+    crashes::apply_crashes, digest::Digest, notices::apply_leaving,
+    operator_age::record_operator_as_of, operator_records::PeerAhead, report::RolloutReport,
+    reporting::is_running, state::State, store_era::check_peer_era,
+    target_limits::apply_limit_reports,
 };
 
 /// Time for which the entries of an instance must have been up to date to show that the store had no
@@ -67,6 +68,7 @@
     }
     apply_leaving(state, &digest.leaving, sender.name.as_str());
     apply_limit_reports(state, &digest.limits, &sender.name);
+    apply_crashes(state, &digest.crashes, sender.name.as_str());
     for rollout in &digest.rollouts {
         apply_rollout(state, sender, rollout);
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use balance::{GatewayConfig, Route, choose_service};
+use balance::{GatewayConfig, Route, Suspicion, choose_service};
 use futures::{
     future::{Either, select},
     pin_mut,
@@ -15,6 +15,7 @@
 
 use crate::{
     attempt_log::AttemptLog,
+    crashes::{hex, request_key, suspicion},
     forward::Forwarder,
     line_class::REQUESTS,
     operator_age::operator_age_ms,
@@ -153,6 +154,7 @@
         let (state, code) = (&self.state, refusal.code);
         state.metrics.record_refusal(code);
         let age_ms = |at| state.now().since_us(at) / 1_000;
+        let key = (code == Code::Quarantined).then(|| hex(request_key(request)));
         warn!(
             event = "refused",
             id = &*self.id,
@@ -164,6 +166,7 @@
             attempts = self.attempt_log.attempts,
             unsent = self.attempt_log.unsent,
             targets = self.attempt_log.summary(),
+            key,
             config = state.config_version(),
             orders_age_ms = operator_age_ms(state),
             targets_age_ms = state.entries_as_of.get().map_or(0, age_ms)
@@ -230,6 +233,10 @@
     {
         return Err(Code::Stopping.into());
     }
+    let key = request_key(request);
+    if let Suspicion::Confirmed { left_us } = suspicion(state, key) {
+        return Err(Refusal::quarantined(Some(left_us)));
+    }
     let draw = rand::rng().random::<f64>();
     let chosen = choose_service(&route.split, draw).ok_or(Code::NoTarget)?;
     state.with_budget(&chosen.service, |budget| budget.record_request(state.now()));
@@ -237,6 +244,7 @@
     let mut forwarder = Forwarder {
         state,
         request,
+        key,
         route: &route,
         service: &chosen.service,
         deadline,
@@ -256,6 +264,7 @@
             let reopens_ms = reopens_ms(state, &chosen.service);
             Err(Refusal::at_limit(rate, reopens_ms))
         }
+        Err(Code::Quarantined) => Err(Refusal::quarantined(suspicion(state, key).left_us())),
         Err(code) => Err(code.into()),
     }
 }
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -80,6 +80,8 @@
     CancelledEarly = 3011, "caller went away before the start";
     /// The request matches no route, but the instance may lack routes that were added.
     RouteUnsure = 3012, "no route in a configuration that may be out of date";
+    /// Targets crashed while they ran the same request before.
+    Quarantined = 3013, "targets crashed under this request";
     /// The instance is stopping and has no time left for the request.
     Stopping = 3014, "instance is stopping";
 
--- a/crates/testkit/src/fleet/proxy.rs
+++ b/crates/testkit/src/fleet/proxy.rs
@@ -12,10 +12,15 @@
 };
 
 use async_std::{
+    channel::{Receiver, Sender, bounded},
     io::{ReadExt, WriteExt},
     net::{Shutdown, TcpListener, TcpStream},
     task,
 };
+use futures::{
+    future::{Either, select},
+    pin_mut,
+};
 
 /// Delay of each chunk of data in the mode `Delay`.
 const DELAY: Duration = Duration::from_millis(30);
@@ -51,6 +56,8 @@
     /// Address that the proxy listens on.
     pub addr: SocketAddr,
     state: Arc<ProxyState>,
+    /// For how long the proxy is to refuse connections from now on.
+    outages: Sender<Duration>,
 }
 
 #[derive(Debug, Default)]
@@ -70,28 +77,33 @@
     /// Returns an error if no loopback port is free.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (outages, starting) = bounded(1);
         let proxy = Self {
             addr: listener.local_addr()?,
             state: Arc::default(),
+            outages,
         };
-        let state = Arc::clone(&proxy.state);
+        let (addr, state) = (proxy.addr, Arc::clone(&proxy.state));
         task::spawn(async move {
-            while let Ok((caller, _)) = listener.accept().await {
-                let number = state.accepted.fetch_add(1, Ordering::AcqRel);
-                if let Ok(stream) = TcpStream::connect(target).await {
-                    let link = |is_response| Link {
-                        state: Arc::clone(&state),
-                        number,
-                        is_response,
-                    };
-                    task::spawn(forward(caller.clone(), stream.clone(), link(false)));
-                    task::spawn(forward(stream, caller, link(true)));
-                }
+            let mut listener = Some(listener);
+            while let Some(open) = listener.take() {
+                let Some(outage) = serve(open, target, &state, &starting).await else {
+                    return;
+                };
+                task::sleep(outage).await;
+                listener = TcpListener::bind(addr).await.ok();
             }
         });
         Ok(proxy)
     }
 
+    /// Closes all connections and refuses new ones for `outage`, as if the process behind the proxy
+    /// had crashed.
+    pub fn crash(&self, outage: Duration) {
+        // If the channel is full, an outage is about to start.
+        let _ = self.outages.try_send(outage);
+    }
+
     /// Sets the mode for new and open connections.
     pub fn set_mode(&self, mode: ProxyMode) {
         let at = MODES.iter().position(|m| *m == mode).unwrap_or(0);
@@ -115,7 +127,58 @@
     is_response: bool,
 }
 
-async fn forward(mut from: TcpStream, mut to: TcpStream, link: Link) {
+/// Forwards connections until an outage begins; then closes them and returns for how long. Returns
+/// `None` if the proxy is gone.
+async fn serve(
+    listener: TcpListener,
+    target: SocketAddr,
+    state: &Arc<ProxyState>,
+    outages: &Receiver<Duration>,
+) -> Option<Duration> {
+    // The connections end when the sender is dropped.
+    let (_is_up, ended) = bounded::<()>(1);
+    let accepting = async {
+        while let Ok((caller, _)) = listener.accept().await {
+            let number = state.accepted.fetch_add(1, Ordering::AcqRel);
+            if let Ok(stream) = TcpStream::connect(target).await {
+                for (from, to, is_response) in [
+                    (caller.clone(), stream.clone(), false),
+                    (stream.clone(), caller.clone(), true),
+                ] {
+                    let link = Link {
+                        state: Arc::clone(state),
+                        number,
+                        is_response,
+                    };
+                    task::spawn(forward(from, to, link, ended.clone()));
+                }
+            }
+        }
+    };
+    let outage = outages.recv();
+    pin_mut!(accepting, outage);
+    match select(accepting, outage).await {
+        Either::Right((Ok(outage), _)) => Some(outage),
+        // No handle is left that could start an outage.
+        Either::Right((Err(_), accepting)) => {
+            accepting.await;
+            None
+        }
+        Either::Left(_) => None,
+    }
+}
+
+async fn forward(from: TcpStream, to: TcpStream, link: Link, ended: Receiver<()>) {
+    let copying = copy(from.clone(), to.clone(), &link);
+    let ended = ended.recv();
+    pin_mut!(copying, ended);
+    select(copying, ended).await;
+    // Ends the other direction as well; errors are ignored because it may have ended already.
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+async fn copy(mut from: TcpStream, mut to: TcpStream, link: &Link) {
     let mut chunk = vec![0; 16 * 1024];
     while let Ok(len) = from.read(&mut chunk).await {
         if len == 0 || !link.wait_to_forward().await {
@@ -125,9 +188,6 @@
             break;
         }
     }
-    // Ends the other direction as well; errors are ignored because it may have ended already.
-    let _ = from.shutdown(Shutdown::Both);
-    let _ = to.shutdown(Shutdown::Both);
 }
 
 impl Link {
