A collector that was paused does not name instances that ended meanwhile

Callers could be sent to an instance more than 6 s after its end when a collector had stood still for some seconds beside it.

Cause: after a pause the collector moved the times of all reports forward by nearly the whole pause, took reports that had waited in its socket as heard now, and relays forwarded digests that they had held during a pause.

Change: a datagram that may have waited for more than two report intervals counts as of the start of the wait, for membership, and such a digest is not forwarded. After a pause of more than four intervals a collector sends no view for two intervals (the others send it reports again only once they have its first digest) and then names only those heard since. Shorter pauses are treated as before.

--- a/crates/balance/src/collector.rs
+++ b/crates/balance/src/collector.rs
@@ -11,6 +11,12 @@
 
 /// Report intervals without a report after which an instance counts as silent.
 const SILENT_INTERVALS: u64 = 4;
+/// Report intervals without a digest of its own after which a collector counts as paused. It then
+/// knows nothing of instances that have ended meanwhile.
+const PAUSED_INTERVALS: u64 = 4;
+/// Report intervals for which a collector sends no view after such a pause. The others send it reports
+/// again once they have its first digest, which takes up to one interval.
+const QUIET_INTERVALS: u64 = 2;
 /// Digests that carry a changed description. The other collectors send it as well, and an instance
 /// that misses all of them notices that its roster differs.
 const NEWS_REPEATS: u8 = 2;
@@ -28,12 +34,16 @@
     /// Latest time at which this instance was one of the first by rank.
     had_duty: Option<Time>,
     last_tick: Option<Time>,
+    /// When this instance went on after a pause, until it sends views again.
+    resumed_at: Option<Time>,
 }
 
 impl Collector {
-    /// Records a report. `is_change` states that it changes the description of its sender.
-    pub fn record_report(&mut self, from: SocketAddr, is_change: bool, now: Time) {
-        self.heard.insert(from, now);
+    /// Records a report that has arrived at `as_of` or later. `is_change` states that it changes the
+    /// description of its sender.
+    pub fn record_report(&mut self, from: SocketAddr, is_change: bool, as_of: Time) {
+        let heard = self.heard.entry(from).or_insert(as_of);
+        *heard = as_of.max(*heard);
         if is_change {
             self.news.insert(from, NEWS_REPEATS);
         }
@@ -61,21 +71,32 @@
     }
 
     /// Returns which members this instance has heard from, as of a digest that is sent now. Time in
-    /// which the process did not run does not count as silence of the others.
-    pub fn view(&mut self, members: &Members, now: Time) -> LiveView {
+    /// which the process did not run does not count as silence of the others. After a long pause there
+    /// is no view until reports have come in again, and it names only those heard since.
+    pub fn view(&mut self, members: &Members, now: Time) -> Option<LiveView> {
         let interval_us = members.interval_ms() * 1_000;
         let gap_us = self.last_tick.map_or(0, |at| now.since_us(at));
         self.last_tick = Some(now);
-        if gap_us > 2 * interval_us {
+        if gap_us > PAUSED_INTERVALS * interval_us {
+            self.resumed_at = Some(now);
+        } else if gap_us > 2 * interval_us {
             for at in self.heard.values_mut() {
                 *at = at.plus_us(gap_us - interval_us).min(now);
             }
         }
+        if let Some(resumed_at) = self.resumed_at {
+            if now.since_us(resumed_at) < QUIET_INTERVALS * interval_us {
+                return None;
+            }
+            self.resumed_at = None;
+            self.heard.retain(|_, at| *at >= resumed_at);
+        }
         let silent_us = SILENT_INTERVALS * interval_us;
         self.heard.retain(|_, at| now.since_us(*at) < silent_us);
         let own = members.own().peer_addr;
         let is_heard = |m: &Member| m.peer_addr == own || self.heard.contains_key(&m.peer_addr);
-        LiveView::new(members.fingerprint(), members.roster().map(is_heard))
+        let view = LiveView::new(members.fingerprint(), members.roster().map(is_heard));
+        Some(view)
     }
 
     /// Returns the addresses of instances whose descriptions the next digest carries.
--- a/crates/balance/src/members.rs
+++ b/crates/balance/src/members.rs
@@ -97,18 +97,18 @@
         true
     }
 
-    /// Records that an instance was heard from, with its description. Returns whether it was not
-    /// known to live, or has changed.
-    pub fn record_heard(&mut self, member: Member, now: Time) -> bool {
+    /// Records that an instance was heard from at `as_of` or later, with its description. Returns
+    /// whether it was not known to live, or has changed.
+    pub fn record_heard(&mut self, member: Member, as_of: Time) -> bool {
         let was_live = self
             .known
             .get(&member.peer_addr)
             .is_some_and(|k| self.is_live(k));
         let addr = member.peer_addr;
         self.asked.remove(&addr);
-        let is_newer = self.record_named(member, now);
+        let is_newer = self.record_named(member, as_of);
         if let Some(known) = self.known.get_mut(&addr) {
-            known.last_heard = Some(now);
+            known.last_heard = known.last_heard.max(Some(as_of));
         }
         is_newer || !was_live
     }
@@ -155,6 +155,18 @@
     /// Records the view of the collector `from` on who lives. Returns whether it is about the roster
     /// that is known here.
     pub fn record_view(&mut self, from: SocketAddr, view: &LiveView, now: Time) -> bool {
+        self.record_view_as_of(from, view, now, now)
+    }
+
+    /// The same for a view that may have waited in the socket since `as_of`. What it says holds as of
+    /// then: an instance that was paused reads views that name instances that have ended meanwhile.
+    pub fn record_view_as_of(
+        &mut self,
+        from: SocketAddr,
+        view: &LiveView,
+        as_of: Time,
+        now: Time,
+    ) -> bool {
         if from != self.own.peer_addr {
             self.digests.insert(from, now);
             self.asked.remove(&from);
@@ -164,13 +176,13 @@
             return false;
         }
         self.different.remove(&from);
-        self.view_at = now;
+        self.view_at = self.view_at.max(as_of);
         let own = self.own.peer_addr;
         let before_own = self.known.range(..own).count();
         for (index, member) in self.known.values_mut().enumerate() {
             let index = index + usize::from(index >= before_own);
             if view.is_live(index) {
-                member.last_heard = Some(now);
+                member.last_heard = member.last_heard.max(Some(as_of));
             }
         }
         true
@@ -327,6 +339,18 @@
         before.chain([&self.own]).chain(after)
     }
 
+    /// Returns the time as of which a datagram counts that is read `now` and may have waited in the
+    /// socket from `since`. Only a pause of this process, or of the network, makes that differ by more
+    /// than the intervals for which the word of a collector is valid.
+    #[must_use]
+    pub fn arrived_at(&self, since: Time, now: Time) -> Time {
+        if now.since_us(since) > self.vouched_us() {
+            since
+        } else {
+            now
+        }
+    }
+
     /// Returns the interval of reports and digests, in milliseconds.
     #[must_use]
     pub fn interval_ms(&self) -> u64 {
--- a/crates/balance/tests/members_spread.rs
+++ b/crates/balance/tests/members_spread.rs
@@ -102,6 +102,32 @@
     }
 }
 
+/// Guards against a collector that stood still and vouches for an instance that has ended meanwhile.
+#[test]
+fn frozen_collector_names_no_dead() {
+    for count in [16, 300] {
+        for (seed, delay_us) in [(0, 0), (1, 0), (2, SECOND), (3, SECOND)] {
+            let mut system = settled(count, Trouble::default(), seed);
+            let frozen = system.collectors()[0];
+            let killed = (0..count).rfind(|n| !system.collectors().contains(n));
+            let killed = killed.expect("not all collect");
+            system.freeze(frozen, 5 * SECOND + SECOND / 2);
+            system.run_until(system.now() + delay_us);
+            system.kill(&[killed]);
+            let limit = system.now() + NAMED_US;
+            for step in 0..20 {
+                system.run_until(limit + step * SECOND / 10);
+                let naming = system.naming(killed);
+                assert!(
+                    naming.is_empty(),
+                    "{count}, seed {seed}, step {step}, frozen {frozen}: {naming:?}"
+                );
+            }
+            assert_eq!(system.wrong_views(), 0, "{count}, seed {seed}");
+        }
+    }
+}
+
 /// Guards against zones that do not find each other again after a cut, and against instances of one's
 /// own zone that count as dead meanwhile.
 #[test]
--- a/crates/gateway/src/collecting.rs
+++ b/crates/gateway/src/collecting.rs
@@ -100,7 +100,9 @@
     let mut collector = state.collector.borrow_mut();
     let view = collector.view(&members, now);
     let own_addr = members.own().peer_addr;
-    members.record_view(own_addr, &view, now);
+    if let Some(view) = &view {
+        members.record_view(own_addr, view, now);
+    }
     let news = collector.take_news();
     let changed = news.into_iter().filter_map(|addr| members.get(addr));
     let (sums, instances) = state.peer_usage.borrow().total(now);
@@ -115,7 +117,7 @@
         limit
     });
     Digest {
-        view: Some(view),
+        view,
         operator_next: state.operator_next.get(),
         operator_age_ms: operator_age_ms(state),
         config_version: state.config_version(),
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -41,20 +41,21 @@
     record_operator_as_of(state, digest.operator_next, as_of);
     report_peer_ahead(state, &digest, as_of, on_peer_ahead);
     let mut members = state.members.borrow_mut();
+    let arrived = members.arrived_at(since, now);
     let is_direct = addr == from.into();
     let is_change = if is_direct {
-        members.record_heard(sender.clone(), now)
+        members.record_heard(sender.clone(), arrived)
     } else {
-        members.record_named(sender.clone(), now)
+        members.record_named(sender.clone(), arrived)
     };
     if is_change {
         log_member(sender);
     }
     let named = digest.members.into_iter();
-    let changed = named.filter(|m| members.record_named(m.clone(), now));
+    let changed = named.filter(|m| members.record_named(m.clone(), arrived));
     log_members(changed, sender.name.as_str());
     if let Some(view) = &digest.view {
-        members.record_view(addr, view, now);
+        members.record_view_as_of(addr, view, arrived, now);
     }
     drop(members);
     confirm_entries(state, digest.entries_era, digest.fresh_ms, &sender.name);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -68,7 +68,7 @@
                 let bytes = &buffer[..count];
                 let SocketAddr::V4(addr) = from else { continue };
                 if let Some(received) = ReceivedDigest::decode(bytes) {
-                    forward_digest(&state, &socket, &received);
+                    forward_digest(&state, &socket, &received, empty_at);
                     apply_digest(&state, received.digest, addr, empty_at, &on_peer_ahead);
                 } else if let Some(report) = Report::decode(bytes) {
                     receive_report(&state, &socket, &report, from, empty_at, &on_peer_ahead).await;
@@ -88,9 +88,17 @@
     }
 }
 
-/// Forwards a digest to the instances that its sender has named.
-fn forward_digest(state: &Rc<State>, socket: &Rc<UdpSocket>, received: &ReceivedDigest) {
-    if received.forward_to.is_empty() {
+/// Forwards a digest to the instances that its sender has named. One that may have waited in the
+/// socket since long ago is not: it could name instances that have ended meanwhile.
+fn forward_digest(
+    state: &Rc<State>,
+    socket: &Rc<UdpSocket>,
+    received: &ReceivedDigest,
+    since: Time,
+) {
+    let now = state.now();
+    let is_late = state.members.borrow().arrived_at(since, now) != now;
+    if received.forward_to.is_empty() || is_late {
         return;
     }
     let (state, socket) = (Rc::clone(state), Rc::clone(socket));
@@ -112,7 +120,7 @@
     since: Time,
     on_peer_ahead: &impl Fn(PeerAhead),
 ) {
-    let now = state.now();
+    let arrived = state.members.borrow().arrived_at(since, state.now());
     check_peer_era(state, report.entries_era);
     let as_of = since.minus_ms(report.operator_age_ms);
     record_operator_as_of(state, report.operator_next, as_of);
@@ -125,14 +133,14 @@
             as_of,
         });
     }
-    let Some(is_change) = record_sender(state, report, from) else {
+    let Some(is_change) = record_sender(state, report, from, arrived) else {
         return;
     };
     if !state.is_collector.get() {
         return send_welcome(state, socket, from).await;
     }
     let mut collector = state.collector.borrow_mut();
-    collector.record_report(from, is_change, now);
+    collector.record_report(from, is_change, arrived);
     drop(collector);
     apply_report(state, report, false);
     if is_change && report.member.presence == Presence::Leaving {
@@ -140,9 +148,9 @@
     }
 }
 
-/// Records the sender of a report. Returns whether its description has changed; `None` if the report
-/// is from an earlier process.
-fn record_sender(state: &State, report: &Report, from: SocketAddr) -> Option<bool> {
+/// Records the sender of a report, which arrived at `as_of` or later. Returns whether its description
+/// has changed; `None` if the report is from an earlier process.
+fn record_sender(state: &State, report: &Report, from: SocketAddr, as_of: Time) -> Option<bool> {
     let mut member = report.member.clone();
     // The address that it was sent from is the one to reach it at.
     member.peer_addr = from;
@@ -151,7 +159,7 @@
     if known.is_some_and(|k| k.incarnation > member.incarnation) {
         return None;
     }
-    let is_change = members.record_heard(member.clone(), state.now());
+    let is_change = members.record_heard(member.clone(), as_of);
     if is_change {
         log_member(&member);
     }
