Test that the end of 85% of the instances is known within 6 s (known red)

When 85% of the instances end at once, live ones count ended ones as live for more than 6 s. Instances look for new collectors in rounds of six, each of three report intervals, and the next six by rank have often ended as well.

--- a/crates/balance/tests/members_spread.rs
+++ b/crates/balance/tests/members_spread.rs
@@ -69,6 +69,21 @@
     }
 }
 
+/// Guards against views that stay wrong when nearly all instances end at once: those that would collect
+/// next have ended as well.
+#[test]
+fn most_killed_is_known_in_time() {
+    for count in [16, 103, 471] {
+        for seed in 0..10 {
+            let mut system = settled(count, Trouble::default(), seed);
+            let victims = system.random(count * 85 / 100);
+            system.kill(&victims);
+            let took_us = system.time_until_right();
+            assert!(took_us < NAMED_US, "{count}, seed {seed}: {took_us} us");
+        }
+    }
+}
+
 /// Guards against live instances that count as dead because datagrams are lost.
 #[test]
 fn lossy_links_lose_no_instance() {
