--- a/crates/balance/tests/members_spread.rs
+++ b/crates/balance/tests/members_spread.rs
@@ -69,6 +69,21 @@
     }
 }
 
+/// Guards against views that stay wrong when nearly all instances end at once: those that would collect
+/// next have ended as well.
+#[test]
+fn most_killed_is_known_in_time() {
+    for count in [16, 103, 471] {
+        for seed in 0..10 {
+            let mut system = settled(count, Trouble::default(), seed);
+            let victims = system.random(count * 85 / 100);
+            system.kill(&victims);
+            let took_us = system.time_until_right();
+            assert!(took_us < NAMED_US, "{count}, seed {seed}: {took_us} us");
+        }
+    }
+}
+
 /// Guards against live instances that count as dead because datagrams are lost.
 #[test]
 fn lossy_links_lose_no_instance() {
@@ -102,6 +117,32 @@
     }
 }
 
+/// Guards against a collector that stood still and vouches for an instance that has ended meanwhile.
+#[test]
+fn frozen_collector_names_no_dead() {
+    for count in [16, 300] {
+        for (seed, delay_us) in [(0, 0), (1, 0), (2, SECOND), (3, SECOND)] {
+            let mut system = settled(count, Trouble::default(), seed);
+            let frozen = system.collectors()[0];
+            let killed = (0..count).rfind(|n| !system.collectors().contains(n));
+            let killed = killed.expect("not all collect");
+            system.freeze(frozen, 5 * SECOND + SECOND / 2);
+            system.run_until(system.now() + delay_us);
+            system.kill(&[killed]);
+            let limit = system.now() + NAMED_US;
+            for step in 0..20 {
+                system.run_until(limit + step * SECOND / 10);
+                let naming = system.naming(killed);
+                assert!(
+                    naming.is_empty(),
+                    "{count}, seed {seed}, step {step}, frozen {frozen}: {naming:?}"
+                );
+            }
+            assert_eq!(system.wrong_views(), 0, "{count}, seed {seed}");
+        }
+    }
+}
+
 /// Guards against zones that do not find each other again after a cut, and against instances of one's
 /// own zone that count as dead meanwhile.
 #[test]
