A refusal without a run does not clear a request of crashes

Found by reading: any signed response of a target cleared what was known of crashes under the same request.

Change: only a response of a target that ran the request clears it. Test: record_result_needs_run_to_clear_suspicion failed before (0 crashes instead of 1 after the refusal).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -105,7 +105,7 @@
     match &result {
         SendResult::Response(response) => {
             record_notices(state, request.target, request.born, response, "response");
-            if response.headers.has(headers::SIGNATURE) {
+            if response.headers.has(headers::SIGNATURE) && !states_not_run(&result) {
                 record_run(state, request.key);
             }
         }
--- a/crates/gateway/src/attempt/tests.rs
+++ b/crates/gateway/src/attempt/tests.rs
@@ -69,3 +69,31 @@
             .has("content-length")
     );
 }
+
+/// Guards against a request that counts as sound because a target refused it without running it.
+#[test]
+fn record_result_needs_run_to_clear_suspicion() {
+    let state = crate::example::state(20.0);
+    let target = TargetId::new("i-1");
+    let sent = SentRequest {
+        key: 7,
+        id: None,
+        target: &target,
+        born: 1,
+        addr: "10.0.0.1:80".parse().unwrap(),
+        sent: state.now(),
+    };
+    record_crash(&state, &sent, state.now());
+    let respond = |lines: &str| {
+        let head = format!("HTTP/1.1 {lines}\r\nContent-Length: 0\r\n\r\n");
+        let mut decoder = h1::ResponseDecoder::new("GET", 100);
+        let response = decoder.feed(&mut head.into_bytes()).unwrap().unwrap();
+        let result = SendResult::Response(Box::new(response));
+        async_std::task::block_on(record_result(&state, &sent, result));
+        crate::crashes::suspicion(&state, 7).crashes()
+    };
+    let signature = headers::SIGNATURE;
+    let refusal = format!("503 Full\r\n{signature}: x\r\n{}: 1", headers::NOT_RUN);
+    assert_eq!(respond(&refusal), 1);
+    assert_eq!(respond(&format!("200 OK\r\n{signature}: x")), 0);
+}
