--- /dev/null
+++ b/review/standins/http.rs
@@ -0,0 +1,132 @@
+//! Minimal blocking HTTP/1.1 messages for the stand-ins.
+
+use std::{
+    io::{self, Read, Write},
+    net::TcpStream,
+};
+
+/// One message: its start line, header lines and body.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    pub start: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// Returns the first value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut lines = self.headers.iter();
+        let found = lines.find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the method of a request.
+    pub fn method(&self) -> &str {
+        self.start.split(' ').next().unwrap_or_default()
+    }
+
+    /// Returns the target of a request: path and query.
+    pub fn target(&self) -> &str {
+        self.start.split(' ').nth(1).unwrap_or_default()
+    }
+
+    /// Returns the path of a request.
+    pub fn path(&self) -> &str {
+        self.target().split('?').next().unwrap_or_default()
+    }
+
+    /// Returns a value of the query of a request.
+    pub fn query(&self, key: &str) -> Option<&str> {
+        let (_, query) = self.target().split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+        pairs.find(|(k, _)| *k == key).map(|(_, v)| v)
+    }
+
+    /// Returns the status of a response.
+    pub fn status(&self) -> u16 {
+        let code = self.start.split(' ').nth(1);
+        code.and_then(|text| text.parse().ok()).unwrap_or_default()
+    }
+
+    /// Returns the id of the request that the message is or answers.
+    pub fn id(&self) -> &str {
+        self.header("x-hibiscusway-request-id").unwrap_or_default()
+    }
+}
+
+/// Reads one message; `input` holds bytes that were read beyond the one before. Returns `None` at
+/// the end of the connection before a message.
+pub fn read_message(mut stream: &TcpStream, input: &mut Vec<u8>) -> io::Result<Option<Message>> {
+    let mut chunk = vec![0; 64 * 1024];
+    let head_end = loop {
+        if let Some(at) = find(input, b"\r\n\r\n") {
+            break at;
+        }
+        let count = stream.read(&mut chunk)?;
+        if count == 0 {
+            let error = io::Error::from(io::ErrorKind::UnexpectedEof);
+            return if input.is_empty() {
+                Ok(None)
+            } else {
+                Err(error)
+            };
+        }
+        input.extend_from_slice(&chunk[..count]);
+    };
+    let head = String::from_utf8_lossy(&input[..head_end]).into_owned();
+    input.drain(..head_end + 4);
+    let mut lines = head.split("\r\n");
+    let mut message = Message {
+        start: lines.next().unwrap_or_default().to_owned(),
+        ..Message::default()
+    };
+    for line in lines {
+        if let Some((name, value)) = line.split_once(':') {
+            let line = (name.to_owned(), value.trim().to_owned());
+            message.headers.push(line);
+        }
+    }
+    let length = message.header("content-length").map(str::parse::<usize>);
+    match length {
+        Some(Ok(length)) => {
+            while input.len() < length {
+                let count = stream.read(&mut chunk)?;
+                if count == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                input.extend_from_slice(&chunk[..count]);
+            }
+            message.body = input.drain(..length).collect();
+        }
+        _ if message.start.starts_with("HTTP/") => loop {
+            // A response without a length ends with its connection.
+            message.body.append(input);
+            let count = stream.read(&mut chunk)?;
+            if count == 0 {
+                break;
+            }
+            input.extend_from_slice(&chunk[..count]);
+        },
+        _ => {}
+    }
+    Ok(Some(message))
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|w| w == what)
+}
+
+/// Writes a response with a length. `head` holds further header lines, each with its line end.
+pub fn respond(mut stream: &TcpStream, status: u16, head: &str, body: &[u8]) -> io::Result<()> {
+    let length = body.len();
+    let mut bytes =
+        format!("HTTP/1.1 {status} Status\r\n{head}Content-Length: {length}\r\n\r\n").into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes)
+}
+
+/// Writes the text of a request.
+pub fn send_text(mut stream: &TcpStream, text: &str) -> io::Result<()> {
+    stream.write_all(text.as_bytes())
+}
--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,56 @@
+//! Stand-ins of the review's cases, and the cases that are scripts. `standins CASE RECORD` runs one.
+//! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
+
+mod gateway;
+mod http;
+mod pipelined;
+mod record;
+mod rig;
+mod store;
+mod target;
+mod uploads;
+
+use std::{env, process::ExitCode};
+
+use record::Record;
+
+/// Result of a case.
+pub enum Outcome {
+    Held,
+    Broken,
+    Failed(String),
+}
+
+fn main() -> ExitCode {
+    let args: Vec<String> = env::args().collect();
+    let [_, case, path] = &args[..] else {
+        eprintln!("usage: standins CASE RECORD");
+        return ExitCode::from(2);
+    };
+    let Ok(record) = Record::create(path) else {
+        eprintln!("{path} cannot be written");
+        return ExitCode::from(2);
+    };
+    let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let outcome = match &**case {
+        "pipelined" => pipelined::run(&record, has_trouble),
+        "uploads" => uploads::run(&record, has_trouble),
+        other => Outcome::Failed(format!("there is no case {other}")),
+    };
+    let code = match outcome {
+        Outcome::Held => {
+            record.say("the rule held");
+            0
+        }
+        Outcome::Broken => {
+            record.say("the rule was broken");
+            1
+        }
+        Outcome::Failed(why) => {
+            record.say(&format!("the case could not run: {why}"));
+            2
+        }
+    };
+    record.finish();
+    ExitCode::from(code)
+}
