--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod gateway;
 mod http;
+mod limit;
 mod pipelined;
 mod record;
 mod rig;
@@ -34,6 +35,7 @@
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match &**case {
         "pipelined" => pipelined::run(&record, has_trouble),
+        "limit" => limit::run(&record, has_trouble),
         "uploads" => uploads::run(&record, has_trouble),
         other => Outcome::Failed(format!("there is no case {other}")),
     };
--- a/review/standins/target.rs
+++ b/review/standins/target.rs
@@ -40,6 +40,8 @@
     pub fuse: Duration,
     /// Time for which the target is down after a crash.
     pub outage: Duration,
+    /// Requests a second that the target takes from all machines, named in all its answers.
+    pub limit: Option<u32>,
 }
 
 impl Spec {
@@ -56,6 +58,7 @@
             cold_crash: u32::MAX,
             fuse: Duration::from_millis(10),
             outage: Duration::from_secs(2),
+            limit: None,
         }
     }
 }
@@ -234,7 +237,12 @@
         // A cold target works at half its speed.
         let pace = if cold.is_zero() { 100 } else { 200 };
         let slots = self.spec.slots;
-        format!("X-Hibiscusway-Server-Load: {running},{waiting},{slots},{pace}\r\n")
+        let limit = self
+            .spec
+            .limit
+            .map(|rate| format!("Server-Limit: {rate}\r\n"));
+        let limit = limit.unwrap_or_default();
+        format!("X-Hibiscusway-Server-Load: {running},{waiting},{slots},{pace}\r\n{limit}")
     }
 
     fn serve(&self, stream: &TcpStream, process: u32) {
