--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -4,7 +4,7 @@
     env, fs, io,
     net::{SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
-    process::{Child, Command, ExitStatus, Stdio},
+    process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     thread,
     time::{Duration, Instant},
@@ -85,41 +85,18 @@
         format!("{}:{CALLER_PORT}", self.ip).parse().unwrap()
     }
 
-    pub fn directory(&self) -> SocketAddr {
-        format!("{}:{DIRECTORY_PORT}", self.ip).parse().unwrap()
-    }
-
     /// Whether the readiness check answers 200.
     pub fn is_ready(&self) -> bool {
         let addr: SocketAddr = format!("{}:{READY_PORT}", self.ip).parse().unwrap();
         get(addr, "/-/readyz").is_some_and(|(status, _)| status == 200)
     }
 
-    /// Sends the process a signal, given by name.
-    pub fn signal(&self, name: &str) -> io::Result<()> {
-        let pid = self.child.id().to_string();
-        Command::new("kill")
-            .args([&format!("-{name}"), &pid])
-            .status()?;
-        Ok(())
-    }
-
-    /// Returns the exit status if the process has ended.
-    pub fn ended(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().ok().flatten()
-    }
-
     /// Returns a figure in kilobytes from the status of the process, such as `VmRSS`.
     pub fn memory_kb(&self, figure: &str) -> Option<u64> {
         let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
         let line = status.lines().find(|l| l.starts_with(figure))?;
         line.split_whitespace().nth(1)?.parse().ok()
     }
-
-    /// Returns what the process has logged.
-    pub fn log_text(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
 }
 
 impl Drop for Gateway {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -21,11 +21,6 @@
         found.map(|(_, value)| value.as_str())
     }
 
-    /// Returns the method of a request.
-    pub fn method(&self) -> &str {
-        self.start.split(' ').next().unwrap_or_default()
-    }
-
     /// Returns the target of a request: path and query.
     pub fn target(&self) -> &str {
         self.start.split(' ').nth(1).unwrap_or_default()
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,7 +4,7 @@
 mod gateway;
 mod http;
 mod limit;
-mod pipelined;
+mod pair;
 mod record;
 mod rig;
 mod store;
@@ -34,7 +34,7 @@
     };
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match &**case {
-        "pipelined" => pipelined::run(&record, has_trouble),
+        "pair" => pair::run(&record, has_trouble),
         "limit" => limit::run(&record, has_trouble),
         "uploads" => uploads::run(&record, has_trouble),
         other => Outcome::Failed(format!("there is no case {other}")),
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -55,13 +55,6 @@
         self.append(topic, content);
     }
 
-    /// Returns the newest value of a key.
-    pub fn get(&self, topic: &str, key: &str) -> Option<String> {
-        let contents = self.shared.0.lock().unwrap();
-        let (_, value) = contents.topics.get(topic)?.newest.get(key)?;
-        Some(String::from_utf8_lossy(value).into_owned())
-    }
-
     fn append(&self, topic: &str, content: Vec<u8>) -> u64 {
         let mut contents = self.shared.0.lock().unwrap();
         let topic = contents.topics.entry(topic.to_owned()).or_default();
--- a/review/standins/target.rs
+++ b/review/standins/target.rs
@@ -32,10 +32,6 @@
     pub queue: u32,
     /// Time that a request takes.
     pub work: Duration,
-    /// Time for which the target is cold after its start.
-    pub cold: Duration,
-    /// Requests in one second above which it crashes while it is cold.
-    pub cold_crash: u32,
     /// Time from the start of a request that crashes targets to the crash.
     pub fuse: Duration,
     /// Time for which the target is down after a crash.
@@ -54,9 +50,7 @@
             slots: 3,
             queue: 6,
             work: Duration::from_millis(90),
-            cold: Duration::ZERO,
-            cold_crash: u32::MAX,
-            fuse: Duration::from_millis(10),
+            fuse: Duration::from_millis(30),
             outage: Duration::from_secs(2),
             limit: None,
         }
@@ -67,18 +61,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Run {
     pub id: String,
-    pub path: String,
     pub arrived: Duration,
     /// When it began to run.
     pub began: Option<Duration>,
-    /// When it ended or was given up.
+    /// When it ended or was given up, also because of a crash.
     pub ended: Option<Duration>,
     /// Whether its channel was closed before the answer.
     pub is_cancelled: bool,
     /// Whether the target crashed before the answer.
     pub is_lost: bool,
-    /// Whether it arrived while the target was cold.
-    pub is_cold: bool,
+    /// Whether it crashed the target itself.
+    pub is_cause: bool,
 }
 
 #[derive(Default)]
@@ -92,7 +85,6 @@
     process: u32,
     is_up: bool,
     born: u64,
-    started: Option<Instant>,
     crashes: u32,
 }
 
@@ -135,7 +127,6 @@
         let mut state = self.lock();
         state.is_up = true;
         state.process += 1;
-        state.started = Some(Instant::now());
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         state.born = now.as_millis() as u64;
         let process = state.process;
@@ -160,7 +151,6 @@
 
     fn register(&self, seq: u64) {
         let born = self.lock().born;
-        let cold_s = self.cold_left().as_secs_f64();
         let Spec {
             id,
             service,
@@ -172,7 +162,7 @@
         let entry = format!(
             "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\
              \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\
-             \"warmup_left_s\":{cold_s:.3},\"seq\":{seq},\"born\":{born}}}"
+             \"warmup_left_s\":0,\"seq\":{seq},\"born\":{born}}}"
         );
         self.store.put("keyed.servers", id, &entry);
     }
@@ -221,28 +211,19 @@
         self.state.lock().unwrap()
     }
 
-    fn cold_left(&self) -> Duration {
-        let started = self.lock().started;
-        let age = started.map_or(Duration::MAX, |at| at.elapsed());
-        self.spec.cold.saturating_sub(age)
-    }
-
     /// Returns the header lines that all answers have.
     fn load_head(&self) -> String {
         let (running, waiting) = {
             let state = self.lock();
             (state.running, state.waiting.len())
         };
-        let cold = self.cold_left();
-        // A cold target works at half its speed.
-        let pace = if cold.is_zero() { 100 } else { 200 };
         let slots = self.spec.slots;
         let limit = self
             .spec
             .limit
             .map(|rate| format!("Server-Limit: {rate}\r\n"));
         let limit = limit.unwrap_or_default();
-        format!("X-Hibiscusway-Server-Load: {running},{waiting},{slots},{pace}\r\n{limit}")
+        format!("X-Hibiscusway-Server-Load: {running},{waiting},{slots},100\r\n{limit}")
     }
 
     fn serve(&self, stream: &TcpStream, process: u32) {
@@ -256,11 +237,8 @@
             drop(state);
             let is_open = if request.path() == "/healthz" {
                 let id = &self.spec.id;
-                let cold_ms = self.cold_left().as_millis();
                 let load = self.load_head();
-                let head = format!(
-                    "X-Hibiscusway-Instance-Id: {id}\r\nX-Hibiscusway-Warmup-Ms: {cold_ms}\r\n{load}"
-                );
+                let head = format!("X-Hibiscusway-Instance-Id: {id}\r\n{load}");
                 respond(stream, 200, &head, b"").is_ok()
             } else {
                 self.answer(stream, &request, process)
@@ -282,25 +260,15 @@
             return respond(stream, 421, &head, b"").is_ok();
         }
         let arrived = self.record.now();
-        let cold = self.cold_left();
         let mut state = self.lock();
         let index = state.runs.len();
         state.runs.push(Run {
             id: id.clone(),
-            path: request.path().to_owned(),
             arrived,
-            is_cold: !cold.is_zero(),
             ..Run::default()
         });
         let is_full =
             state.running >= self.spec.slots && state.waiting.len() >= self.spec.queue as usize;
-        let second_ago = arrived.saturating_sub(Duration::from_secs(1));
-        let recent = state
-            .runs
-            .iter()
-            .rev()
-            .take_while(|r| r.arrived >= second_ago);
-        let is_crash = !cold.is_zero() && recent.count() > self.spec.cold_crash as usize;
         let ticket = state.next_ticket;
         if !is_full {
             state.next_ticket += 1;
@@ -309,11 +277,6 @@
         drop(state);
         self.record
             .line(&format!("{own} gets {id} {}", request.start));
-        if is_crash {
-            self.lock().runs[index].is_lost = true;
-            self.crash();
-            return false;
-        }
         if is_full {
             let load = self.load_head();
             let head = format!("X-Hibiscusway-Not-Executed: 1\r\n{id_line}{load}");
@@ -330,10 +293,12 @@
         } else {
             self.spec.work
         };
-        let pace = if cold.is_zero() { 1 } else { 2 };
-        let is_done = self.work(stream, work * pace, process);
+        let is_done = self.work(stream, work, process);
         if is_fatal && is_done {
-            self.lock().runs[index].is_lost = true;
+            let mut state = self.lock();
+            let run = &mut state.runs[index];
+            (run.is_lost, run.is_cause, run.ended) = (true, true, Some(self.record.now()));
+            drop(state);
             self.crash();
             return false;
         }
