--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -29,9 +29,10 @@
 
     /// Adds a line.
     pub fn line(&self, text: &str) {
-        let at = self.now().as_secs_f64();
+        // Whole milliseconds: a time with a point looks like a part of an address.
+        let at = self.now().as_millis();
         let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{at:9.3} {text}");
+        let _ = writeln!(file, "{at:>6} ms {text}");
     }
 
     /// Adds a line that is also shown.
