--- a/review/standins/uploads.rs
+++ b/review/standins/uploads.rs
@@ -26,6 +26,8 @@
 const USUAL: usize = 2;
 /// The same in the burst: one and a half times as many.
 const BURST: usize = 3;
+/// Time for which the burst lasts, as the longest one of the site file.
+const BURST_LENGTH: Duration = Duration::from_secs(5);
 /// Clients with small requests.
 const OTHERS: usize = 8;
 /// `memory_mb` of the settings, in kilobytes.
@@ -73,11 +75,11 @@
     }
 }
 
-/// Uploads one body after the other.
-fn upload(addr: SocketAddr, client: usize, is_over: &AtomicBool, record: &Record) {
+/// Uploads one body after the other until `end`.
+fn upload(addr: SocketAddr, client: usize, end: Duration, is_over: &AtomicBool, record: &Record) {
     let body = vec![b'x'; BODY];
     let mut number = 0;
-    while !is_over.load(Ordering::Relaxed) {
+    while !is_over.load(Ordering::Relaxed) && record.now() < end {
         number += 1;
         let id = format!("u{client}-{number}");
         let head = request("POST", &format!("/write/{id}"), &id, 3_000, BODY);
@@ -123,13 +125,14 @@
     }
     thread::sleep(Duration::from_secs(1));
     let uploading = if has_trouble { BURST } else { USUAL };
+    let begun = record.now();
     for client in 0..uploading {
+        let length = if client < USUAL { LENGTH } else { BURST_LENGTH };
         let (is_over, record) = (Arc::clone(&is_over), record.clone());
         clients.push(thread::spawn(move || {
-            upload(addr, client, &is_over, &record)
+            upload(addr, client, begun + length, &is_over, &record)
         }));
     }
-    let begun = record.now();
     let (mut peak_kb, mut kills) = (0, 0);
     while record.now() < begun + LENGTH {
         thread::sleep(Duration::from_millis(2));
