--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -14,6 +14,23 @@
 }
 
 impl Message {
+    /// Parses a head, which does not include the empty line.
+    pub fn from_head(bytes: &[u8]) -> Self {
+        let head = String::from_utf8_lossy(bytes);
+        let mut lines = head.split("\r\n");
+        let mut message = Self {
+            start: lines.next().unwrap_or_default().to_owned(),
+            ..Self::default()
+        };
+        for line in lines {
+            if let Some((name, value)) = line.split_once(':') {
+                let line = (name.to_owned(), value.trim().to_owned());
+                message.headers.push(line);
+            }
+        }
+        message
+    }
+
     /// Returns the first value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut lines = self.headers.iter();
@@ -69,19 +86,8 @@
         }
         input.extend_from_slice(&chunk[..count]);
     };
-    let head = String::from_utf8_lossy(&input[..head_end]).into_owned();
+    let mut message = Message::from_head(&input[..head_end]);
     input.drain(..head_end + 4);
-    let mut lines = head.split("\r\n");
-    let mut message = Message {
-        start: lines.next().unwrap_or_default().to_owned(),
-        ..Message::default()
-    };
-    for line in lines {
-        if let Some((name, value)) = line.split_once(':') {
-            let line = (name.to_owned(), value.trim().to_owned());
-            message.headers.push(line);
-        }
-    }
     let length = message.header("content-length").map(str::parse::<usize>);
     match length {
         Some(Ok(length)) => {
@@ -108,7 +114,8 @@
     Ok(Some(message))
 }
 
-fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+/// Returns where `what` begins in `bytes`.
+pub fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
     bytes.windows(what.len()).position(|w| w == what)
 }
 
@@ -121,6 +128,17 @@
     stream.write_all(&bytes)
 }
 
+/// Writes the response to a `HEAD` request, which states a length but has no body.
+pub fn respond_head(
+    mut stream: &TcpStream,
+    status: u16,
+    head: &str,
+    length: usize,
+) -> io::Result<()> {
+    let head = format!("HTTP/1.1 {status} Status\r\n{head}Content-Length: {length}\r\n\r\n");
+    stream.write_all(head.as_bytes())
+}
+
 /// Writes the text of a request.
 pub fn send_text(mut stream: &TcpStream, text: &str) -> io::Result<()> {
     stream.write_all(text.as_bytes())
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,7 +1,9 @@
 //! Stand-ins of the review's cases, and the cases that are scripts. `standins CASE RECORD` runs one.
 //! Exits with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 
+mod early;
 mod gateway;
+mod head;
 mod http;
 mod limit;
 mod pair;
@@ -34,6 +36,8 @@
     };
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let outcome = match &**case {
+        "early" => early::run(&record, has_trouble),
+        "head" => head::run(&record, has_trouble),
         "pair" => pair::run(&record, has_trouble),
         "limit" => limit::run(&record, has_trouble),
         "uploads" => uploads::run(&record, has_trouble),
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -72,6 +72,11 @@
         Ok(rig)
     }
 
+    /// Returns the address of the store and the targets.
+    pub fn ip(&self) -> &str {
+        &self.ip
+    }
+
     /// Starts and registers one more target.
     pub fn add_target(&mut self, spec: Spec) -> io::Result<()> {
         let target = Target::start(&self.ip, spec, &self.store, &self.record)?;
@@ -91,19 +96,23 @@
 
 /// Writes a manifest with a route for reads and one for writes.
 pub fn publish(store: &Store, version: u64, times: Times) {
+    publish_routes(store, version, times, &[]);
+}
+
+/// Writes a manifest with these routes and the `more` ones: kind, name and priority of each.
+pub fn publish_routes(store: &Store, version: u64, times: Times, more: &[(&str, &str, u32)]) {
     let Times { timeout_s, aim_s } = times;
     let route = |kind: &str, prefix: &str, priority: u32| {
         format!(
-            "{{\"name\":\"r-{kind}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{prefix}/\",\
+            "{{\"name\":\"r-{prefix}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{prefix}/\",\
              \"kind\":\"{kind}\",\"timeout_s\":{timeout_s},\"aim_s\":{aim_s},\
              \"priority\":{priority},\"service\":\"orders\",\"attempts\":2}}"
         )
     };
-    let routes = [
-        route("idempotent", "read", 2),
-        route("non_idempotent", "write", 1),
-    ]
-    .join(",");
+    let always = [("idempotent", "read", 2), ("non_idempotent", "write", 1)];
+    let routes = always.iter().chain(more);
+    let routes: Vec<String> = routes.map(|(kind, name, rank)| route(kind, name, *rank)).collect();
+    let routes = routes.join(",");
     let config = format!(
         "{{\"version\":\"{version:08x}\",\"routes\":[{routes}],\"services\":[{{\"name\":\"orders\",\
          \"health_path\":\"/healthz\",\"max_conns\":240,\"protocol\":\"h1\",\"tls\":false,\
--- a/review/standins/target.rs
+++ b/review/standins/target.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    http::{Message, read_message, respond},
+    http::{Message, read_message, respond, respond_head},
     record::Record,
     store::Store,
 };
@@ -314,7 +314,11 @@
         self.record.line(&format!("{own} has run {id}"));
         let load = self.load_head();
         let head = format!("{id_line}X-Hibiscusway-Response-Signature: s.{id}\r\n{load}");
-        respond(stream, 200, &head, format!("{id}@{own}").as_bytes()).is_ok()
+        let body = format!("{id}@{own}");
+        if request.start.starts_with("HEAD ") {
+            return respond_head(stream, 200, &head, body.len()).is_ok();
+        }
+        respond(stream, 200, &head, body.as_bytes()).is_ok()
     }
 
     /// Waits until a request may run. Returns `false` if its channel was closed before.
