--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -111,7 +111,9 @@
     };
     let always = [("idempotent", "read", 2), ("non_idempotent", "write", 1)];
     let routes = always.iter().chain(more);
-    let routes: Vec<String> = routes.map(|(kind, name, rank)| route(kind, name, *rank)).collect();
+    let routes: Vec<String> = routes
+        .map(|(kind, name, rank)| route(kind, name, *rank))
+        .collect();
     let routes = routes.join(",");
     let config = format!(
         "{{\"version\":\"{version:08x}\",\"routes\":[{routes}],\"services\":[{{\"name\":\"orders\",\
