--- a/review/standins/uploads.rs
+++ b/review/standins/uploads.rs
@@ -26,14 +26,17 @@
 const USUAL: usize = 2;
 /// The same in the burst: one and a half times as many.
 const BURST: usize = 3;
-/// Time for which the burst lasts, as the longest one of the site file.
-const BURST_LENGTH: Duration = Duration::from_secs(5);
+/// Bursts, each with the time from its start to that of the next one.
+const BURSTS: u32 = 4;
+const BURST_EACH: Duration = Duration::from_millis(3_500);
+/// Time for which a burst lasts. The longest one of the site file takes 5 s.
+const BURST_LENGTH: Duration = Duration::from_millis(1_200);
 /// Clients with small requests.
 const OTHERS: usize = 8;
 /// `memory_mb` of the settings, in kilobytes.
 const MEMORY_KB: u64 = 260 * 1024;
 /// Time for which the platform watches.
-const LENGTH: Duration = Duration::from_secs(12);
+const LENGTH: Duration = Duration::from_secs(16);
 
 /// Ends of a request on a kept channel.
 #[derive(Default)]
@@ -127,10 +130,17 @@
     let uploading = if has_trouble { BURST } else { USUAL };
     let begun = record.now();
     for client in 0..uploading {
-        let length = if client < USUAL { LENGTH } else { BURST_LENGTH };
         let (is_over, record) = (Arc::clone(&is_over), record.clone());
         clients.push(thread::spawn(move || {
-            upload(addr, client, begun + length, &is_over, &record)
+            if client < USUAL {
+                return upload(addr, client, begun + LENGTH, &is_over, &record);
+            }
+            for burst in 0..BURSTS {
+                let start = begun + BURST_EACH * burst;
+                thread::sleep(start.saturating_sub(record.now()));
+                record.line(&format!("burst {burst} begins"));
+                upload(addr, client, start + BURST_LENGTH, &is_over, &record);
+            }
         }));
     }
     let (mut peak_kb, mut kills) = (0, 0);
