--- a/review/standins/gateway.rs
+++ b/review/standins/gateway.rs
@@ -52,18 +52,24 @@
 }
 
 impl Gateway {
-    /// Starts a process in `folder` with the settings of a small deployment.
+    /// Starts a process in `folder` with the settings of a small deployment. `is_first` states whether the
+    /// whole system starts for the first time.
     pub fn start(
         folder: &str,
         ip: &str,
         zone: &str,
         store: SocketAddr,
         seeds: &[String],
+        is_first: bool,
     ) -> io::Result<Self> {
         let name = format!("edge-{zone}-{}", ip.rsplit('.').next().unwrap_or_default());
         let settings = PathBuf::from(format!("{folder}/{name}.toml"));
         let log = PathBuf::from(format!("{folder}/{name}.log"));
-        fs::write(&settings, settings_text(&name, ip, zone, store, seeds))?;
+        let mut text = settings_text(&name, ip, zone, store, seeds);
+        if !is_first {
+            text = later_start(&text);
+        }
+        fs::write(&settings, text)?;
         let child = spawn(&settings, &log)?;
         Ok(Self {
             child,
@@ -77,6 +83,8 @@
     /// Starts the process again after it has ended.
     pub fn restart(&mut self) -> io::Result<()> {
         self.child.wait()?;
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, later_start(&text))?;
         self.child = spawn(&self.settings, &self.log)?;
         Ok(())
     }
@@ -146,6 +154,11 @@
         .spawn()
 }
 
+/// Returns the settings of a process that starts when the system runs already.
+fn later_start(text: &str) -> String {
+    text.replace("first_start = true", "first_start = false")
+}
+
 /// Returns the settings that `deploy/settings.toml` gives for a small deployment.
 fn settings_text(name: &str, ip: &str, zone: &str, store: SocketAddr, seeds: &[String]) -> String {
     let seeds: Vec<String> = seeds
--- a/review/standins/limit.rs
+++ b/review/standins/limit.rs
@@ -28,6 +28,8 @@
 const LENGTH: Duration = Duration::from_secs(16);
 /// Length of the window of the rule.
 const WINDOW: Duration = Duration::from_secs(4);
+/// Time from the loss to the start of the added machine, within `seed_lag_s` (3 s).
+const ADDED_AFTER: Duration = Duration::from_secs(2);
 /// `contact_s`: time from which the limit binds.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -103,8 +105,8 @@
         record.line(&format!("{} is lost for good", gateway.name));
         drop(gateway);
     }
-    thread::sleep(Duration::from_secs(7));
-    let added = match Gateway::start(&rig.folder, &free_ip(), "a", rig.store.addr, &seeds) {
+    thread::sleep(ADDED_AFTER);
+    let added = match Gateway::start(&rig.folder, &free_ip(), "a", rig.store.addr, &seeds, false) {
         Ok(added) => added,
         Err(error) => return Outcome::Failed(error.to_string()),
     };
--- a/review/standins/rig.rs
+++ b/review/standins/rig.rs
@@ -60,7 +60,7 @@
         let ips: Vec<String> = (0..gateways).map(|_| free_ip()).collect();
         let seeds: Vec<String> = ips.iter().take(3).cloned().collect();
         for (ip, zone) in ips.iter().zip(["a", "b", "c"].into_iter().cycle()) {
-            let gateway = Gateway::start(&rig.folder, ip, zone, rig.store.addr, &seeds)?;
+            let gateway = Gateway::start(&rig.folder, ip, zone, rig.store.addr, &seeds, true)?;
             rig.gateways.push(gateway);
         }
         if !wait_ready(&rig.gateways, Duration::from_secs(15)) {
