--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -3,8 +3,39 @@
 use std::{
     io::{self, Read, Write},
     net::TcpStream,
+    thread,
+    time::{Duration, Instant},
 };
 
+/// Bytes a second of one of three messages that share a link of 1,000 Mbit/s.
+pub const LINK_SHARE: f64 = 125_000_000.0 / 3.0;
+/// Length from which a body is read at that rate.
+const LONG_BODY: usize = 16 * 1024 * 1024;
+
+/// Keeps a transfer to a rate.
+pub struct Pace {
+    start: Instant,
+    rate: f64,
+    bytes: usize,
+}
+
+impl Pace {
+    pub fn new(rate: f64) -> Self {
+        Self {
+            start: Instant::now(),
+            rate,
+            bytes: 0,
+        }
+    }
+
+    /// Waits until `count` more bytes may have been transferred.
+    pub fn wait(&mut self, count: usize) {
+        self.bytes += count;
+        let due = Duration::from_secs_f64(self.bytes as f64 / self.rate);
+        thread::sleep(due.saturating_sub(self.start.elapsed()));
+    }
+}
+
 /// One message: its start line, header lines and body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -91,11 +122,15 @@
     let length = message.header("content-length").map(str::parse::<usize>);
     match length {
         Some(Ok(length)) => {
+            let mut pace = (length >= LONG_BODY).then(|| Pace::new(LINK_SHARE));
             while input.len() < length {
                 let count = stream.read(&mut chunk)?;
                 if count == 0 {
                     return Err(io::ErrorKind::UnexpectedEof.into());
                 }
+                if let Some(pace) = &mut pace {
+                    pace.wait(count);
+                }
                 input.extend_from_slice(&chunk[..count]);
             }
             message.body = input.drain(..length).collect();
--- a/review/standins/uploads.rs
+++ b/review/standins/uploads.rs
@@ -2,7 +2,7 @@
 //! platform kills a process that exceeds `memory_mb` and starts it again after a short delay.
 
 use std::{
-    io::Write,
+    io::{self, Write},
     net::{SocketAddr, TcpStream},
     sync::{
         Arc, Mutex,
@@ -14,7 +14,7 @@
 
 use crate::{
     Outcome,
-    http::read_message,
+    http::{LINK_SHARE, Pace, read_message},
     record::Record,
     rig::{Rig, Times, request},
     target::{Spec, Target},
@@ -47,7 +47,13 @@
 }
 
 /// Sends small requests on one channel, and opens another one when it ends.
-fn send_small(addr: SocketAddr, client: usize, is_over: &AtomicBool, ends: &Mutex<Ends>) {
+fn send_small(
+    addr: SocketAddr,
+    client: usize,
+    is_over: &AtomicBool,
+    ends: &Mutex<Ends>,
+    record: &Record,
+) {
     let mut number = 0;
     while !is_over.load(Ordering::Relaxed) {
         let Ok(mut stream) = TcpStream::connect_timeout(&addr, Duration::from_secs(1)) else {
@@ -65,7 +71,11 @@
             if stream.write_all(&text).is_err() {
                 break;
             }
-            match read_message(&stream, &mut input) {
+            record.line(&format!("{id} is sent"));
+            let answer = read_message(&stream, &mut input);
+            let status = answer.as_ref().ok().and_then(Option::as_ref);
+            record.line(&format!("{id} gets {:?}", status.map(|a| a.status())));
+            match answer {
                 Ok(Some(_)) => ends.lock().unwrap().answered += 1,
                 _ if is_kept => {
                     ends.lock().unwrap().cut.push(id);
@@ -78,6 +88,16 @@
     }
 }
 
+/// Writes a body at the rate of one of three that share the link.
+fn write_paced(stream: &mut TcpStream, body: &[u8]) -> io::Result<()> {
+    let mut pace = Pace::new(LINK_SHARE);
+    for chunk in body.chunks(256 * 1024) {
+        stream.write_all(chunk)?;
+        pace.wait(chunk.len());
+    }
+    Ok(())
+}
+
 /// Uploads one body after the other until `end`.
 fn upload(addr: SocketAddr, client: usize, end: Duration, is_over: &AtomicBool, record: &Record) {
     let body = vec![b'x'; BODY];
@@ -94,7 +114,7 @@
         record.line(&format!("{id} begins to upload {BODY} bytes"));
         let sent = stream
             .write_all(head.as_bytes())
-            .and_then(|()| stream.write_all(&body));
+            .and_then(|()| write_paced(&mut stream, &body));
         let answer = sent
             .ok()
             .and_then(|()| read_message(&stream, &mut Vec::new()).ok()?);
@@ -121,9 +141,9 @@
     let ends = Arc::new(Mutex::new(Ends::default()));
     let mut clients = Vec::new();
     for client in 0..OTHERS {
-        let (is_over, ends) = (Arc::clone(&is_over), Arc::clone(&ends));
+        let (is_over, ends, record) = (Arc::clone(&is_over), Arc::clone(&ends), record.clone());
         clients.push(thread::spawn(move || {
-            send_small(addr, client, &is_over, &ends)
+            send_small(addr, client, &is_over, &ends, &record)
         }));
     }
     thread::sleep(Duration::from_secs(1));
