--- a/review/standins/head.rs
+++ b/review/standins/head.rs
@@ -17,6 +17,8 @@
 
 /// Pairs of requests of each client.
 const PAIRS: u32 = 60;
+/// One pair of so many has its `HEAD` on the route that is removed; the others use a route that stays.
+const REMOVED_EACH: u32 = 6;
 /// Time between two pairs.
 const GAP: Duration = Duration::from_millis(150);
 /// Time from the first pair to the manifest.
@@ -97,11 +99,18 @@
             continue;
         };
         let (head, get) = (format!("{name}-h{number}"), format!("{name}-g{number}"));
+        let folder = if number % REMOVED_EACH == REMOVED_EACH - 1 {
+            "old"
+        } else {
+            "read"
+        };
         let pair = [
-            request("HEAD", &format!("/old/{head}"), &head, DEADLINE_MS, 0),
+            request("HEAD", &format!("/{folder}/{head}"), &head, DEADLINE_MS, 0),
             request("GET", &format!("/read/{get}"), &get, DEADLINE_MS, 0),
         ];
-        record.line(&format!("HEAD {head} and GET {get} are sent"));
+        record.line(&format!(
+            "HEAD /{folder}/{head} and GET /read/{get} are sent"
+        ));
         let result = send_text(&open.stream, &pair.concat()).and_then(|()| open.read_pair());
         match result {
             Ok(Ok((first, second))) => {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -12,7 +12,11 @@
 mod target;
 mod uploads;
 
-use std::{env, process::ExitCode};
+use std::{
+    env,
+    panic::{AssertUnwindSafe, catch_unwind},
+    process::ExitCode,
+};
 
 use record::Record;
 
@@ -34,13 +38,15 @@
         return ExitCode::from(2);
     };
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
-    let outcome = match &**case {
+    let run = || match &**case {
         "early" => early::run(&record, has_trouble),
         "head" => head::run(&record, has_trouble),
         "limit" => limit::run(&record, has_trouble),
         "uploads" => uploads::run(&record, has_trouble),
         other => Outcome::Failed(format!("there is no case {other}")),
     };
+    let outcome = catch_unwind(AssertUnwindSafe(run))
+        .unwrap_or_else(|_| Outcome::Failed(String::from("a stand-in has panicked")));
     let code = match outcome {
         Outcome::Held => {
             record.say("the rule held");
