Review case 4: limits within the dose, judged once both machines know them (LIMIT)

Now two of three do, for 16 s, 20 requests a second each. Arrivals count from half a second after both machines have passed on an answer.

--- a/review/standins/limit.rs
+++ b/review/standins/limit.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpStream},
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -20,8 +20,11 @@
     target::{Spec, Target},
 };
 
-/// Requests a second that each target takes from all machines together.
-const RATE: u32 = 10;
+/// Targets that state a limit, of [`TARGETS`].
+const LIMITED: usize = 2;
+const TARGETS: usize = 3;
+/// Requests a second that these take from all machines together: half of what a target usually gets.
+const RATE: u32 = 20;
 /// Requests a second that clients send to each of the two machines.
 const LOAD: u32 = 60;
 /// Time for which they send.
@@ -41,9 +44,20 @@
     Some(read_message(&stream, &mut Vec::new()).ok()??.status())
 }
 
-/// Sends requests at a steady rate to one machine. Returns how many were served.
-fn press(addr: SocketAddr, name: &str) -> u32 {
+/// Time from a machine's first answer of a target to the window.
+const PASSED_ON: Duration = Duration::from_millis(500);
+
+/// What came of the requests to one machine.
+struct Pressed {
+    served: u32,
+    /// When the first answer of a target, which names its limit, was passed on.
+    first: Duration,
+}
+
+/// Sends requests at a steady rate to one machine.
+fn press(addr: SocketAddr, name: &str, record: &Record) -> Pressed {
     let served = Arc::new(AtomicU32::new(0));
+    let first_ms = Arc::new(AtomicU64::new(u64::MAX));
     let start = Instant::now();
     let mut senders = Vec::new();
     for number in 0_u32.. {
@@ -52,25 +66,37 @@
             break;
         }
         thread::sleep(at.saturating_sub(start.elapsed()));
-        let (id, served) = (format!("{name}-{number}"), Arc::clone(&served));
+        let (id, record) = (format!("{name}-{number}"), record.clone());
+        let (served, first_ms) = (Arc::clone(&served), Arc::clone(&first_ms));
         senders.push(thread::spawn(move || {
-            let is_served = send(addr, &id) == Some(200);
-            served.fetch_add(u32::from(is_served), Ordering::Relaxed);
+            record.line(&format!("{id} is sent"));
+            let status = send(addr, &id);
+            record.line(&format!("{id} gets {status:?}"));
+            if status == Some(200) {
+                served.fetch_add(1, Ordering::Relaxed);
+                first_ms.fetch_min(record.now().as_millis() as u64, Ordering::Relaxed);
+            }
         }));
     }
     for sender in senders {
         let _ = sender.join();
     }
-    served.load(Ordering::Relaxed)
+    Pressed {
+        served: served.load(Ordering::Relaxed),
+        first: Duration::from_millis(first_ms.load(Ordering::Relaxed)),
+    }
 }
 
-/// Returns the most arrivals of a target in a window that begins `CONTACT` after the first one or later.
-fn most_in_window(target: &Target) -> usize {
+/// Returns the most arrivals of a target in a window that begins `CONTACT` after the first one or later,
+/// and not before `bound_from`.
+fn most_in_window(target: &Target, bound_from: Duration) -> usize {
     let arrivals: Vec<Duration> = target.runs().iter().map(|run| run.arrived).collect();
     let Some(first) = arrivals.first() else {
         return 0;
     };
-    let bound = arrivals.iter().filter(|at| **at >= *first + CONTACT);
+    let bound = arrivals
+        .iter()
+        .filter(|at| **at >= (*first + CONTACT).max(bound_from));
     let bound: Vec<Duration> = bound.copied().collect();
     let in_window = |from: &Duration| {
         bound
@@ -82,9 +108,8 @@
 }
 
 pub fn run(record: &Record, has_trouble: bool) -> Outcome {
-    let specs = (0..3).map(|n| Spec {
-        limit: Some(RATE),
-        work: Duration::from_millis(30),
+    let specs = (0..TARGETS).map(|n| Spec {
+        work: Duration::from_millis(50),
         ..Spec::new(&format!("i-{n}"), "orders", ["a", "b", "c"][n % 3])
     });
     let times = Times {
@@ -119,13 +144,24 @@
     let count = rig.gateways.len();
     let old = rig.gateways[count - 2].callers();
     let new = rig.gateways[count - 1].callers();
-    let pressing = thread::spawn(move || press(old, "old"));
-    let by_new = press(new, "new");
-    let by_old = pressing.join().unwrap_or_default();
+    for target in &rig.targets[..LIMITED] {
+        target.set_limit(RATE);
+    }
+    record.line("the limits are stated from now on");
+    let old_record = record.clone();
+    let pressing = thread::spawn(move || press(old, "old", &old_record));
+    let by_new = press(new, "new", record);
+    let Ok(by_old) = pressing.join() else {
+        return Outcome::Failed(String::from("a client has panicked"));
+    };
+    if by_old.served < 50 || by_new.served < 50 {
+        return Outcome::Failed(String::from("a machine has served too few requests"));
+    }
+    let bound_from = by_old.first.max(by_new.first) + PASSED_ON;
     let allowed = f64::from(RATE) * WINDOW.as_secs_f64() * 1.5 + 5.0;
     let mut is_broken = false;
-    for target in &rig.targets {
-        let most = most_in_window(target);
+    for target in &rig.targets[..LIMITED] {
+        let most = most_in_window(target, bound_from);
         is_broken |= most as f64 > allowed;
         record.say(&format!(
             "{}: at most {most} requests in 4 s, {allowed} allowed",
@@ -133,12 +169,10 @@
         ));
     }
     record.say(&format!(
-        "served by the old machine {by_old}, by the added one {by_new}"
+        "served by the old machine {}, by the added one {}",
+        by_old.served, by_new.served
     ));
     rig.gateways.clear();
-    if by_old < 50 || by_new < 50 {
-        return Outcome::Failed(String::from("a machine has served too few requests"));
-    }
     if is_broken {
         Outcome::Broken
     } else {
--- a/review/standins/target.rs
+++ b/review/standins/target.rs
@@ -32,8 +32,6 @@
     pub queue: u32,
     /// Time that a request takes.
     pub work: Duration,
-    /// Requests a second that the target takes from all machines, named in all its answers.
-    pub limit: Option<u32>,
 }
 
 impl Spec {
@@ -46,7 +44,6 @@
             slots: 3,
             queue: 6,
             work: Duration::from_millis(90),
-            limit: None,
         }
     }
 }
@@ -71,6 +68,8 @@
     next_ticket: u64,
     runs: Vec<Run>,
     born: u64,
+    /// Requests a second that the target takes from all machines, named in all its answers.
+    limit: Option<u32>,
 }
 
 /// A running target. Clones share its state.
@@ -142,21 +141,23 @@
         self.lock().runs.clone()
     }
 
+    /// Begins to name a limit in all answers.
+    pub fn set_limit(&self, rate: u32) {
+        self.lock().limit = Some(rate);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap()
     }
 
     /// Returns the header lines that all answers have.
     fn load_head(&self) -> String {
-        let (running, waiting) = {
+        let (running, waiting, limit) = {
             let state = self.lock();
-            (state.running, state.waiting.len())
+            (state.running, state.waiting.len(), state.limit)
         };
         let slots = self.spec.slots;
-        let limit = self
-            .spec
-            .limit
-            .map(|rate| format!("Server-Limit: {rate}\r\n"));
+        let limit = limit.map(|rate| format!("Server-Limit: {rate}\r\n"));
         let limit = limit.unwrap_or_default();
         format!("X-Hibiscusway-Server-Load: {running},{waiting},{slots},100\r\n{limit}")
     }
