--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,45 @@
+//! Cases of the review that run the gateway as separate processes. `CASE FOLDER` plays one and writes
+//! `record.txt` into the folder. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
+//! not run.
+
+mod big_bodies;
+mod cold_wipe;
+mod gateway;
+mod http;
+mod drain;
+mod poison;
+mod record;
+mod rig;
+mod store;
+mod target;
+
+use std::{env, path::Path, process::exit};
+
+fn main() {
+    let arguments: Vec<String> = env::args().collect();
+    let [_, case, folder] = &arguments[..] else {
+        eprintln!("usage: CASE FOLDER");
+        exit(2);
+    };
+    let folder = Path::new(folder);
+    let result = match &**case {
+        "big-bodies" => big_bodies::run(folder),
+        "poison-wipe" => poison::run_wipe(folder),
+        "poison-pair" => poison::run_pair(folder),
+        "cold-wipe" => cold_wipe::run(folder),
+        "foreign-entry" => drain::run_foreign(folder),
+        "restored-drain" => drain::run_restored(folder),
+        _ => {
+            eprintln!("unknown case {case}");
+            exit(2);
+        }
+    };
+    match result {
+        Ok(true) => exit(1),
+        Ok(false) => exit(0),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            exit(2);
+        }
+    }
+}
