--- a/review/standins-2/drain.rs
+++ b/review/standins-2/drain.rs
@@ -24,7 +24,10 @@
 fn rig(record: &Record, gateways: usize) -> io::Result<Rig> {
     let mut rig = Rig::start(record)?;
     let more = "\"timeout_s\":0.8,\"aim_s\":0.25,\"priority\":2,\"attempts\":2";
-    rig.publish(&route("batch", "idempotent", "/batch/", "orders", more), &service("orders"));
+    rig.publish(
+        &route("batch", "idempotent", "/batch/", "orders", more),
+        &service("orders"),
+    );
     for index in 0..TARGETS {
         rig.add_target(Spec {
             name: format!("i-{index}"),
@@ -37,7 +40,7 @@
             deadly: None,
             crash_after: Duration::ZERO,
             down: Duration::ZERO,
-            limit: None,
+            most_cold: None,
         })?;
         // The targets write their entries at different times.
         thread::sleep(HEARTBEAT / TARGETS as u32);
@@ -77,7 +80,7 @@
     count
 }
 
-/// Another writer writes an entry without `born` under the id of a target that has left.
+/// Another writer writes an entry with a `born` of another type under the id of a target that has left.
 pub fn run_foreign(folder: &Path) -> io::Result<bool> {
     let record = record_in(folder)?;
     let rig = rig(&record, 3)?;
@@ -90,7 +93,7 @@
     if has_trouble() {
         let entry = format!(
             "{{\"service\":\"orders\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":3,\
-             \"state\":\"ready\",\"warmup_left_s\":0,\"seq\":1}}",
+             \"state\":\"ready\",\"warmup_left_s\":0,\"seq\":1,\"born\":null}}",
             target.addr
         );
         record.say(&format!("another writer writes {} = {entry}", target.id()));
@@ -98,7 +101,12 @@
     }
     thread::sleep(Duration::from_secs(6));
     let seen = load.stop();
-    let late = late_runs(&record, &[target], &seen, left + DRAIN + Duration::from_millis(100));
+    let late = late_runs(
+        &record,
+        &[target],
+        &seen,
+        left + DRAIN + Duration::from_millis(100),
+    );
     record.say(&format!(
         "DRAIN: {late} requests that were sent later than 2 s after the target was gone reach it; one \
          breaks the rule"
@@ -143,7 +151,11 @@
     let targets: Vec<&Target> = leaving.iter().collect();
     for target in &targets {
         let entry = rig.store.get("keyed.servers", &target.id());
-        record.say(&format!("at the end the store has {} = {}", target.id(), entry.unwrap_or_default()));
+        record.say(&format!(
+            "at the end the store has {} = {}",
+            target.id(),
+            entry.unwrap_or_default()
+        ));
     }
     let late = late_runs(&record, &targets, &seen, calm);
     record.say(&format!(
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -76,7 +76,14 @@
 
     /// Starts the process again, as the platform does after it has ended.
     pub fn restart(&mut self) -> io::Result<()> {
-        let text = settings(&self.name, &self.zone, self.ip, self.store, &self.seeds, false)?;
+        let text = settings(
+            &self.name,
+            &self.zone,
+            self.ip,
+            self.store,
+            &self.seeds,
+            false,
+        )?;
         self.child = spawn(&self.folder, &self.name, &text)?;
         Ok(())
     }
@@ -84,15 +91,9 @@
     /// Sends a signal by its name, such as `TERM`, `STOP` or `CONT`.
     pub fn signal(&self, signal: &str) {
         let pid = self.pid().to_string();
-        let _ = Command::new("kill").args([&format!("-{signal}"), &pid]).status();
-    }
-
-    /// Resident memory in bytes.
-    pub fn memory(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.pid())).unwrap_or_default();
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-        let kb = line.and_then(|l| l.split_whitespace().next()?.parse::<u64>().ok());
-        kb.unwrap_or_default() * 1024
+        let _ = Command::new("kill")
+            .args([&format!("-{signal}"), &pid])
+            .status();
     }
 }
 
@@ -105,7 +106,10 @@
 fn spawn(folder: &Path, name: &str, text: &str) -> io::Result<Child> {
     let file = folder.join(format!("{name}.toml"));
     fs::write(&file, text)?;
-    let log = fs::OpenOptions::new().create(true).append(true).open(folder.join(format!("{name}.log")))?;
+    let log = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(folder.join(format!("{name}.log")))?;
     // The command of `deploy/system.toml`.
     Command::new("target/release/hibiscusway")
         .args(["--gateway", "--settings-var", "HIBISCUSWAY_SETTINGS"])
@@ -126,7 +130,10 @@
     bootstrap: bool,
 ) -> io::Result<String> {
     let mut text = fs::read_to_string("deploy/settings.toml")?;
-    let list: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{CONTROL}\"")).collect();
+    let list: Vec<String> = seeds
+        .iter()
+        .map(|ip| format!("\"{ip}:{CONTROL}\""))
+        .collect();
     if let (Some(start), Some(end)) = (text.find("{{#seeds}}"), text.find("{{/seeds}}")) {
         text.replace_range(start..end + "{{/seeds}}".len(), &list.join(","));
     }
@@ -156,7 +163,9 @@
         text = text.replace(&format!("{{{{{key}}}}}"), &value);
     }
     if text.contains("{{") {
-        return Err(io::Error::other("a placeholder of the settings is not filled in"));
+        return Err(io::Error::other(
+            "a placeholder of the settings is not filled in",
+        ));
     }
     Ok(text)
 }
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -17,7 +17,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 
@@ -62,7 +65,10 @@
     }
 
     pub fn connect(addr: SocketAddr) -> io::Result<Self> {
-        Ok(Self::new(TcpStream::connect_timeout(&addr, Duration::from_secs(1))?))
+        Ok(Self::new(TcpStream::connect_timeout(
+            &addr,
+            Duration::from_secs(1),
+        )?))
     }
 
     fn fill(&mut self) -> io::Result<()> {
@@ -105,7 +111,9 @@
                 break;
             }
             let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
-            message.headers.push((name.to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
         if message.header("transfer-encoding").is_some() {
             loop {
@@ -119,7 +127,9 @@
                 }
             }
         }
-        let length = message.header("content-length").and_then(|v| v.parse().ok());
+        let length = message
+            .header("content-length")
+            .and_then(|v| v.parse().ok());
         message.body = self.bytes(length.unwrap_or(0))?;
         Ok(message)
     }
@@ -131,7 +141,8 @@
     /// Reads one message until `end`.
     pub fn read_until(&mut self, end: Instant) -> io::Result<Message> {
         let left = end.saturating_duration_since(Instant::now());
-        self.stream.set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
+        self.stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))))?;
         self.read()
     }
 
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,11 +2,10 @@
 //! `record.txt` into the folder. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 //! not run.
 
-mod big_bodies;
 mod cold_wipe;
+mod drain;
 mod gateway;
 mod http;
-mod drain;
 mod poison;
 mod record;
 mod rig;
@@ -23,7 +22,6 @@
     };
     let folder = Path::new(folder);
     let result = match &**case {
-        "big-bodies" => big_bodies::run(folder),
         "poison-wipe" => poison::run_wipe(folder),
         "poison-pair" => poison::run_pair(folder),
         "poison-waves" => poison::run_waves(folder),
--- a/review/standins-2/poison.rs
+++ b/review/standins-2/poison.rs
@@ -26,7 +26,10 @@
 ) -> io::Result<Rig> {
     let mut rig = Rig::start(record)?;
     let more = "\"timeout_s\":0.8,\"aim_s\":0.25,\"priority\":2,\"attempts\":2";
-    rig.publish(&route("batch", "idempotent", "/batch/", "orders", more), &service("orders"));
+    rig.publish(
+        &route("batch", "idempotent", "/batch/", "orders", more),
+        &service("orders"),
+    );
     for index in 0..targets {
         rig.add_target(Spec {
             name: format!("i-{index}"),
@@ -39,7 +42,7 @@
             deadly,
             crash_after: Duration::from_millis(30),
             down: Duration::from_secs(3),
-            limit: None,
+            most_cold: None,
         })?;
     }
     rig.start_gateways(gateways)?;
@@ -51,13 +54,18 @@
 /// Runs of `path` that count: sent later than `contact_s` after the third crash.
 fn late(rig: &Rig, path: &str) -> (usize, Vec<Run>) {
     let targets = rig.targets.iter();
-    let mut runs: Vec<Run> = targets.flat_map(|t| t.runs.lock().unwrap().clone()).collect();
+    let mut runs: Vec<Run> = targets
+        .flat_map(|t| t.runs.lock().unwrap().clone())
+        .collect();
     runs.retain(|run| run.path == path);
     runs.sort_by_key(|run| run.at);
     let all = runs.len();
     let targets = rig.targets.iter();
     let crashes = targets.flat_map(|t| t.crashes.lock().unwrap().clone());
-    let mut crashes: Vec<Instant> = crashes.filter(|(_, p)| p == path).map(|(at, _)| at).collect();
+    let mut crashes: Vec<Instant> = crashes
+        .filter(|(_, p)| p == path)
+        .map(|(at, _)| at)
+        .collect();
     crashes.sort_unstable();
     let Some(third) = crashes.get(2) else {
         return (all, Vec::new());
@@ -106,7 +114,11 @@
     come(&rig, 12);
     let (all, late) = late(&rig, path);
     for run in &late {
-        record.say(&format!("{:.3} s: {} begins to run it", record.seconds(run.at), run.target));
+        record.say(&format!(
+            "{:.3} s: {} begins to run it",
+            record.seconds(run.at),
+            run.target
+        ));
     }
     record.say(&format!(
         "BUDGET: the request has run {all} times, {} of them later than 3 s after the third crash; more \
@@ -129,7 +141,13 @@
         turn += 1;
         let (first, second) = (next_id(), next_id());
         let mut bytes = request("GET", &format!("/batch/deadly/{page}"), &first, 800, b"");
-        bytes.extend(request("GET", &format!("/batch/list/{page}"), &second, 800, b""));
+        bytes.extend(request(
+            "GET",
+            &format!("/batch/list/{page}"),
+            &second,
+            800,
+            b"",
+        ));
         record.line(&format!(
             "client sends {first} (deadly/{page}) and {second} (list/{page}) to edge-{}",
             gateway + 1
@@ -155,7 +173,9 @@
         ));
         worst = worst.max(late.len());
     }
-    record.say(&format!("BUDGET: {worst} late runs of one request; more than 3 break the rule"));
+    record.say(&format!(
+        "BUDGET: {worst} late runs of one request; more than 3 break the rule"
+    ));
     Ok(worst > 3)
 }
 
@@ -175,7 +195,11 @@
     }
     let (all, late) = late(&rig, path);
     for run in &late {
-        record.say(&format!("{:.3} s: {} begins to run it", record.seconds(run.at), run.target));
+        record.say(&format!(
+            "{:.3} s: {} begins to run it",
+            record.seconds(run.at),
+            run.target
+        ));
     }
     record.say(&format!(
         "BUDGET: the request has run {all} times, {} of them later than 3 s after the third crash; more \
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -41,6 +41,8 @@
 }
 
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     since.as_millis() as u64
 }
--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -107,7 +107,8 @@
         }
         for gateway in self.gateways.iter_mut().filter(hit) {
             gateway.kill();
-            self.record.line(&format!("platform kills {}", gateway.name));
+            self.record
+                .line(&format!("platform kills {}", gateway.name));
         }
     }
 
@@ -116,7 +117,8 @@
         for gateway in &mut self.gateways {
             if gateway.has_ended() {
                 gateway.restart()?;
-                self.record.line(&format!("platform starts {}", gateway.name));
+                self.record
+                    .line(&format!("platform starts {}", gateway.name));
             }
         }
         Ok(())
@@ -168,7 +170,10 @@
 
 /// Returns the id of the next client attempt.
 pub fn next_id() -> String {
-    format!("{:016x}", 0x9c41_0000_u64 + NEXT_ID.fetch_add(1, Ordering::SeqCst))
+    format!(
+        "{:016x}",
+        0x9c41_0000_u64 + NEXT_ID.fetch_add(1, Ordering::SeqCst)
+    )
 }
 
 /// Encodes a client's request.
@@ -192,9 +197,6 @@
     pub id: String,
     pub gateway: usize,
     pub sent: Instant,
-    pub ended: Instant,
-    /// Whether the channel had carried a request before.
-    pub is_kept: bool,
     /// Status; 0 if the channel ended without an answer.
     pub status: u16,
 }
@@ -209,7 +211,6 @@
     bytes: &[u8],
     limit: Duration,
 ) -> Option<Seen> {
-    let is_kept = channel.is_some();
     if channel.is_none() {
         *channel = Channel::connect(addr).ok();
     }
@@ -217,12 +218,17 @@
     let sent = Instant::now();
     let end = sent + limit;
     let line = String::from_utf8_lossy(bytes.split(|b| *b == b'\r').next().unwrap_or_default());
-    record.line(&format!("client sends {id} to edge-{} ({line})", gateway + 1));
+    record.line(&format!(
+        "client sends {id} to edge-{} ({line})",
+        gateway + 1
+    ));
     let result = open.write(bytes).and_then(|()| open.read_until(end));
     let answer = match result {
         Ok(answer) => Some(answer),
         Err(error) => {
-            record.line(&format!("client sees the end of the channel of {id}: {error}"));
+            record.line(&format!(
+                "client sees the end of the channel of {id}: {error}"
+            ));
             None
         }
     };
@@ -237,8 +243,6 @@
         id: id.to_owned(),
         gateway,
         sent,
-        ended: Instant::now(),
-        is_kept,
         status: answer.as_ref().map_or(0, Message::status),
     })
 }
@@ -258,7 +262,10 @@
         deadline_ms: u64,
         make: impl Fn(usize, &str) -> Vec<u8> + Send + Sync + 'static,
     ) -> Self {
-        let (seen, stop) = (Arc::new(Mutex::new(Vec::new())), Arc::new(AtomicBool::new(false)));
+        let (seen, stop) = (
+            Arc::new(Mutex::new(Vec::new())),
+            Arc::new(AtomicBool::new(false)),
+        );
         let make = Arc::new(make);
         let addrs: Vec<SocketAddr> = rig.gateways.iter().map(Gateway::callers).collect();
         let threads = (0..clients).map(|number| {
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -30,7 +30,8 @@
             if value.is_empty() {
                 self.newest.remove(&key);
             } else {
-                self.newest.insert(key, (self.records.len(), value.to_vec()));
+                self.newest
+                    .insert(key, (self.records.len(), value.to_vec()));
             }
         }
         self.records.push(record);
@@ -163,7 +164,10 @@
         }
         let end = topic.records.len();
         self.shared.changed.notify_all();
-        (200, format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes())
+        (
+            200,
+            format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes(),
+        )
     }
 
     fn newest(&self, name: &str, after: &str) -> (u16, Vec<u8>) {
--- a/review/standins-2/target.rs
+++ b/review/standins-2/target.rs
@@ -39,8 +39,8 @@
     pub crash_after: Duration,
     /// Time for which it is down after a crash.
     pub down: Duration,
-    /// Value of `Server-Limit`.
-    pub limit: Option<String>,
+    /// Requests in one second from which on the target crashes while it is cold.
+    pub most_cold: Option<f64>,
 }
 
 /// A run of a request.
@@ -117,7 +117,10 @@
             channels: Mutex::default(),
         });
         *self.process.lock().unwrap() = Some(Arc::clone(&process));
-        self.record.line(&format!("target {} starts, cold for {cold_s} s", process.id));
+        self.record.line(&format!(
+            "target {} starts, cold for {cold_s} s",
+            process.id
+        ));
         let (target, accepting) = (self.clone(), Arc::clone(&process));
         thread::spawn(move || {
             while accepting.is_up.load(Ordering::SeqCst) {
@@ -178,7 +181,9 @@
 
     /// Returns the id of the entry.
     pub fn id(&self) -> String {
-        self.process().map(|process| process.id.clone()).unwrap_or_default()
+        self.process()
+            .map(|process| process.id.clone())
+            .unwrap_or_default()
     }
 
     /// Reports `draining`. The target serves on.
@@ -186,7 +191,8 @@
         if let Some(process) = self.process() {
             process.is_draining.store(true, Ordering::SeqCst);
             self.write_entry(&process, 1_000);
-            self.record.line(&format!("target {} reports draining", process.id));
+            self.record
+                .line(&format!("target {} reports draining", process.id));
         }
     }
 
@@ -195,15 +201,16 @@
         if let Some(process) = self.process() {
             process.has_entry.store(false, Ordering::SeqCst);
             self.store.put("keyed.servers", &process.id, "");
-            self.record.line(&format!("target {}: its entry is removed", process.id));
+            self.record
+                .line(&format!("target {}: its entry is removed", process.id));
         }
     }
 
     /// Ends the process as a crash does: all channels close and the port refuses new ones. The platform
-    /// removes the entry after three intervals of silence.
-    pub fn crash(&self) {
+    /// removes the entry after three intervals of silence. Returns whether a process was running.
+    pub fn crash(&self) -> bool {
         let Some(process) = self.process.lock().unwrap().take() else {
-            return;
+            return false;
         };
         process.is_up.store(false, Ordering::SeqCst);
         // The port is closed before the channels end, as when the system ends a process.
@@ -219,12 +226,17 @@
             thread::sleep(HEARTBEAT * 3);
             store.put("keyed.servers", &id, "");
         });
+        true
     }
 
     /// Crashes, and starts again after the time for which it is down.
     fn crash_and_return(&self, path: &str) {
-        self.crashes.lock().unwrap().push((Instant::now(), path.to_owned()));
-        self.crash();
+        let at = Instant::now();
+        if !self.crash() {
+            // It has crashed under another request already.
+            return;
+        }
+        self.crashes.lock().unwrap().push((at, path.to_owned()));
         let target = self.clone();
         thread::spawn(move || {
             thread::sleep(target.spec.down);
@@ -234,13 +246,20 @@
         });
     }
 
+    /// Returns the number of requests that the process began to run in the last second.
+    fn in_last_second(&self, process: &Process) -> usize {
+        let from = Instant::now() - Duration::from_secs(1);
+        let runs = self.runs.lock().unwrap();
+        runs.iter()
+            .filter(|run| run.target == process.id && run.at >= from)
+            .count()
+    }
+
     fn headers(&self, process: &Process) -> String {
         let running = process.running.load(Ordering::SeqCst);
         let waiting = process.waiting.load(Ordering::SeqCst);
-        let limit = self.spec.limit.as_ref();
-        let limit = limit.map(|l| format!("Server-Limit: {l}\r\n")).unwrap_or_default();
         format!(
-            "X-Hibiscusway-Server-Load: {running},{waiting},{},100\r\nKeep-Alive: timeout=10\r\n{limit}",
+            "X-Hibiscusway-Server-Load: {running},{waiting},{},100\r\nKeep-Alive: timeout=10\r\n",
             self.spec.slots
         )
     }
@@ -271,7 +290,10 @@
 
     /// Runs a request. Returns the response, or `None` if the channel or the process has ended.
     fn run(&self, process: &Arc<Process>, channel: &Channel, request: &Message) -> Option<Vec<u8>> {
-        let id = request.header("x-hibiscusway-request-id").unwrap_or("-").to_owned();
+        let id = request
+            .header("x-hibiscusway-request-id")
+            .unwrap_or("-")
+            .to_owned();
         let own = format!("X-Hibiscusway-Request-Id: {id}\r\n");
         let not_run = "X-Hibiscusway-Not-Executed: 1\r\n";
         let expected = request.header("x-hibiscusway-expect-instance");
@@ -281,16 +303,19 @@
         // Takes a slot, waits for one, or refuses.
         let mut is_waiting = false;
         loop {
-            let taken = process.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| {
-                (n < self.spec.slots).then_some(n + 1)
-            });
+            let taken = process
+                .running
+                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| {
+                    (n < self.spec.slots).then_some(n + 1)
+                });
             if taken.is_ok() {
                 break;
             }
             if !is_waiting {
                 if process.waiting.fetch_add(1, Ordering::SeqCst) >= QUEUE {
                     process.waiting.fetch_sub(1, Ordering::SeqCst);
-                    self.record.line(&format!("target {} refuses {id}", process.id));
+                    self.record
+                        .line(&format!("target {} refuses {id}", process.id));
                     let headers = format!("{not_run}{own}{}", self.headers(process));
                     return Some(response(503, &headers, b""));
                 }
@@ -308,7 +333,8 @@
         let began = Instant::now();
         let is_cold = began < process.cold_until;
         let path = request.target().to_owned();
-        self.record.line(&format!("target {} runs {id} {path}", process.id));
+        self.record
+            .line(&format!("target {} runs {id} {path}", process.id));
         self.runs.lock().unwrap().push(Run {
             at: began,
             id: id.clone(),
@@ -316,7 +342,22 @@
             target: process.id.clone(),
             is_cold,
         });
-        let is_deadly = self.spec.deadly.is_some_and(|part| request.target().contains(part));
+        if is_cold
+            && self
+                .spec
+                .most_cold
+                .is_some_and(|most| self.in_last_second(process) as f64 > most)
+        {
+            self.record.line(&format!(
+                "target {} got too much while it is cold",
+                process.id
+            ));
+            self.crash_and_return("cold");
+        }
+        let is_deadly = self
+            .spec
+            .deadly
+            .is_some_and(|part| request.target().contains(part));
         let end = began + self.spec.work;
         let mut is_open = true;
         while is_open && Instant::now() < end {
