--- a/review/standins-2/cold_wipe.rs
+++ b/review/standins-2/cold_wipe.rs
@@ -46,7 +46,7 @@
     rig.start_gateways(16)?;
     rig.wait_ready()?;
     thread::sleep(Duration::from_secs(3));
-    let load = Load::start(&rig, 128, Duration::from_millis(60), 800, |_, id| {
+    let load = Load::start(&rig, 48, Duration::from_millis(200), 800, |_, id| {
         request("GET", &format!("/batch/{id}"), id, 800, b"")
     });
     thread::sleep(Duration::from_secs(3));
