--- a/review/standins-2/cold_wipe.rs
+++ b/review/standins-2/cold_wipe.rs
@@ -66,7 +66,7 @@
     thread::sleep(Duration::from_secs(8));
     let seen = load.stop();
     let sent: HashMap<&str, Instant> = seen.iter().map(|s| (&*s.id, s.sent)).collect();
-    let mut worst = (0, String::new(), 0.0);
+    let mut worst = (0, String::new(), 0);
     for target in &rig.targets {
         let runs: Vec<Run> = target
             .runs
@@ -89,7 +89,7 @@
             };
             let count = runs.iter().filter(is_inside).count();
             if count > worst.0 {
-                worst = (count, first.target.clone(), record.seconds(*from));
+                worst = (count, first.target.clone(), record.ms(*from));
             }
         }
     }
@@ -105,7 +105,7 @@
         seen.len()
     ));
     record.say(&format!(
-        "FAILBACK: {} requests were sent and arrived at the cold target {} in the second from {:.3} s; more \
+        "FAILBACK: {} requests were sent and arrived at the cold target {} in the second from {} ms; more \
          than {MOST} break the rule",
         worst.0, worst.1, worst.2
     ));
--- a/review/standins-2/drain.rs
+++ b/review/standins-2/drain.rs
@@ -67,11 +67,11 @@
                 count += 1;
                 if count <= 20 {
                     record.say(&format!(
-                        "{} runs {} by edge-{} at {:.3} s",
+                        "{} runs {} by edge-{} at {} ms",
                         run.target,
                         run.id,
                         sent.gateway + 1,
-                        record.seconds(run.at)
+                        record.ms(run.at)
                     ));
                 }
             }
--- a/review/standins-2/poison.rs
+++ b/review/standins-2/poison.rs
@@ -40,7 +40,7 @@
             work: Duration::from_millis(90),
             cold_s: 0.0,
             deadly,
-            crash_after: Duration::from_millis(30),
+            crash_after: Duration::from_millis(60),
             down: Duration::from_secs(3),
             most_cold: None,
         })?;
@@ -115,8 +115,8 @@
     let (all, late) = late(&rig, path);
     for run in &late {
         record.say(&format!(
-            "{:.3} s: {} begins to run it",
-            record.seconds(run.at),
+            "{} ms: {} begins to run it",
+            record.ms(run.at),
             run.target
         ));
     }
@@ -196,8 +196,8 @@
     let (all, late) = late(&rig, path);
     for run in &late {
         record.say(&format!(
-            "{:.3} s: {} begins to run it",
-            record.seconds(run.at),
+            "{} ms: {} begins to run it",
+            record.ms(run.at),
             run.target
         ));
     }
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -1,4 +1,4 @@
-//! The record of a run: what was sent, answered and run, with the time in seconds.
+//! The record of a run: what was sent, answered and run, with the time in milliseconds.
 
 use std::{
     fs::File,
@@ -24,7 +24,7 @@
 
     pub fn line(&self, text: &str) {
         let mut file = self.file.lock().unwrap();
-        let _ = writeln!(file, "{:9.3} {text}", self.start.elapsed().as_secs_f64());
+        let _ = writeln!(file, "{:>6} ms {text}", self.start.elapsed().as_millis());
     }
 
     /// Writes a line of the result, also to standard output.
@@ -34,9 +34,9 @@
         let _ = self.file.lock().unwrap().flush();
     }
 
-    /// Seconds from the start of the record to `at`.
-    pub fn seconds(&self, at: Instant) -> f64 {
-        at.saturating_duration_since(self.start).as_secs_f64()
+    /// Milliseconds from the start of the record to `at`.
+    pub fn ms(&self, at: Instant) -> u128 {
+        at.saturating_duration_since(self.start).as_millis()
     }
 }
 
