Reach: logs and metrics tell a cut-off instance from failed targets

The logs name three targets that could not be connected to, but not that none can be. Change: balance::reach keeps, for each service, which targets could not be connected to since the latest contact, and calls the contact lost after three in a row or most of them. Silence on open connections is only a doubt, and is checked with new ones. New log lines targets_silent, targets_unreached, targets_reached, gauge services_unreached, counters contacts_lost and reach_checks. While contact is in doubt or lost, up to eight connections are tried every 250 ms; nothing else follows from it yet. Result: unit tests in virtual time, among them single crashes, which are no loss of contact.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -38,6 +38,7 @@
 mod position;
 mod processing_time;
 mod processing_times;
+mod reach;
 mod read_schedule;
 pub mod resources;
 mod response_sizes;
@@ -93,6 +94,7 @@
     position::Position,
     processing_time::ProcessingTime,
     processing_times::ProcessingTimes,
+    reach::{Contact, Reach, ServiceReach},
     read_schedule::ReadSchedule,
     response_sizes::ResponseSizes,
     returns::{Ask, FirstDeadlines, Kind, PeerClaims, Promise, Room, ServiceReturns},
--- /dev/null
+++ b/crates/balance/src/reach/contact.rs
@@ -0,0 +1,13 @@
+//! Whether an instance reaches the targets of a service.
+
+/// Whether an instance reaches the targets of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Contact {
+    /// It does, as far as it knows.
+    #[default]
+    Reached,
+    /// Several targets in a row have not answered on open connections; new ones were not tried yet.
+    Doubtful,
+    /// Several targets in a row, or most of them, could not be connected to.
+    Lost,
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -79,6 +79,7 @@
                 head: &head_bytes,
                 body: separate_body(&request),
                 held: Some(&held),
+                target: &target,
             };
             let begun = RefCell::new(BegunGuard::new(
                 &state,
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -174,6 +174,10 @@
         ("store_era", state.store_era.get().unwrap_or_default()),
         ("targets", targets.len() as u64),
         ("limited_targets", limited_targets as u64),
+        (
+            "services_unreached",
+            state.reach.borrow().lost().count() as u64,
+        ),
         (
             "suspected_requests",
             state.crash_suspects.borrow().len() as u64,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -13,11 +13,12 @@
     pin_mut,
 };
 use h1::{BodyBytes, MessageError, Response, ResponseDecoder};
-use model::Time;
+use model::{TargetId, Time};
 use platform::headers;
 
 use crate::{
     pool::{ConnectError, await_slow_reader, may_fill_buffers},
+    reach::{record_contact, record_silent, record_unreachable},
     resources::HeldBytes,
     response_bytes::ResponseBytes,
     state::State,
@@ -94,6 +95,8 @@
     pub body: Option<&'a BodyBytes>,
     /// Memory of the caller's connection, from which the response is taken.
     pub held: Option<&'a Rc<HeldBytes>>,
+    /// Target that the request is sent to, as evidence that it is reached or not.
+    pub target: &'a TargetId,
 }
 
 /// Sends `request` to `addr` and reads the response until `deadline`. Calls `is_eligible` once the
@@ -118,10 +121,14 @@
         None => match state.pool.connect(addr).await {
             Ok(stream) => {
                 state.metrics.count("connections_opened", 1);
+                record_contact(state, request.target);
                 stream
             }
             Err(ConnectError::NoRoom) => return SendResult::NoRoom,
-            Err(ConnectError::System(error)) => return SendResult::NotSent(error),
+            Err(ConnectError::System(error)) => {
+                record_unreachable(state, request.target);
+                return SendResult::NotSent(error);
+            }
         },
     };
     if !is_eligible().await {
@@ -138,6 +145,7 @@
     };
     match result {
         Ok((response, is_clean)) => {
+            record_contact(state, request.target);
             if is_clean && response.keep_alive && !is_large {
                 state
                     .pool
@@ -146,6 +154,9 @@
             SendResult::Response(Box::new(response))
         }
         Err(error) => {
+            if matches!(error, ResponseError::Closed | ResponseError::Timeout) {
+                record_silent(state, std::iter::once(request.target));
+            }
             if is_pooled {
                 // The other idle connections to the target may be dead for the same reason.
                 state.pool.close_all(addr);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod phase;
 mod pool;
 mod probe;
+mod reach;
 mod refusal;
 mod report;
 mod reporting;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -12,6 +12,7 @@
 use crate::{
     exchange::{EncodedRequest, Identity, SendResult, exchange},
     notices::record_notices,
+    reach::record_silent,
     state::State,
     target_limits::record_stated_limit,
 };
@@ -46,7 +47,14 @@
             Err(_) if first.is_some_and(|at| at < in_time) => {
                 return record_unresponsive(state, targets, start);
             }
-            Ok(None) | Err(_) => return,
+            Ok(None) => return,
+            Err(_) => {
+                drop(probes);
+                if first.is_none() {
+                    record_silent(state, targets.iter());
+                }
+                return;
+            }
         }
     }
 }
@@ -86,6 +94,7 @@
         head: &bytes,
         body: None,
         held: None,
+        target: id,
     };
     let now = state.now();
     let result = exchange(
--- /dev/null
+++ b/crates/gateway/src/reach/mod.rs
@@ -0,0 +1,6 @@
+//! Records which targets this instance can connect to, and checks on them while it seems cut off.
+
+mod check;
+mod record;
+
+pub use self::record::{record_contact, record_silent, record_unreachable};
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,8 +11,8 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use balance::{
     Collector, CrashSuspects, EntryLog, FleetUsage, GatewayConfig, Member, Members, OutcomeLog,
-    PeerUsage, PlacementCandidate, Position, Presence, ProcessingTimes, ResponseSizes, RetryBudget,
-    Rollout, SendPace, Senders, StopPlan, Targets, ZoneRoom, place_callers,
+    PeerUsage, PlacementCandidate, Position, Presence, ProcessingTimes, Reach, ResponseSizes,
+    RetryBudget, Rollout, SendPace, Senders, StopPlan, Targets, ZoneRoom, place_callers,
     resources::ResourceLimits,
 };
 use model::{InstanceId, ServiceName, Time, Version, Zone};
@@ -104,6 +104,10 @@
     pub resources: Rc<Resources>,
     /// Idle connections to targets.
     pub pool: Pool,
+    /// Whether the targets of each service are reached.
+    pub reach: RefCell<Reach>,
+    /// Services whose targets are being checked because they seem unreachable.
+    pub reach_checks: RefCell<BTreeSet<ServiceName>>,
     /// Counters and histograms of the instance.
     pub metrics: Metrics,
     /// Phase of the instance.
@@ -224,6 +228,8 @@
             response_buffers: ResponseBuffers::default(),
             resources: Resources::new(limits),
             pool: Pool::new(limits.target_connections()),
+            reach: RefCell::default(),
+            reach_checks: RefCell::default(),
             phase: Cell::new(Phase::Starting),
             caller_connections: Cell::new(0),
             active_requests: Cell::new(0),
