--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod http;
 mod odd_caller;
+mod partition;
 mod proxy;
 mod rig;
 mod soak;
@@ -19,7 +20,8 @@
     client::{FleetRequest, FleetResult, fetch, query_directory, send},
     cloud::{FleetCloud, UsageCall},
     gateway::GatewayProcess,
-    proxy::{FleetProxy, ProxyMode},
+    partition::Partition,
+    proxy::{FleetProxy, OutageKind, ProxyMode},
     rig::{FleetRig, RigSpec},
     soak::{SMALL_SOAK, SoakReport, soak},
     store::{FleetStore, StoreCopy, StoreFault},
--- a/crates/testkit/src/fleet/proxy.rs
+++ b/crates/testkit/src/fleet/proxy.rs
@@ -21,6 +21,7 @@
     future::{Either, select},
     pin_mut,
 };
+use socket2::SockRef;
 
 /// Delay of each chunk of data in the mode `Delay`.
 const DELAY: Duration = Duration::from_millis(30);
@@ -56,8 +57,24 @@
     /// Address that the proxy listens on.
     pub addr: SocketAddr,
     state: Arc<ProxyState>,
-    /// For how long the proxy is to refuse connections from now on.
-    outages: Sender<Duration>,
+    /// Outages that begin now.
+    outages: Sender<Outage>,
+}
+
+/// What happens to connections during an outage.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OutageKind {
+    /// Open ones are closed and new ones refused.
+    Refuse,
+    /// Open ones fall silent and new ones are never established.
+    Hang,
+}
+
+/// An outage of the proxy.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    kind: OutageKind,
+    length: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -87,11 +104,17 @@
         task::spawn(async move {
             let mut listener = Some(listener);
             while let Some(open) = listener.take() {
-                let Some(outage) = serve(open, target, &state, &starting).await else {
+                let Some(outage) = serve(&open, target, &state, &starting).await else {
                     return;
                 };
-                task::sleep(outage).await;
-                listener = TcpListener::bind(addr).await.ok();
+                listener = match outage.kind {
+                    OutageKind::Hang => hang(open, addr, outage.length).await,
+                    OutageKind::Refuse => {
+                        drop(open);
+                        task::sleep(outage.length).await;
+                        TcpListener::bind(addr).await.ok()
+                    }
+                };
             }
         });
         Ok(proxy)
@@ -100,8 +123,16 @@
     /// Closes all connections and refuses new ones for `outage`, as if the process behind the proxy
     /// had crashed.
     pub fn crash(&self, outage: Duration) {
+        self.begin_outage(OutageKind::Refuse, outage);
+    }
+
+    /// Stops serving for `length`, as if the machine behind the proxy could not be reached.
+    pub fn begin_outage(&self, kind: OutageKind, length: Duration) {
+        if kind == OutageKind::Hang {
+            self.silence_open();
+        }
         // If the channel is full, an outage is about to start.
-        let _ = self.outages.try_send(outage);
+        let _ = self.outages.try_send(Outage { kind, length });
     }
 
     /// Sets the mode for new and open connections.
@@ -127,16 +158,27 @@
     is_response: bool,
 }
 
-/// Forwards connections until an outage begins; then closes them and returns for how long. Returns
-/// `None` if the proxy is gone.
+/// Leaves new connections in the queue of the listener, which then takes no further ones, for `length`.
+async fn hang(listener: TcpListener, addr: SocketAddr, length: Duration) -> Option<TcpListener> {
+    /// Length of the queue while connections are accepted.
+    const BACKLOG: i32 = 128;
+    SockRef::from(&listener).listen(0).ok()?;
+    // A queue of length 0 takes one connection.
+    let _in_queue = TcpStream::connect(addr).await.ok()?;
+    task::sleep(length).await;
+    SockRef::from(&listener).listen(BACKLOG).ok()?;
+    Some(listener)
+}
+
+/// Forwards connections until an outage begins. Returns `None` if the proxy is gone.
 async fn serve(
-    listener: TcpListener,
+    listener: &TcpListener,
     target: SocketAddr,
     state: &Arc<ProxyState>,
-    outages: &Receiver<Duration>,
-) -> Option<Duration> {
+    outages: &Receiver<Outage>,
+) -> Option<Outage> {
     // The connections end when the sender is dropped.
-    let (_is_up, ended) = bounded::<()>(1);
+    let (is_up, ended) = bounded::<()>(1);
     let accepting = async {
         while let Ok((caller, _)) = listener.accept().await {
             let number = state.accepted.fetch_add(1, Ordering::AcqRel);
@@ -158,7 +200,13 @@
     let outage = outages.recv();
     pin_mut!(accepting, outage);
     match select(accepting, outage).await {
-        Either::Right((Ok(outage), _)) => Some(outage),
+        Either::Right((Ok(outage), _)) => {
+            if outage.kind == OutageKind::Hang {
+                // Silent connections stay open for the rest of the test.
+                std::mem::forget(is_up);
+            }
+            Some(outage)
+        }
         // No handle is left that could start an outage.
         Either::Right((Err(_), accepting)) => {
             accepting.await;
--- a/crates/testkit/src/fleet/rig.rs
+++ b/crates/testkit/src/fleet/rig.rs
@@ -16,8 +16,8 @@
 use serde_json::Value;
 
 use super::{
-    FleetProxy, FleetRequest, FleetResult, FleetStore, FleetTarget, GatewayProcess, TargetSpec,
-    fetch, send,
+    FleetProxy, FleetRequest, FleetResult, FleetStore, FleetTarget, GatewayProcess, Partition,
+    TargetSpec, fetch, send,
 };
 
 /// Host name that all routes match.
@@ -145,6 +145,34 @@
         Ok((rig, proxies))
     }
 
+    /// Starts a deployment in which each instance can be cut off from all targets, and waits until all
+    /// instances are ready. The entries of the targets must not change: instances that tell one another of
+    /// changes would name their own paths.
+    ///
+    /// # Errors
+    ///
+    /// See [`Self::start`].
+    pub async fn start_with_partitions(
+        binary: &Path,
+        spec: RigSpec,
+    ) -> io::Result<(Self, Vec<Partition>)> {
+        let without_instances = RigSpec {
+            instances: 0,
+            ..spec
+        };
+        let mut rig = Self::start(binary, without_instances).await?;
+        let mut partitions = Vec::new();
+        for index in 0..spec.instances {
+            let partition = Partition::start(&rig.store, &rig.targets).await?;
+            // Without seeds, an instance reads the entries itself.
+            let instance = GatewayProcess::start(binary, &zone(index), partition.store.addr, &[])?;
+            rig.instances.push(instance);
+            partitions.push(partition);
+        }
+        rig.wait_until_ready().await?;
+        Ok((rig, partitions))
+    }
+
     async fn start_instances(
         mut self,
         binary: &Path,
--- a/crates/testkit/src/fleet/store.rs
+++ b/crates/testkit/src/fleet/store.rs
@@ -75,12 +75,17 @@
     request_count: u64,
 }
 
+/// Other addresses by the addresses of targets.
+type AddressMap = BTreeMap<SocketAddr, SocketAddr>;
+
 /// A running store. Clones share its contents.
 #[derive(Clone, Debug)]
 pub struct FleetStore {
     /// Address that the store listens on.
     pub addr: SocketAddr,
     shared: Arc<Mutex<StoreState>>,
+    /// Addresses that its answers name in place of others.
+    addresses: Arc<AddressMap>,
 }
 
 impl FleetStore {
@@ -90,16 +95,31 @@
     ///
     /// Returns an error if no loopback port is free.
     pub async fn start() -> io::Result<Self> {
+        let shared = Arc::new(Mutex::new(StoreState {
+            contents: StoreCopy::default(),
+            era: 1,
+            fault: StoreFault::None,
+            is_held: false,
+            request_count: 0,
+        }));
+        Self::listen(shared, AddressMap::new()).await
+    }
+
+    /// Starts a listener that serves the same contents, but names other `addresses` of targets.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no loopback port is free.
+    pub async fn view(&self, addresses: BTreeMap<SocketAddr, SocketAddr>) -> io::Result<Self> {
+        Self::listen(Arc::clone(&self.shared), addresses).await
+    }
+
+    async fn listen(shared: Arc<Mutex<StoreState>>, addresses: AddressMap) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let store = Self {
             addr: listener.local_addr()?,
-            shared: Arc::new(Mutex::new(StoreState {
-                contents: StoreCopy::default(),
-                era: 1,
-                fault: StoreFault::None,
-                is_held: false,
-                request_count: 0,
-            })),
+            shared,
+            addresses: Arc::new(addresses),
         };
         let server = store.clone();
         task::spawn(async move {
@@ -307,7 +327,7 @@
         let mut left = latest.filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
         let (mut bytes, mut has_more) = (0, false);
         for (key, (offset, value)) in left.by_ref() {
-            let value = BASE64_STANDARD.encode(value);
+            let value = BASE64_STANDARD.encode(self.translate(value));
             let item = json!({ "key": key, "value": value, "offset": offset }).to_string();
             if items.len() >= PAGE_ITEMS || (bytes > 0 && bytes + item.len() > PAGE_BYTES) {
                 has_more = true;
@@ -353,11 +373,24 @@
             if bytes.len() > 16 && bytes.len() + record.len() > PAGE_BYTES {
                 break;
             }
+            let record = self.translate(record);
             bytes.extend_from_slice(&(record.len() as u32).to_be_bytes());
-            bytes.extend_from_slice(record);
+            bytes.extend_from_slice(&record);
         }
         bytes
     }
+
+    /// Replaces the addresses of targets in a record.
+    fn translate(&self, record: &[u8]) -> Vec<u8> {
+        let Ok(text) = str::from_utf8(record) else {
+            return record.to_vec();
+        };
+        let mut text = text.to_owned();
+        for (from, to) in &*self.addresses {
+            text = text.replace(&format!("\"{from}\""), &format!("\"{to}\""));
+        }
+        text.into_bytes()
+    }
 }
 
 impl StoreState {
