Requests of an instance that is cut off go through another one

Cause: an instance took the loss of its own paths for failures of its targets. It tried three of them for each request, which took 4 to 22 ms if connections were refused and longer than the deadline if they hung, and then refused. Callers keep its address for seconds, whatever the directory says. The class of fault: an outage of oneself that is handled as an outage of everybody else. If no instance takes a request and no target is known to be in reach, it is refused at once (3017). A fifth of the connections for targets is set aside for this.

--- a/crates/balance/src/budget.rs
+++ b/crates/balance/src/budget.rs
@@ -60,6 +60,11 @@
         self.requests.push_back(now);
     }
 
+    /// Removes the latest recorded request, because another instance has recorded it.
+    pub fn refund_request(&mut self) {
+        self.requests.pop_back();
+    }
+
     /// Returns whether one more extra attempt stays within the share of this instance, when
     /// `instances` share the slack.
     pub fn allows(&mut self, now: Time, instances: usize) -> bool {
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -94,7 +94,7 @@
     position::Position,
     processing_time::ProcessingTime,
     processing_times::ProcessingTimes,
-    reach::{Contact, Reach, ServiceReach},
+    reach::{Contact, PeerChoice, Reach, ServiceReach},
     read_schedule::ReadSchedule,
     response_sizes::ResponseSizes,
     returns::{Ask, FirstDeadlines, Kind, PeerClaims, Promise, Room, ServiceReturns},
--- a/crates/balance/src/reach/mod.rs
+++ b/crates/balance/src/reach/mod.rs
@@ -6,9 +6,10 @@
 //! instance is not cut off.
 
 mod contact;
+mod peer_choice;
 mod service_reach;
 
-pub use self::{contact::Contact, service_reach::ServiceReach};
+pub use self::{contact::Contact, peer_choice::PeerChoice, service_reach::ServiceReach};
 
 use std::collections::HashMap;
 
@@ -35,6 +36,20 @@
         self.services.get(service)
     }
 
+    /// Returns whether no target of `service` is known to be in reach.
+    #[must_use]
+    pub fn has_none(&self, service: &ServiceName, now: Time) -> bool {
+        let of_service = self.services.get(service);
+        of_service.is_some_and(|r| r.contact() == Contact::Lost && !r.is_partial(now))
+    }
+
+    /// Returns whether contact with most targets of `service` is lost and this is one of them.
+    #[must_use]
+    pub fn is_unreachable(&self, service: &ServiceName, id: &TargetId) -> bool {
+        let of_service = self.services.get(service);
+        of_service.is_some_and(|r| r.contact() == Contact::Lost && r.failed_at(id).is_some())
+    }
+
     /// Returns the services that are not reached.
     pub fn lost(&self) -> impl Iterator<Item = &ServiceName> {
         let lost = self
@@ -51,10 +66,11 @@
         service: &ServiceName,
         id: &TargetId,
         known: impl FnOnce() -> usize,
+        now: Time,
     ) -> Option<Contact> {
         let reach = self.services.get_mut(service)?;
         let before = reach.contact();
-        reach.record_contact(id, known());
+        reach.record_contact(id, known(), now);
         let after = reach.contact();
         if reach.is_clear() {
             self.services.remove(service);
--- a/crates/balance/src/reach/service_reach.rs
+++ b/crates/balance/src/reach/service_reach.rs
@@ -11,6 +11,9 @@
 /// Time for which a failed connection counts while the service is reached, in microseconds. Health checks
 /// of single targets take over after that.
 const FAILURE_AGE_US: u64 = 3_000_000;
+/// Time for which a contact shows that some targets are in reach, in microseconds. Targets are checked more
+/// often.
+const CONTACT_AGE_US: u64 = 1_000_000;
 
 /// Which targets of a service could not be connected to.
 #[derive(Clone, Debug, Default)]
@@ -22,6 +25,8 @@
     failed: BTreeSet<TargetId>,
     /// Targets that have not answered since the latest contact with any target.
     silent: BTreeSet<TargetId>,
+    /// Latest contact with any target since there is trouble.
+    last_contact: Option<Time>,
 }
 
 impl ServiceReach {
@@ -43,8 +48,16 @@
         self.unreachable.get(id).copied()
     }
 
+    /// Returns whether some targets are in reach although contact is lost with most.
+    #[must_use]
+    pub fn is_partial(&self, now: Time) -> bool {
+        let is_recent = |at| now.since_us(at) < CONTACT_AGE_US;
+        self.last_contact.is_some_and(is_recent)
+    }
+
     /// Records that a target has accepted a connection or answered, of `known` targets that may be used.
-    pub fn record_contact(&mut self, id: &TargetId, known: usize) {
+    pub fn record_contact(&mut self, id: &TargetId, known: usize, now: Time) {
+        self.last_contact = Some(now);
         self.failed.clear();
         self.silent.clear();
         self.unreachable.remove(id);
--- a/crates/balance/src/resources/listener.rs
+++ b/crates/balance/src/resources/listener.rs
@@ -26,7 +26,7 @@
     ];
 
     /// Returns the listener's part of all connections, in percent. The rest is for connections to
-    /// targets.
+    /// targets and to other instances.
     #[must_use]
     pub fn percent(self) -> usize {
         match self {
--- a/crates/balance/src/resources/resource_limits.rs
+++ b/crates/balance/src/resources/resource_limits.rs
@@ -7,7 +7,9 @@
 /// File descriptors that are reserved for files.
 const FILE_FDS: u64 = 200;
 /// Part of the connections that are to targets, in percent.
-const TARGET_PERCENT: usize = 25;
+const TARGET_PERCENT: usize = 20;
+/// Part of the connections that forward requests through other instances, in percent.
+const PEER_PERCENT: usize = 5;
 /// Least number of connections at a listener.
 const MIN_CONNECTIONS: usize = 2;
 const MIB: u64 = 1_024 * 1_024;
@@ -38,15 +40,23 @@
     /// Returns the number of connections that a listener may have open.
     #[must_use]
     pub fn connections(&self, listener: Listener) -> usize {
-        (self.connections / 100 * listener.percent()
-            + self.connections % 100 * listener.percent() / 100)
-            .max(MIN_CONNECTIONS)
+        self.share(listener.percent())
     }
 
     /// Returns the number of connections to targets that may be open.
     #[must_use]
     pub fn target_connections(&self) -> usize {
-        (self.connections / 100 * TARGET_PERCENT + self.connections % 100 * TARGET_PERCENT / 100)
+        self.share(TARGET_PERCENT)
+    }
+
+    /// Returns the number of connections to other instances that requests may be forwarded through.
+    #[must_use]
+    pub fn peer_connections(&self) -> usize {
+        self.share(PEER_PERCENT)
+    }
+
+    fn share(&self, percent: usize) -> usize {
+        (self.connections / 100 * percent + self.connections % 100 * percent / 100)
             .max(MIN_CONNECTIONS)
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -79,7 +79,7 @@
                 head: &head_bytes,
                 body: separate_body(&request),
                 held: Some(&held),
-                target: &target,
+                target: Some(&target),
             };
             let begun = RefCell::new(BegunGuard::new(
                 &state,
@@ -204,7 +204,7 @@
 }
 
 /// Returns the body if it is too large to be copied beside the head for each attempt.
-fn separate_body(request: &Request) -> Option<&BodyBytes> {
+pub fn separate_body(request: &Request) -> Option<&BodyBytes> {
     (request.body.len() > MAX_JOINED).then_some(&request.body)
 }
 
@@ -217,8 +217,7 @@
     remaining_ms: u64,
 ) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(request.body.len().min(MAX_JOINED) + 512);
-    let line = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
-    bytes.extend_from_slice(line.as_bytes());
+    push_request_line(&mut bytes, request);
     let is_replaced = |name: &str| {
         headers::REPLACED
             .iter()
@@ -240,6 +239,18 @@
         let line = format!("{}: {}\r\n", headers::TENANT, workspace.name);
         bytes.extend_from_slice(line.as_bytes());
     }
+    push_length_and_body(&mut bytes, request);
+    bytes
+}
+
+/// Appends the request line.
+pub fn push_request_line(bytes: &mut Vec<u8>, request: &Request) {
+    let line = format!("{} {} HTTP/1.1\r\n", request.method, request.target);
+    bytes.extend_from_slice(line.as_bytes());
+}
+
+/// Appends the length of the body, the end of the head, and the body if it is not separate.
+pub fn push_length_and_body(bytes: &mut Vec<u8>, request: &Request) {
     let has_length =
         request.headers.has("content-length") || request.headers.has("transfer-encoding");
     if has_length {
@@ -253,7 +264,6 @@
             .segments()
             .for_each(|segment| bytes.extend_from_slice(segment));
     }
-    bytes
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/attempt_log.rs
+++ b/crates/gateway/src/attempt_log.rs
@@ -1,6 +1,9 @@
 //! Attempts of one request and their outcomes, for its log line.
 
-use std::fmt::Write;
+use std::{
+    fmt::{Display, Write},
+    net::SocketAddr,
+};
 
 use crate::selection::SelectedTarget;
 
@@ -19,14 +22,18 @@
 impl AttemptLog {
     /// Records the outcome `what` of one attempt.
     pub fn record(&mut self, selected: &SelectedTarget, what: &str, took_us: u64) {
+        self.push(&selected.id, what, took_us);
+    }
+
+    /// Records the outcome `what` of forwarding the request through the instance at `addr`.
+    pub fn record_peer(&mut self, addr: SocketAddr, what: &str, took_us: u64) {
+        self.push(&format_args!("peer-{addr}"), what, took_us);
+    }
+
+    fn push(&mut self, name: &impl Display, what: &str, took_us: u64) {
         let space = if self.path.is_empty() { "" } else { " " };
         // Writing into a string cannot fail.
-        let _ = write!(
-            self.path,
-            "{space}{}:{what}:{}ms",
-            selected.id,
-            took_us / 1_000
-        );
+        let _ = write!(self.path, "{space}{name}:{what}:{}ms", took_us / 1_000);
     }
 
     /// Returns each target with outcome and time, in the order in which the attempts ended.
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -20,6 +20,7 @@
 use tracing::debug;
 
 use crate::{
+    peer_forward::RequestFrame,
     refusal::Refusal,
     request::{ArrivedRequest, CallerResponse, refusal_by_head, serve},
     resources::{Connection as OpenConnection, HeldBytes},
@@ -80,6 +81,29 @@
 
 /// Serves a connection of a caller until it ends.
 pub async fn serve_caller(state: Rc<State>, stream: TcpStream, open: Rc<OpenConnection>) {
+    serve_requests(state, stream, open, Origin::Caller).await;
+}
+
+/// Serves a connection on which another instance forwards requests, until it ends.
+pub async fn serve_forwarded(state: Rc<State>, stream: TcpStream, open: Rc<OpenConnection>) {
+    serve_requests(state, stream, open, Origin::Peer).await;
+}
+
+/// Who sends the requests of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// A caller.
+    Caller,
+    /// Another instance, which puts a frame before each request.
+    Peer,
+}
+
+async fn serve_requests(
+    state: Rc<State>,
+    stream: TcpStream,
+    open: Rc<OpenConnection>,
+    origin: Origin,
+) {
     let _count = CallerCount::begin(&state);
     let socket = SockRef::from(&stream);
     let options = socket
@@ -88,7 +112,7 @@
     if let Err(error) = options {
         debug!(event = "caller_socket", %error);
     }
-    let mut connection = Connection::new(Rc::clone(&state), stream, open);
+    let mut connection = Connection::new(Rc::clone(&state), stream, open, origin);
     let reason = connection.run().await;
     if state.is_leaving() {
         debug!(
@@ -122,11 +146,16 @@
     /// Memory of the input and of the request that is arriving.
     received: HeldBytes,
     open: Rc<OpenConnection>,
+    origin: Origin,
+    /// Frame of the request that is arriving.
+    frame: Option<RequestFrame>,
 }
 
 impl Connection {
-    fn new(state: Rc<State>, stream: TcpStream, open: Rc<OpenConnection>) -> Self {
+    fn new(state: Rc<State>, stream: TcpStream, open: Rc<OpenConnection>, origin: Origin) -> Self {
         Self {
+            origin,
+            frame: None,
             stream,
             decoder: RequestDecoder::default(),
             input: Vec::new(),
@@ -202,6 +231,9 @@
     /// failed.
     async fn start_requests(&mut self) -> bool {
         while self.accepts_requests() {
+            if !self.take_frame() {
+                return true;
+            }
             let limits = self.limits();
             match self.decoder.decode(&mut self.input, limits) {
                 Ok(Decoded::Complete(request)) => {
@@ -233,6 +265,19 @@
         true
     }
 
+    /// Takes the frame before a request of another instance from the input. Returns whether the request may
+    /// be decoded.
+    fn take_frame(&mut self) -> bool {
+        if self.origin == Origin::Caller || self.frame.is_some() {
+            return true;
+        }
+        match RequestFrame::take(&mut self.input) {
+            Ok(frame) => self.frame = frame,
+            Err(_) => self.fail(Code::BadRequest),
+        }
+        self.frame.is_some()
+    }
+
     /// Takes the memory of a complete request. Returns `None` if there is none left.
     fn hold_request(&mut self, request: Request) -> Option<ArrivedRequest> {
         let now = self.state.now();
@@ -240,11 +285,14 @@
         // The body was counted while it arrived, and belongs to the request from now on.
         self.received.shrink(request.body.len() as u64);
         let is_held = held.grow(request.memory_bytes() as u64, now);
+        let frame = self.frame.take();
+        let waited_ms = frame.map_or(0, |frame| frame.waited_ms.into());
         is_held.then(|| ArrivedRequest {
             message: Rc::new(request),
-            arrived: now,
+            arrived: now.minus_ms(waited_ms),
             held: Rc::new(held),
             refusal: self.refusal.take(),
+            frame,
         })
     }
 
--- a/crates/gateway/src/caller/tests.rs
+++ b/crates/gateway/src/caller/tests.rs
@@ -32,7 +32,7 @@
         SockRef::from(&stream)
             .set_send_buffer_size(8 * 1_024)
             .unwrap();
-        let connection = Connection::new(Rc::clone(&state), stream, Rc::new(open));
+        let connection = Connection::new(Rc::clone(&state), stream, Rc::new(open), Origin::Caller);
         let reader = std::thread::spawn(move || {
             let mut chunk = [0; 2 * 1_024];
             while client.read(&mut chunk).is_ok_and(|count| count > 0) {
@@ -60,6 +60,7 @@
         panic!("{decoded:?}");
     };
     let arrived = ArrivedRequest {
+        frame: None,
         message: Rc::new(*request),
         arrived: state.now(),
         held: Rc::new(held),
@@ -96,7 +97,7 @@
                 refused(state, held).await
             }
         };
-        let mut connection = Connection::new(Rc::clone(&state), stream, open);
+        let mut connection = Connection::new(Rc::clone(&state), stream, open, Origin::Caller);
         connection.responses.push_back(second.boxed_local());
         let write = connection.write_response(&first, false);
         assert!(timeout(Duration::from_millis(500), write).await.is_err());
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -188,7 +188,7 @@
 }
 
 /// Removes targets whose entries did not come back, and closes connections to addresses without a
-/// target.
+/// target or an instance.
 fn sweep(state: &State) {
     let now = state.now();
     let mut targets = state.targets.borrow_mut();
@@ -197,6 +197,10 @@
         info!(event = "targets_lapsed", left = targets.len());
     }
     state.pool.sweep(now, |addr| targets.has_address(addr));
+    let members = state.members.borrow();
+    state
+        .peer_pool
+        .sweep(now, |addr| members.get(addr).is_some());
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/example.rs
+++ b/crates/gateway/src/example.rs
@@ -120,6 +120,7 @@
     let now = state.now();
     let open = state.resources.open(Listener::Callers, now);
     ArrivedRequest {
+        frame: None,
         message: Rc::new(decoded(bytes)),
         arrived: now,
         held: Rc::new(open.expect("there is room").hold()),
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,4 +1,4 @@
-//! Sends one request over a connection to a target and reads the response.
+//! Sends one request over a connection to a target, or to another instance, and reads the response.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -95,8 +95,9 @@
     pub body: Option<&'a BodyBytes>,
     /// Memory of the caller's connection, from which the response is taken.
     pub held: Option<&'a Rc<HeldBytes>>,
-    /// Target that the request is sent to, as evidence that it is reached or not.
-    pub target: &'a TargetId,
+    /// Target that the request is sent to, as evidence that it is reached or not; `None` for another
+    /// instance.
+    pub target: Option<&'a TargetId>,
 }
 
 /// Sends `request` to `addr` and reads the response until `deadline`. Calls `is_eligible` once the
@@ -111,22 +112,31 @@
     is_eligible: impl AsyncFn() -> bool,
 ) -> SendResult {
     let now = state.now();
+    let pool = if request.target.is_some() {
+        &state.pool
+    } else {
+        &state.peer_pool
+    };
     let pooled = match request.identity {
         Identity::Anonymous => None,
-        _ => state.pool.take(addr, now),
+        _ => pool.take(addr, now),
     };
     let is_pooled = pooled.is_some();
     let stream = match pooled {
         Some(stream) => stream,
-        None => match state.pool.connect(addr).await {
+        None => match pool.connect(addr).await {
             Ok(stream) => {
-                state.metrics.count("connections_opened", 1);
-                record_contact(state, request.target);
+                if let Some(id) = request.target {
+                    state.metrics.count("connections_opened", 1);
+                    record_contact(state, id);
+                }
                 stream
             }
             Err(ConnectError::NoRoom) => return SendResult::NoRoom,
             Err(ConnectError::System(error)) => {
-                record_unreachable(state, request.target);
+                if let Some(id) = request.target {
+                    record_unreachable(state, id);
+                }
                 return SendResult::NotSent(error);
             }
         },
@@ -145,21 +155,21 @@
     };
     match result {
         Ok((response, is_clean)) => {
-            record_contact(state, request.target);
+            if let Some(id) = request.target {
+                record_contact(state, id);
+            }
             if is_clean && response.keep_alive && !is_large {
-                state
-                    .pool
-                    .put(addr, stream, keep_ms(&response), state.now());
+                pool.put(addr, stream, keep_ms(&response), state.now());
             }
             SendResult::Response(Box::new(response))
         }
         Err(error) => {
             if matches!(error, ResponseError::Closed | ResponseError::Timeout) {
-                record_silent(state, std::iter::once(request.target));
+                record_silent(state, request.target.into_iter());
             }
             if is_pooled {
                 // The other idle connections to the target may be dead for the same reason.
-                state.pool.close_all(addr);
+                pool.close_all(addr);
             }
             SendResult::NoResponse(error)
         }
--- a/crates/gateway/src/exchange/tests.rs
+++ b/crates/gateway/src/exchange/tests.rs
@@ -85,7 +85,7 @@
             head: &bytes,
             body: None,
             held: None,
-            target: &TargetId::new("i-1"),
+            target: Some(&TargetId::new("i-1")),
         };
         let deadline = state.now().plus_ms(10_000);
         exchange(&state, addr, request, deadline, async || true).await
@@ -198,7 +198,7 @@
             head: b"head",
             body: None,
             held: Some(&held),
-            target: &TargetId::new("i-1"),
+            target: Some(&TargetId::new("i-1")),
         };
         let deadline = state.now().plus_ms(10_000);
         exchange(&state, addr, request, deadline, async || true).await
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,15 +1,15 @@
 //! Forwards one request to targets: admission, hedging, retries and the final result.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use async_std::{future::timeout, task};
-use balance::{Ask, HoldReason, Position, Route, Suspicion, Verdict};
+use balance::{Ask, Contact, HoldReason, Position, Route, Suspicion, Verdict};
 use futures::{
     FutureExt,
     future::{Either, select},
 };
 use h1::Response;
-use model::{Code, ServiceName, TargetId, Time};
+use model::{Code, Outcome, ServiceName, TargetId, Time};
 use platform::headers;
 use tracing::info;
 
@@ -24,6 +24,8 @@
     line_class::REQUESTS,
     operator_age::operator_age_ms,
     outcome::{claims_not_run, is_slow, record_outcome, record_processing_time, record_reports},
+    peer_forward::{PeerResult, Reply, RequestFrame, choose_peer, send_via_peer},
+    refusal::Refusal,
     returns::{record_admission, room_for},
     selection::{Criteria, SelectedTarget, is_target_eligible, processing_ms, select_target},
     send_limits::{limited_rate, reopens_ms},
@@ -36,6 +38,8 @@
 /// Failed connection attempts after which a request is refused. They do not count towards the
 /// route's attempts, since nothing reached a target.
 const MAX_CONNECT_FAILURES: u32 = 3;
+/// Other instances that a request is forwarded to, one after the other, until one takes it.
+const MAX_PEERS: usize = 3;
 /// Share of the retry budget that hedges may use. The rest is reserved for retries after failures.
 const HEDGE_BUDGET_SHARE: f64 = 0.6;
 /// Share of the retry budget that retries of less urgent requests may use.
@@ -69,6 +73,10 @@
     pub tried: Vec<TargetId>,
     /// Whether a target may have run the request.
     pub may_have_run: bool,
+    /// Names the target that has answered.
+    pub reply: Option<Reply>,
+    /// How the request has ended at the instance that it was forwarded through.
+    pub peer_refusal: Option<Refusal>,
     /// Attempts so far, for the log line of the request.
     pub attempt_log: &'a mut AttemptLog,
 }
@@ -77,6 +85,14 @@
     /// Sends the request to targets until there is a final result.
     pub async fn run(&mut self) -> Result<Response, Code> {
         loop {
+            if self.is_cut_off() {
+                if let Some(done) = self.forward_via_peers().await {
+                    return done;
+                }
+                if self.has_no_target() {
+                    return Err(self.failure_code(Code::CutOff, Code::UpstreamClosed));
+                }
+            }
             let selected = self.await_admission().await?;
             let Some(_trial) = self.begin_trial() else {
                 return Err(self.failure_code(Code::Quarantined, Code::UpstreamClosed));
@@ -93,6 +109,112 @@
         }
     }
 
+    /// Whether the targets of the service seem out of reach.
+    fn is_cut_off(&self) -> bool {
+        self.state.reach.borrow().contact(self.service) != Contact::Reached
+    }
+
+    /// Whether this instance is not to try any target: none is known to be in reach, or another instance
+    /// has forwarded the request, which can do so through one that is not cut off.
+    fn has_no_target(&self) -> bool {
+        let reach = self.state.reach.borrow();
+        self.is_forwarded() || reach.has_none(self.service, self.state.now())
+    }
+
+    /// Whether another instance has forwarded the request.
+    fn is_forwarded(&self) -> bool {
+        self.request.request.frame.is_some()
+    }
+
+    /// Whether this instance has sent the request to a target, so that further attempts need permits here.
+    fn has_own_attempts(&self) -> bool {
+        let frame = self.request.request.frame;
+        self.attempt_log.attempts > frame.map_or(0, |frame| frame.attempts)
+    }
+
+    /// Forwards the request through other instances until one takes it. Returns its final result; `None`
+    /// if no instance has taken it.
+    async fn forward_via_peers(&mut self) -> Option<Result<Response, Code>> {
+        if self.is_forwarded() {
+            return None;
+        }
+        let mut tried = Vec::new();
+        while tried.len() < MAX_PEERS && self.state.now() < self.deadline {
+            let addr = choose_peer(self.state, &tried)?;
+            tried.push(addr);
+            let started = self.state.now();
+            let frame = RequestFrame {
+                attempts: self.attempt_log.attempts,
+                waited_ms: u32::try_from(started.since_us(self.arrived) / 1_000)
+                    .unwrap_or(u32::MAX),
+                config_version: self.state.config_version(),
+            };
+            let deadline = self.state.deadline_in_stop(self.deadline);
+            let request = self.request.request;
+            let result = send_via_peer(self.state, request, frame, addr, deadline).await;
+            let took_us = self.state.now().since_us(started);
+            if let Some(done) = self.handle_peer_result(addr, result, took_us) {
+                return Some(done);
+            }
+        }
+        None
+    }
+
+    /// Returns the final result after the request was forwarded through the instance at `addr`, or `None`
+    /// if it may be sent again.
+    fn handle_peer_result(
+        &mut self,
+        addr: SocketAddr,
+        result: PeerResult,
+        took_us: u64,
+    ) -> Option<Result<Response, Code>> {
+        let what = match &result {
+            PeerResult::Response(_) => "ok",
+            PeerResult::Ended(_) => "ended",
+            PeerResult::NotTaken => "not_taken",
+            PeerResult::Lost(_) => "lost",
+        };
+        self.attempt_log.record_peer(addr, what, took_us);
+        if matches!(result, PeerResult::NotTaken) {
+            return None;
+        }
+        self.attempt_log.attempts += 1;
+        if let Some(permit) = self.permit.take() {
+            permit.consume();
+        }
+        match result {
+            PeerResult::Response(response) => {
+                self.move_request_to_peer();
+                self.reply = Reply::of(&response);
+                Some(Ok(*response))
+            }
+            PeerResult::Ended(refusal) => {
+                self.move_request_to_peer();
+                self.peer_refusal = Some(refusal);
+                Some(Err(if refusal.code.outcome() == Outcome::NotRun {
+                    self.failure_code(refusal.code, Code::UpstreamClosed)
+                } else {
+                    refusal.code
+                }))
+            }
+            PeerResult::NotTaken => None,
+            PeerResult::Lost(error) => {
+                self.may_have_run = true;
+                if error == ResponseError::Timeout {
+                    return Some(Err(Code::UpstreamTimeout));
+                }
+                let may_retry = self.route.idempotent && self.reserve_retry(self.retry_share());
+                (!may_retry).then_some(Err(Code::UpstreamClosed))
+            }
+        }
+    }
+
+    /// Leaves the request to the retry budget of the instance that it was forwarded through.
+    fn move_request_to_peer(&self) {
+        let refund = balance::RetryBudget::refund_request;
+        self.state.with_budget(self.service, refund);
+    }
+
     /// Returns `None` if the request must not be sent, because it crashes targets or may do so and is in
     /// progress here already.
     fn begin_trial(&self) -> Option<SuspectTrial> {
@@ -381,11 +503,12 @@
                     self.state.record_refused_connection(&selected.id);
                 }
                 self.attempt_log.attempts -= 1;
-                if self.attempt_log.attempts > 0 {
+                if self.has_own_attempts() {
                     self.permit = Some(AttemptPermit::for_unsent(self.state, self.service));
                 }
                 self.attempt_log.unsent += 1;
-                if self.attempt_log.unsent >= MAX_CONNECT_FAILURES {
+                let may_be_forwarded = self.is_cut_off() && !self.is_forwarded();
+                if self.attempt_log.unsent >= MAX_CONNECT_FAILURES && !may_be_forwarded {
                     return Some(Err(
                         self.failure_code(Code::ConnectFailed, Code::UpstreamClosed)
                     ));
@@ -395,7 +518,7 @@
             SendResult::NoRoom => {
                 self.attempt_log.record(selected, "no_room", took_us);
                 self.attempt_log.attempts -= 1;
-                if self.attempt_log.attempts > 0 {
+                if self.has_own_attempts() {
                     drop(AttemptPermit::for_unsent(self.state, self.service));
                 }
                 Some(Err(self.failure_code(Code::NoRoom, Code::UpstreamClosed)))
@@ -442,6 +565,10 @@
         response: Response,
         took_us: u64,
     ) -> Option<Result<Response, Code>> {
+        self.reply = Some(Reply::Target {
+            id: selected.id.clone(),
+            born: selected.born,
+        });
         record_reports(self.state, selected, &response);
         let is_signed = response.headers.has(headers::SIGNATURE);
         let has_own_id = response.headers.single_value(headers::REQUEST_ID) == self.id();
--- a/crates/gateway/src/forward/tests.rs
+++ b/crates/gateway/src/forward/tests.rs
@@ -61,6 +61,8 @@
         permit: None,
         tried: Vec::new(),
         may_have_run: false,
+        reply: None,
+        peer_refusal: None,
         attempt_log: &mut AttemptLog::default(),
     };
     task::block_on(action(&mut forwarder));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod operator_records;
 mod orders_apply;
 mod outcome;
+mod peer_forward;
 mod peers;
 mod pending_outcome;
 mod phase;
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -94,7 +94,7 @@
         head: &bytes,
         body: None,
         held: None,
-        target: id,
+        target: Some(id),
     };
     let now = state.now();
     let result = exchange(
--- a/crates/gateway/src/reach/record.rs
+++ b/crates/gateway/src/reach/record.rs
@@ -16,7 +16,10 @@
         return;
     };
     let known = || known_targets(state, &service);
-    let changed = state.reach.borrow_mut().record_contact(&service, id, known);
+    let changed = state
+        .reach
+        .borrow_mut()
+        .record_contact(&service, id, known, state.now());
     log_change(state, &service, changed);
 }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -103,9 +103,11 @@
 impl From<Code> for Refusal {
     fn from(code: Code) -> Self {
         let retry_ms = match code {
-            Code::RouteUnsure | Code::AccessUnsure | Code::NoTarget | Code::ConnectFailed => {
-                Some(UNKNOWN_RETRY_MS)
-            }
+            Code::RouteUnsure
+            | Code::AccessUnsure
+            | Code::NoTarget
+            | Code::ConnectFailed
+            | Code::CutOff => Some(UNKNOWN_RETRY_MS),
             Code::NoRoom => Some(NO_ROOM_RETRY_MS),
             // Another instance takes the request at once.
             Code::Stopping => Some(0),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,9 +19,13 @@
     forward::Forwarder,
     line_class::REQUESTS,
     operator_age::{has_current_config, operator_age_ms},
+    peer_forward::{Reply, RequestFrame},
     refusal::Refusal,
     resources::HeldBytes,
-    response::{encode_forwarded, encode_refusal, separate_body, status, without_body},
+    response::{
+        encode_forward_refusal, encode_forwarded, encode_refusal, separate_body, status,
+        without_body,
+    },
     returns::{arrive, promise},
     selection::processing_ms,
     send_limits::{limited_rate, reopens_ms},
@@ -38,6 +42,8 @@
     result: Result<Response, Refusal>,
     to_head: bool,
     id: Option<String>,
+    /// Where the response comes from, if another instance has forwarded the request.
+    reply: Option<Reply>,
     /// Memory of the response until the caller has it.
     _held: Rc<HeldBytes>,
 }
@@ -47,9 +53,14 @@
     /// connection is closed after it.
     pub fn encode(&self, close: bool) -> Vec<u8> {
         match &self.result {
-            Ok(response) => encode_forwarded(response, self.to_head, close),
+            Ok(response) => encode_forwarded(response, self.reply.as_ref(), self.to_head, close),
             Err(refusal) => {
-                let bytes = encode_refusal(*refusal, self.id.as_deref(), close);
+                let id = self.id.as_deref();
+                let bytes = if self.reply.is_some() {
+                    encode_forward_refusal(*refusal, id, close)
+                } else {
+                    encode_refusal(*refusal, id, close)
+                };
                 if self.to_head {
                     without_body(bytes)
                 } else {
@@ -83,6 +94,8 @@
     pub held: Rc<HeldBytes>,
     /// Reason to refuse it that its head gave. Its body was not kept then.
     pub refusal: Option<Refusal>,
+    /// What the instance that has forwarded it tells of it; `None` if a caller has sent it.
+    pub frame: Option<RequestFrame>,
 }
 
 /// Serves one request and returns the response for the caller.
@@ -96,9 +109,14 @@
     active.end(request, &result);
     let id = request.headers.single_value(headers::REQUEST_ID);
     arrived.held.shrink(request.memory_bytes() as u64);
+    let reply = arrived.frame.map(|_| match &result {
+        Ok(served) => served.reply.clone(),
+        Err(refusal) => Reply::Refused(refusal.code),
+    });
     CallerResponse {
         keep_alive: request.keep_alive,
-        result: result.map(|(response, _)| response),
+        reply,
+        result: result.map(|served| served.response),
         to_head: request.method == "HEAD",
         id: id.map(str::to_owned),
         _held: Rc::clone(&arrived.held),
@@ -128,7 +146,15 @@
     })
 }
 
-type ServeResult = Result<(Response, Arc<Route>), Refusal>;
+type ServeResult = Result<ServedRequest, Refusal>;
+
+/// A request that a target has answered.
+struct ServedRequest {
+    response: Response,
+    route: Arc<Route>,
+    /// Names the target.
+    reply: Reply,
+}
 
 /// A request in progress. If it is dropped before `end` was called, the caller has disconnected.
 struct ActiveRequest {
@@ -166,7 +192,7 @@
             self.count_in_stop(result);
         }
         match result {
-            Ok((response, route)) => self.log_response(response, route),
+            Ok(served) => self.log_response(&served.response, &served.route),
             Err(refusal) => self.log_refusal(request, *refusal),
         }
     }
@@ -294,6 +320,11 @@
 ) -> ServeResult {
     let (request, arrived) = (&arrived_request.message, arrived_request.arrived);
     let config = state.config().ok_or_else(|| not_ready(state))?;
+    let frame = arrived_request.frame;
+    // The sender has forwarded by a newer configuration, which must not be undone.
+    if frame.is_some_and(|frame| frame.config_version > config.version) {
+        return Err(Code::RouteUnsure.into());
+    }
     let route = find_route(&config, request).ok_or_else(|| unknown_route(state))?;
     let is_current = || has_current_config(state);
     let caller = check_key(&config, route.access, request, is_current)?;
@@ -306,6 +337,7 @@
     }
     let hash = request_key(request, &caller);
     attempt_log.hash = hash;
+    attempt_log.attempts = frame.map_or(0, |frame| frame.attempts);
     if let Suspicion::Confirmed { left_us } = suspicion(state, hash) {
         return Err(Refusal::quarantined(Some(left_us)));
     }
@@ -334,10 +366,22 @@
         permit: None,
         tried: Vec::new(),
         may_have_run: false,
+        reply: None,
+        peer_refusal: None,
         attempt_log,
     };
-    match forwarder.run().await {
-        Ok(response) => Ok((response, Arc::clone(&route))),
+    let result = forwarder.run().await;
+    if let (Err(code), Some(refusal)) = (&result, forwarder.peer_refusal)
+        && *code == refusal.code
+    {
+        return Err(refusal);
+    }
+    match result {
+        Ok(response) => Ok(ServedRequest {
+            response,
+            route: Arc::clone(&route),
+            reply: forwarder.reply.unwrap_or(Reply::Refused(Code::Served)),
+        }),
         Err(Code::LimitReached) => {
             let rate = limited_rate(state, &chosen.service);
             let reopens_ms = reopens_ms(state, &chosen.service);
--- a/crates/gateway/src/response.rs
+++ b/crates/gateway/src/response.rs
@@ -4,7 +4,10 @@
 use model::{Code, Outcome};
 use platform::{RelayResponse, headers};
 
-use crate::refusal::Refusal;
+use crate::{
+    peer_forward::{REPLY_HEADER, Reply},
+    refusal::Refusal,
+};
 
 /// Largest body, in bytes, that is copied behind the head of a response.
 const MAX_JOINED: usize = 16 * 1_024;
@@ -28,6 +31,22 @@
 /// Encodes the response to a refused request with request id `id`.
 #[must_use]
 pub fn encode_refusal(refusal: Refusal, id: Option<&str>, close: bool) -> Vec<u8> {
+    encode_refusal_with(refusal, id, close, "")
+}
+
+/// Encodes the response to a refused request that another instance has forwarded.
+#[must_use]
+pub fn encode_forward_refusal(refusal: Refusal, id: Option<&str>, close: bool) -> Vec<u8> {
+    let line = reply_line(&Reply::Refused(refusal.code));
+    encode_refusal_with(refusal, id, close, &line)
+}
+
+fn reply_line(reply: &Reply) -> String {
+    format!("{REPLY_HEADER}: {}\r\n", reply.encode())
+}
+
+/// Encodes the response to a refused request, with further header lines.
+fn encode_refusal_with(refusal: Refusal, id: Option<&str>, close: bool, lines: &str) -> Vec<u8> {
     let code = refusal.code;
     let (status, reason) = status(code);
     let body = format!("{{\"error\":\"{}\",\"code\":{}}}", reason, code.number());
@@ -44,6 +63,7 @@
         let line = format!("Retry-After: {}.{:03}\r\n", ms / 1_000, ms % 1_000);
         head.push_str(&line);
     }
+    head.push_str(lines);
     finish(head.into_bytes(), body.as_bytes(), close)
 }
 
@@ -83,9 +103,15 @@
 }
 
 /// Encodes the response of a target, without its body if that is separate. If it answers a `HEAD` request (`to_head`), it states a length
-/// but has no body.
+/// but has no body. An instance that has forwarded the request gets the `reply`, and what the target says
+/// to those that send it requests.
 #[must_use]
-pub fn encode_forwarded(response: &Response, to_head: bool, close: bool) -> Vec<u8> {
+pub fn encode_forwarded(
+    response: &Response,
+    reply: Option<&Reply>,
+    to_head: bool,
+    close: bool,
+) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(response.body.len().min(MAX_JOINED) + 512);
     bytes.extend_from_slice(
         format!("HTTP/1.1 {} {}\r\n", response.status, response.reason).as_bytes(),
@@ -94,8 +120,14 @@
         let names = headers::FOR_SENDER.iter().flat_map(|names| names.iter());
         names.into_iter().any(|own| name.eq_ignore_ascii_case(own))
     };
+    let is_kept = |name: &str| {
+        !name.eq_ignore_ascii_case(REPLY_HEADER) && (reply.is_some() || !is_for_sender(name))
+    };
     let passed = response.headers.end_to_end();
-    write_headers(&mut bytes, passed.filter(|(name, _)| !is_for_sender(name)));
+    write_headers(&mut bytes, passed.filter(|(name, _)| is_kept(name)));
+    if let Some(reply) = reply {
+        bytes.extend_from_slice(reply_line(reply).as_bytes());
+    }
     if to_head || matches!(response.status, 204 | 304) {
         if to_head && let Some(len) = response.headers.single_value("content-length") {
             bytes.extend_from_slice(format!("Content-Length: {len}\r\n").as_bytes());
--- a/crates/gateway/src/response/tests.rs
+++ b/crates/gateway/src/response/tests.rs
@@ -47,7 +47,7 @@
         body: b"abc".to_vec(),
         keep_alive: false,
     };
-    let passed = decode(&encode_forwarded(&response, false, false));
+    let passed = decode(&encode_forwarded(&response, None, false, false));
     assert_eq!(passed.body, b"abc");
     assert!(passed.keep_alive && passed.headers.has("x-kept"));
     assert!(!passed.headers.has("transfer-encoding") && !passed.headers.has("server-limit"));
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,6 +25,7 @@
     entries_sender::send_updates,
     join::join,
     operator_records::follow_operator_records,
+    peer_forward::serve_peer,
     peers::receive_datagrams,
     phase::Phase,
     reporting::{send_report, send_reports},
@@ -81,8 +82,8 @@
         (Listener::Ready, listen(settings.ready).await?),
         (Listener::Directory, listen(settings.directory).await?),
         (Listener::Metrics, listen(settings.metrics).await?),
-        (Listener::Peer, listen(peer_addr).await?),
     ];
+    let peers = listen(peer_addr).await?;
     let socket = UdpSocket::bind(peer_addr).await;
     let socket = Rc::new(socket.map_err(|error| RunError::Listen {
         addr: peer_addr,
@@ -94,6 +95,8 @@
         let state = Rc::clone(&state);
         task::spawn_local(accept(state, listener, place, serve_endpoints));
     }
+    let for_peers = Rc::clone(&state);
+    task::spawn_local(accept(for_peers, peers, Listener::Peer, serve_peer));
     let for_callers = Rc::clone(&state);
     let accepting = task::spawn_local(accept(
         for_callers,
--- a/crates/gateway/src/selection/exclusion.rs
+++ b/crates/gateway/src/selection/exclusion.rs
@@ -25,6 +25,8 @@
     StatesLimit,
     /// The request was sent to it before.
     Tried,
+    /// It could not be connected to, like most targets of its service.
+    Unreachable,
     /// This instance's share of the limit that it states is used.
     Limit,
     /// It is cold, and this instance's share of its requests is used.
@@ -55,7 +57,12 @@
             return Some(Self::StatesLimit);
         }
         let is_tried = criteria.tried.contains(&target.entry.id);
-        is_tried.then_some(Self::Tried)
+        if is_tried {
+            return Some(Self::Tried);
+        }
+        let reach = state.reach.borrow();
+        let is_unreachable = reach.is_unreachable(criteria.service, &target.entry.id);
+        is_unreachable.then_some(Self::Unreachable)
     }
 
     /// Returns why a target is not among the usable ones although [`Self::of`] has no reason.
@@ -84,6 +91,7 @@
             Self::Closed => "closed",
             Self::StatesLimit => "states_limit",
             Self::Tried => "tried",
+            Self::Unreachable => "unreachable",
             Self::Limit => "limit",
             Self::Cold => "cold",
             Self::Ejected => "ejected",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,9 +11,9 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use balance::{
     Collector, CrashSuspects, EntryLog, FleetUsage, GatewayConfig, Member, Members, OutcomeLog,
-    PeerUsage, PlacementCandidate, Position, Presence, ProcessingTimes, Reach, ResponseSizes,
-    RetryBudget, Rollout, SendPace, Senders, StopPlan, Targets, ZoneRoom, place_callers,
-    resources::ResourceLimits,
+    PeerChoice, PeerUsage, PlacementCandidate, Position, Presence, ProcessingTimes, Reach,
+    ResponseSizes, RetryBudget, Rollout, SendPace, Senders, StopPlan, Targets, ZoneRoom,
+    place_callers, resources::ResourceLimits,
 };
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
@@ -104,6 +104,10 @@
     pub resources: Rc<Resources>,
     /// Idle connections to targets.
     pub pool: Pool,
+    /// Idle connections to other instances, for requests that are forwarded through them.
+    pub peer_pool: Pool,
+    /// Instances that requests are forwarded through.
+    pub peer_choice: RefCell<PeerChoice>,
     /// Whether the targets of each service are reached.
     pub reach: RefCell<Reach>,
     /// Services whose targets are being checked because they seem unreachable.
@@ -228,6 +232,8 @@
             response_buffers: ResponseBuffers::default(),
             resources: Resources::new(limits),
             pool: Pool::new(limits.target_connections()),
+            peer_pool: Pool::new(limits.peer_connections()),
+            peer_choice: RefCell::default(),
             reach: RefCell::default(),
             reach_checks: RefCell::default(),
             phase: Cell::new(Phase::Starting),
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -90,6 +90,8 @@
     AccessUnsure = 3015, "no key in a configuration that may be out of date";
     /// The instance has no memory or connection left for the request.
     NoRoom = 3016, "instance has no room for the request";
+    /// The instance cannot connect to the service's targets, and no other instance has taken the request.
+    CutOff = 3017, "instance is cut off from the targets";
 
     /// The upstream closed the connection before the response was complete.
     UpstreamClosed = 4001, "upstream closed before the whole answer";
--- a/crates/node/tests/gateway_metrics.rs
+++ b/crates/node/tests/gateway_metrics.rs
@@ -47,6 +47,17 @@
     task::sleep(Duration::from_millis(1_200)).await;
 }
 
+/// Makes instances look for others that reach the targets while none does.
+async fn forward_in_vain(rig: &FleetRig) {
+    for target in &rig.targets {
+        target.set_outage(Duration::from_millis(500));
+        target.crash();
+    }
+    task::sleep(Duration::from_millis(50)).await;
+    rig.send_many(20, Duration::from_millis(5)).await;
+    task::sleep(Duration::from_millis(1_500)).await;
+}
+
 /// Guards against metrics that are served but not documented, or documented but not served. The
 /// metrics of probes over the budget and of hedges appear only under an overload that this test
 /// does not cause; `gateway_hedging.rs` checks those of hedges, and `gateway_returns.rs` those of the
@@ -62,6 +73,7 @@
         let binary = Path::new(env!("CARGO_BIN_EXE_hibiscusway"));
         let rig = FleetRig::start(binary, spec).await.unwrap();
         crash_targets(&rig).await;
+        forward_in_vain(&rig).await;
         rig.targets[0].set_limit(Some("0.5"));
         rig.send_many(20, Duration::from_millis(5)).await;
         rig.targets[1].set_retry_after(Some("0.1"));
