Crashes are suspected only while another target accepts connections

Cause: a closed connection whose target then refuses a new one counted as a crash under the request. A cut with resets looks the same at the instance that is cut off, and its word is passed on to all. Change: the check also connects to up to four other targets, and counts a crash only if one of them accepts. What isn't known is no crash.

--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -1,19 +1,22 @@
 //! Finds out whether a target has crashed, after it closed a connection without a response.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::{future::timeout, net::TcpStream};
 use futures::{
     FutureExt,
-    future::{LocalBoxFuture, Shared},
+    future::{LocalBoxFuture, Shared, join_all},
 };
 use model::{TargetId, Time};
+use rand::seq::IteratorRandom;
 
 use crate::{selection::is_eligible, state::State};
 
 /// Time for the new connection. A target that runs accepts it, and the machine of one that does not
 /// refuses it, within a few milliseconds; one that is cut off does neither.
 const CHECK_LIMIT: Duration = Duration::from_millis(50);
+/// Other targets that are connected to, to find out whether any can be. Some of them may have crashed as well.
+const OTHERS: usize = 4;
 /// Time for which the result of a check holds, in microseconds. All connections of a process that
 /// crashes end at about the same time.
 const VALID_US: u64 = 1_000_000;
@@ -23,7 +26,7 @@
 pub type CrashChecks = HashMap<(TargetId, u64), (Time, Shared<LocalBoxFuture<'static, bool>>)>;
 
 /// Whether the process of the target `id` that started at `born` has crashed: it refuses a new
-/// connection, although nothing says that it leaves.
+/// connection, although another target accepts one and nothing says that it leaves.
 pub async fn has_crashed(state: &Rc<State>, id: &TargetId, born: u64, addr: SocketAddr) -> bool {
     let now = state.now();
     let is_expected = || {
@@ -38,15 +41,49 @@
         checks.retain(|_, (at, _)| now.since_us(*at) < VALID_US);
         let check = checks.entry((id.clone(), born)).or_insert_with(|| {
             state.metrics.count("crash_checks", 1);
-            (now, refuses_connection(addr).boxed_local().shared())
+            let others = other_targets(state, id);
+            (now, is_down(addr, others).boxed_local().shared())
         });
         check.1.clone()
     };
     check.await && !is_expected()
 }
 
-async fn refuses_connection(addr: SocketAddr) -> bool {
-    let connected = timeout(CHECK_LIMIT, TcpStream::connect(addr)).await;
-    let is_refused = |error: &std::io::Error| error.kind() == std::io::ErrorKind::ConnectionRefused;
-    connected.is_ok_and(|result| result.as_ref().is_err_and(is_refused))
+/// Returns the addresses of some other targets, of any service.
+fn other_targets(state: &State, id: &TargetId) -> Vec<SocketAddr> {
+    let targets = state.targets.borrow();
+    let others = targets
+        .all()
+        .filter(|t| t.entry.id != *id && is_eligible(state, t));
+    others
+        .map(|t| t.entry.addr)
+        .choose_multiple(&mut rand::rng(), OTHERS)
+}
+
+/// Whether the target at `addr` refuses a connection while another one accepts it. If none does, this
+/// instance may be cut off from all of them.
+async fn is_down(addr: SocketAddr, others: Vec<SocketAddr>) -> bool {
+    if connect(addr).await != Connected::Refused {
+        return false;
+    }
+    let is_only = others.is_empty();
+    let accepted = join_all(others.into_iter().map(connect)).await;
+    is_only || accepted.contains(&Connected::Accepted)
+}
+
+/// Result of a connection attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Connected {
+    Accepted,
+    Refused,
+    /// Neither happened in time, or the system reports another error.
+    Unknown,
+}
+
+async fn connect(addr: SocketAddr) -> Connected {
+    match timeout(CHECK_LIMIT, TcpStream::connect(addr)).await {
+        Ok(Ok(_)) => Connected::Accepted,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Connected::Refused,
+        _ => Connected::Unknown,
+    }
 }
