Crash check: leave out targets that were down before

Change: only targets that weren't known to be down when the request was sent tell a cut from a crash. A cut takes all of them at once.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -154,9 +154,7 @@
                 record_run(state, request.key);
             }
         }
-        SendResult::NoResponse(ResponseError::Closed)
-            if has_crashed(state, request.target, request.born, request.addr).await =>
-        {
+        SendResult::NoResponse(ResponseError::Closed) if has_crashed(state, request).await => {
             record_crash(state, request, ended);
             return SendResult::NoResponse(ResponseError::Crashed);
         }
--- a/crates/gateway/src/crash_check.rs
+++ b/crates/gateway/src/crash_check.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::{future::timeout, net::TcpStream};
+use balance::Target;
 use futures::{
     FutureExt,
     future::{LocalBoxFuture, Shared, join_all},
@@ -10,12 +11,12 @@
 use model::{TargetId, Time};
 use rand::seq::IteratorRandom;
 
-use crate::{selection::is_eligible, state::State};
+use crate::{crashes::SentRequest, selection::is_eligible, state::State};
 
 /// Time for the new connection. A target that runs accepts it, and the machine of one that does not
 /// refuses it, within a few milliseconds; one that is cut off does neither.
 const CHECK_LIMIT: Duration = Duration::from_millis(50);
-/// Other targets that are connected to, to find out whether any can be. Some of them may have crashed as well.
+/// Other targets that are connected to, to find out whether any can be. Some may have crashed as well.
 const OTHERS: usize = 4;
 /// Time for which the result of a check holds, in microseconds. All connections of a process that
 /// crashes end at about the same time.
@@ -25,9 +26,16 @@
 /// at the same time wait for the same check.
 pub type CrashChecks = HashMap<(TargetId, u64), (Time, Shared<LocalBoxFuture<'static, bool>>)>;
 
-/// Whether the process of the target `id` that started at `born` has crashed: it refuses a new
-/// connection, although another target accepts one and nothing says that it leaves.
-pub async fn has_crashed(state: &Rc<State>, id: &TargetId, born: u64, addr: SocketAddr) -> bool {
+/// Whether the process that `request` was sent to has crashed: it refuses a new connection, although another
+/// target accepts one and nothing says that it leaves.
+pub async fn has_crashed(state: &Rc<State>, request: &SentRequest<'_>) -> bool {
+    let SentRequest {
+        target: id,
+        born,
+        addr,
+        sent,
+        ..
+    } = *request;
     let now = state.now();
     let is_expected = || {
         let targets = state.targets.borrow();
@@ -41,7 +49,7 @@
         checks.retain(|_, (at, _)| now.since_us(*at) < VALID_US);
         let check = checks.entry((id.clone(), born)).or_insert_with(|| {
             state.metrics.count("crash_checks", 1);
-            let others = other_targets(state, id);
+            let others = other_targets(state, id, sent);
             (now, is_down(addr, others).boxed_local().shared())
         });
         check.1.clone()
@@ -49,26 +57,34 @@
     check.await && !is_expected()
 }
 
-/// Returns the addresses of some other targets, of any service.
-fn other_targets(state: &State, id: &TargetId) -> Vec<SocketAddr> {
-    let targets = state.targets.borrow();
+/// Returns the addresses of some other targets, of any service, that were not known to be down when a
+/// request was sent to the target `id` at `sent`.
+fn other_targets(state: &State, id: &TargetId, sent: Time) -> Vec<SocketAddr> {
+    let (targets, reach) = (state.targets.borrow(), state.reach.borrow());
+    let now = state.now();
+    let was_down = |t: &Target| {
+        let failed_at = reach
+            .get(&t.entry.service)
+            .and_then(|r| r.failed_at(&t.entry.id));
+        t.health.is_ejected(now) || failed_at.is_some_and(|at| at < sent)
+    };
     let others = targets
         .all()
-        .filter(|t| t.entry.id != *id && is_eligible(state, t));
+        .filter(|t| t.entry.id != *id && is_eligible(state, t) && !was_down(t));
     others
         .map(|t| t.entry.addr)
         .choose_multiple(&mut rand::rng(), OTHERS)
 }
 
-/// Whether the target at `addr` refuses a connection while another one accepts it. If none does, this
-/// instance may be cut off from all of them.
+/// Whether the target at `addr` refuses a connection while one of `others` accepts it. If they all went
+/// down at the same time, this instance is cut off from them.
 async fn is_down(addr: SocketAddr, others: Vec<SocketAddr>) -> bool {
     if connect(addr).await != Connected::Refused {
         return false;
     }
-    let is_only = others.is_empty();
+    let has_none = others.is_empty();
     let accepted = join_all(others.into_iter().map(connect)).await;
-    is_only || accepted.contains(&Connected::Accepted)
+    has_none || accepted.contains(&Connected::Accepted)
 }
 
 /// Result of a connection attempt.
