Failures of an instance that is cut off count against no target

Requests that hang or are reset when an instance is cut off were reported to the collectors as failures of their targets, and as evidence against the version of a rollout. Change: while contact with the service is lost or in doubt, failed attempts without a response are counted, but not recorded.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -648,8 +648,12 @@
     }
 
     /// Records a failed attempt, unless neither the target nor its version is at fault: the instance had no
-    /// memory for the response, or the request has crashed more than one target.
+    /// memory for the response, the request has crashed more than one target, or the instance is cut off.
     fn record_failure(&self, selected: &SelectedTarget, result: &SendResult) {
+        if self.is_cut_off() {
+            self.state.metrics.count("failures_when_cut_off", 1);
+            return;
+        }
         if matches!(result, SendResult::NoResponse(error) if !error.is_of_target()) {
             return;
         }
--- a/crates/gateway/src/forward/tests.rs
+++ b/crates/gateway/src/forward/tests.rs
@@ -148,3 +148,24 @@
         target_thread.join().unwrap();
     }
 }
+
+/// Guards against an instance that reports targets as failing, and a version as bad, because it is cut off
+/// itself.
+#[test]
+fn failures_are_not_reported_when_cut_off() {
+    let state = state();
+    let timeout = || SendResult::NoResponse(ResponseError::Timeout);
+    with_forwarder(&state, async |forwarder| {
+        forwarder.handle_result(&target("a"), timeout(), 0);
+    });
+    assert_eq!(state.outcomes.take().len(), 1);
+    let service = ServiceName::new("s");
+    for id in ["a", "b"] {
+        let mut reach = state.reach.borrow_mut();
+        reach.record_unreachable(&service, &TargetId::new(id), 2, state.now());
+    }
+    with_forwarder(&state, async |forwarder| {
+        forwarder.handle_result(&target("a"), timeout(), 0);
+    });
+    assert_eq!(state.outcomes.take().len(), 0);
+}
