The directory leaves out instances that are cut off from targets

Cause: the directory names all ready instances, and readiness doesn't depend on targets; nobody was told. Change: an instance that has lost contact with the services of more than half of all targets says so in its description. Directories leave it out, unless all say so, and no request is forwarded through it. It stays ready and goes on serving. Reports and digests have a field more, so their format bytes change.

--- a/crates/balance/src/collector/tests.rs
+++ b/crates/balance/src/collector/tests.rs
@@ -16,6 +16,7 @@
         peer_addr: addr,
         presence: Presence::Ready,
         has_store: true,
+        has_targets: true,
         link_mbps: 1_000,
         last_heard: None,
     }
--- a/crates/balance/src/member.rs
+++ b/crates/balance/src/member.rs
@@ -40,6 +40,8 @@
     pub presence: Presence,
     /// Whether its latest call to the store succeeded.
     pub has_store: bool,
+    /// Whether it is in contact with most targets.
+    pub has_targets: bool,
     /// Bandwidth of its link, in Mbit/s.
     pub link_mbps: u32,
     /// Latest time at which it was known to live; `None` if it never was.
--- a/crates/balance/src/members.rs
+++ b/crates/balance/src/members.rs
@@ -87,12 +87,14 @@
     }
 
     /// Updates the description of this instance. Returns whether it changed.
-    pub fn update_own(&mut self, presence: Presence, has_store: bool) -> bool {
-        if (presence, has_store) == (self.own.presence, self.own.has_store) {
+    pub fn update_own(&mut self, presence: Presence, has_store: bool, has_targets: bool) -> bool {
+        let own = &mut self.own;
+        if (presence, has_store, has_targets) == (own.presence, own.has_store, own.has_targets) {
             return false;
         }
-        self.own.presence = presence;
-        self.own.has_store = has_store;
+        own.presence = presence;
+        own.has_store = has_store;
+        own.has_targets = has_targets;
         self.own.revision += 1;
         true
     }
--- a/crates/balance/src/members/tests.rs
+++ b/crates/balance/src/members/tests.rs
@@ -13,6 +13,7 @@
         peer_addr: addr,
         presence: Presence::Ready,
         has_store: true,
+        has_targets: true,
         link_mbps: 1_000,
         last_heard: None,
     }
@@ -231,6 +232,7 @@
         };
         rank_among(own, |index, other| Member {
             has_store: index == 4,
+            has_targets: true,
             ..other
         })
     };
@@ -238,6 +240,7 @@
     assert!(rank(false) >= 1);
     let alone = Members::new(Member {
         has_store: false,
+        has_targets: true,
         ..member(99, 1)
     });
     assert_eq!(alone.duty_rank(COLLECT), 0);
--- a/crates/balance/tests/entries_spread.rs
+++ b/crates/balance/tests/entries_spread.rs
@@ -94,6 +94,7 @@
         peer_addr: addr,
         presence: Presence::Ready,
         has_store: true,
+        has_targets: true,
         link_mbps: 1_000,
         last_heard: Some(Time(1)),
     }
--- a/crates/balance/tests/system/mod.rs
+++ b/crates/balance/tests/system/mod.rs
@@ -104,6 +104,7 @@
         peer_addr: addr(index),
         presence: Presence::Ready,
         has_store: true,
+        has_targets: true,
         link_mbps: if index.is_multiple_of(31) { 200 } else { 20 },
         last_heard: None,
     }
--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -19,7 +19,7 @@
 };
 
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 22;
+const FORMAT: u8 = 24;
 /// Encoded size of an address to forward a datagram to, in bytes.
 const ADDR_BYTES: usize = 6;
 /// Size of the fields before the addresses, in bytes.
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -79,7 +79,8 @@
 /// Logs that an instance has joined, or has changed its description.
 pub fn log_member(member: &Member) {
     info!(event = "peer", peer = %member.name, boot = member.incarnation,
-        revision = member.revision, presence = ?member.presence, has_store = member.has_store);
+        revision = member.revision, presence = ?member.presence, has_store = member.has_store,
+        has_targets = member.has_targets);
 }
 
 /// Logs in one line which instances have joined or changed their descriptions, as `source` told.
--- a/crates/gateway/src/entries_sender/tests.rs
+++ b/crates/gateway/src/entries_sender/tests.rs
@@ -16,6 +16,7 @@
         peer_addr,
         presence: Presence::Ready,
         has_store: true,
+        has_targets: true,
         link_mbps: 1_000,
         last_heard: None,
     };
--- a/crates/gateway/src/peer_forward/sending.rs
+++ b/crates/gateway/src/peer_forward/sending.rs
@@ -35,12 +35,15 @@
     Lost(ResponseError),
 }
 
-/// Returns a ready instance to forward a request through that is not in `tried`, by its address for other
-/// instances.
+/// Returns a ready instance to forward a request through that says it is in contact with targets and is not
+/// in `tried`, by its address for other instances.
 pub fn choose_peer(state: &State, tried: &[SocketAddr]) -> Option<SocketAddr> {
     let members = state.members.borrow();
-    let ready = members.ready().into_iter().map(|m| m.peer_addr);
-    let candidates: Vec<SocketAddr> = ready.filter(|addr| !tried.contains(addr)).collect();
+    let ready = members.ready().into_iter().filter(|m| m.has_targets);
+    let candidates: Vec<SocketAddr> = ready
+        .map(|m| m.peer_addr)
+        .filter(|addr| !tried.contains(addr))
+        .collect();
     let mut rng = rand::rng();
     let draws = [rng.random(), rng.random()];
     let choice = state.peer_choice.borrow();
--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -3,4 +3,4 @@
 mod check;
 mod record;
 
-pub use self::record::{record_contact, record_silent, record_unreachable};
+pub use self::record::{has_targets, record_contact, record_silent, record_unreachable};
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -13,7 +13,7 @@
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
 /// First byte of a datagram. It changes whenever the layout does.
-const FORMAT: u8 = 23;
+const FORMAT: u8 = 25;
 
 /// Report of an instance to the collectors. The order and the types of the fields are the wire
 /// format.
--- a/crates/gateway/src/report/tests.rs
+++ b/crates/gateway/src/report/tests.rs
@@ -14,6 +14,7 @@
             peer_addr: "10.0.0.1:7000".parse().unwrap(),
             presence: Presence::Ready,
             has_store: true,
+            has_targets: true,
             link_mbps: 200,
             last_heard: None,
         },
--- a/crates/gateway/src/reporting.rs
+++ b/crates/gateway/src/reporting.rs
@@ -15,6 +15,7 @@
     hedging::give_up_unused,
     operator_age::operator_age_ms,
     phase::Phase,
+    reach::has_targets,
     report::{Report, RolloutReport},
     returns::report_claims,
     state::State,
@@ -106,11 +107,13 @@
         Phase::Leaving => Presence::Leaving,
     };
     let mut members = state.members.borrow_mut();
-    if members.update_own(presence, state.has_store.get()) {
+    let has_targets = has_targets(state);
+    if members.update_own(presence, state.has_store.get(), has_targets) {
         info!(
             event = "own_state",
             ?presence,
-            has_store = state.has_store.get()
+            has_store = state.has_store.get(),
+            has_targets
         );
     }
     let member = members.own().clone();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -469,11 +469,18 @@
         let _ = self.requests_ended.recv().await;
     }
 
-    /// Returns the addresses for callers in `zone`: those of ready instances that are near targets.
+    /// Returns the addresses for callers in `zone`: those of ready instances that are near targets. Those
+    /// that are cut off from targets are left out, unless all are.
     pub fn addresses(&self, zone: &str) -> Vec<SocketAddr> {
         let members = self.members.borrow();
-        let mut ready: Vec<PlacementCandidate<'_>> = members
-            .ready()
+        let mut ready = members.ready();
+        if self.phase.get() == Phase::Ready {
+            ready.push(members.own());
+        }
+        if ready.iter().any(|m| m.has_targets) {
+            ready.retain(|m| m.has_targets);
+        }
+        let ready: Vec<PlacementCandidate<'_>> = ready
             .iter()
             .map(|m| PlacementCandidate {
                 name: &m.name,
@@ -481,13 +488,6 @@
                 addr: m.caller_addr,
             })
             .collect();
-        if self.phase.get() == Phase::Ready {
-            ready.push(PlacementCandidate {
-                name: self.instance_id(),
-                zone: &self.settings.zone,
-                addr: self.settings.callers,
-            });
-        }
         place_callers(zone, &self.zone_room(), &ready)
     }
 
@@ -567,6 +567,7 @@
         peer_addr: settings.peer.into(),
         presence: Presence::Starting,
         has_store: true,
+        has_targets: true,
         link_mbps: settings.whole_link_mbps(),
         last_heard: None,
     }
