Soak: partitions from targets, series of stops, kept connections

Change: half of the instances, up to eight, have paths of their own to each target. Series of their own random numbers cut some or all of them off from all targets or all but one, with refused or hanging connections, or stop instances one after the other, while the other faults go on. 40% of the requests go over connections that clients keep until they end.

--- a/crates/testkit/src/fleet/client.rs
+++ b/crates/testkit/src/fleet/client.rs
@@ -109,6 +109,32 @@
     }
 }
 
+/// Sends a request on `kept`, a connection that earlier requests have used, or on a new one. Also returns
+/// the connection, unless it has ended.
+pub async fn send_keeping(
+    kept: Option<TcpStream>,
+    addr: SocketAddr,
+    request: &FleetRequest,
+) -> (FleetResult, Option<TcpStream>) {
+    let limit = Duration::from_millis(request.deadline_ms + 1_000);
+    let stream = match kept {
+        Some(stream) => Ok(stream),
+        None => TcpStream::connect(addr).await,
+    };
+    let Ok(mut stream) = stream else {
+        return (FleetResult::Unreachable, None);
+    };
+    let bytes = request.bytes();
+    match timeout(limit, read(&mut stream, request.method, &bytes)).await {
+        Ok(Ok(response)) => {
+            let kept = response.keep_alive.then_some(stream);
+            (FleetResult::Response(Box::new(response)), kept)
+        }
+        Ok(Err(_)) => (FleetResult::Cut, None),
+        Err(_) => (FleetResult::Nothing, None),
+    }
+}
+
 /// Sends bytes on a new connection and reads one response. `method` is the method of the request in
 /// `bytes`.
 pub async fn fetch(addr: SocketAddr, method: &str, bytes: &[u8]) -> FleetResult {
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod soak;
 mod soak_call;
 mod soak_keys;
+mod soak_series;
 mod store;
 mod target;
 
--- a/crates/testkit/src/fleet/partition.rs
+++ b/crates/testkit/src/fleet/partition.rs
@@ -35,7 +35,19 @@
 
     /// Cuts the instance off from all targets for `length`.
     pub fn cut(&self, kind: OutageKind, length: Duration) {
-        self.cut_some(kind, length, self.proxies.len());
+        self.cut_some(kind, length, self.len());
+    }
+
+    /// Returns the number of targets that the instance has a path to.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.proxies.len()
+    }
+
+    /// Returns whether the instance has a path to no target at all.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.proxies.is_empty()
     }
 
     /// Cuts the instance off from the first `count` targets for `length`.
--- a/crates/testkit/src/fleet/rig.rs
+++ b/crates/testkit/src/fleet/rig.rs
@@ -146,8 +146,8 @@
     }
 
     /// Starts a deployment in which each instance can be cut off from all targets, and waits until all
-    /// instances are ready. The entries of the targets must not change: instances that tell one another of
-    /// changes would name their own paths.
+    /// instances are ready. Once the entry of a target changes, instances tell one another of the change, and
+    /// may use the path of another one to that target.
     ///
     /// # Errors
     ///
@@ -155,6 +155,21 @@
     pub async fn start_with_partitions(
         binary: &Path,
         spec: RigSpec,
+    ) -> io::Result<(Self, Vec<Partition>)> {
+        Self::start_partly_partitioned(binary, spec, spec.instances, "").await
+    }
+
+    /// Same as [`Self::start_with_partitions`], for the first `count` instances only, and with further lines
+    /// in the settings of all instances.
+    ///
+    /// # Errors
+    ///
+    /// See [`Self::start`].
+    pub async fn start_partly_partitioned(
+        binary: &Path,
+        spec: RigSpec,
+        count: usize,
+        extra_settings: &str,
     ) -> io::Result<(Self, Vec<Partition>)> {
         let without_instances = RigSpec {
             instances: 0,
@@ -163,11 +178,23 @@
         let mut rig = Self::start(binary, without_instances).await?;
         let mut partitions = Vec::new();
         for index in 0..spec.instances {
-            let partition = Partition::start(&rig.store, &rig.targets).await?;
-            // Without seeds, an instance reads the entries itself.
-            let instance = GatewayProcess::start(binary, &zone(index), partition.store.addr, &[])?;
-            rig.instances.push(instance);
-            partitions.push(partition);
+            let mut store = rig.store.addr;
+            let mut seeds: Vec<Ipv4Addr> = Vec::new();
+            if index < count {
+                // Without seeds, an instance reads the entries itself.
+                let partition = Partition::start(&rig.store, &rig.targets).await?;
+                store = partition.store.addr;
+                partitions.push(partition);
+            } else {
+                seeds.extend(rig.instances.iter().take(3).map(|i| i.ip));
+            }
+            rig.instances.push(GatewayProcess::start_with_settings(
+                binary,
+                &zone(index),
+                store,
+                &seeds,
+                extra_settings,
+            )?);
         }
         rig.wait_until_ready().await?;
         Ok((rig, partitions))
--- a/crates/testkit/src/fleet/soak_call.rs
+++ b/crates/testkit/src/fleet/soak_call.rs
@@ -23,6 +23,8 @@
     /// that the platform requires it to know all changes.
     pub(super) is_settled: bool,
     pub(super) odd_caller: Option<OddCaller>,
+    /// Whether earlier requests have used its connection.
+    pub(super) is_reused: bool,
 }
 
 impl Call {
