Reach: tell others only of losses that last, show contact in explanations

When targets fail for all instances for a moment, each would change its description, twice, and all would exchange the changes. Change: an instance tells of a loss of contact after a second. hibiscusctl route shows the contact. A forwarded request has a reply only if a target has answered or it was refused.

--- a/crates/balance/src/reach/contact.rs
+++ b/crates/balance/src/reach/contact.rs
@@ -11,3 +11,15 @@
     /// Several targets in a row, or most of them, could not be connected to.
     Lost,
 }
+
+impl Contact {
+    /// Returns the name of the state in explanations.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Reached => "reached",
+            Self::Doubtful => "doubtful",
+            Self::Lost => "lost",
+        }
+    }
+}
--- a/crates/balance/src/reach/mod.rs
+++ b/crates/balance/src/reach/mod.rs
@@ -15,6 +15,10 @@
 
 use model::{ServiceName, TargetId, Time};
 
+/// Time for which contact is lost before other instances are told, in microseconds. When targets fail for
+/// all instances for a moment, they should not all change their descriptions.
+const LONG_US: u64 = 1_000_000;
+
 /// Reach of all services with trouble. A service without an entry is reached.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
@@ -59,6 +63,13 @@
         lost.map(|(service, _)| service)
     }
 
+    /// Returns the services that have not been reached for some time, so that it is worth telling others.
+    pub fn lost_for_long(&self, now: Time) -> impl Iterator<Item = &ServiceName> {
+        let services = self.services.iter();
+        let lost = services.filter(move |(_, reach)| reach.lost_us(now) >= LONG_US);
+        lost.map(|(service, _)| service)
+    }
+
     /// Records that a target has accepted a connection or answered. `known` is the number of targets of
     /// the service that may be used. Returns the contact if it changed.
     pub fn record_contact(
--- a/crates/balance/src/reach/service_reach.rs
+++ b/crates/balance/src/reach/service_reach.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct ServiceReach {
     contact: Contact,
+    /// Time at which contact was lost, while it is.
+    lost_at: Option<Time>,
     /// Targets that could not be connected to since the latest contact with them, with the latest try.
     unreachable: BTreeMap<TargetId, Time>,
     /// Targets that could not be connected to since the latest contact with any target.
@@ -48,6 +50,12 @@
         self.unreachable.get(id).copied()
     }
 
+    /// Returns for how long contact has been lost, in microseconds; 0 if it is not.
+    #[must_use]
+    pub fn lost_us(&self, now: Time) -> u64 {
+        self.lost_at.map_or(0, |at| now.since_us(at))
+    }
+
     /// Returns whether some targets are in reach although contact is lost with most.
     #[must_use]
     pub fn is_partial(&self, now: Time) -> bool {
@@ -64,6 +72,7 @@
         let is_mostly_lost = self.unreachable.len() * 2 > known;
         if self.contact == Contact::Doubtful || !is_mostly_lost {
             self.contact = Contact::Reached;
+            self.lost_at = None;
         }
     }
 
@@ -77,6 +86,7 @@
         self.failed.insert(id.clone());
         if self.failed.len() >= streak(known) || self.unreachable.len() * 2 > known {
             self.contact = Contact::Lost;
+            self.lost_at.get_or_insert(now);
         }
     }
 
--- a/crates/balance/src/reach/tests.rs
+++ b/crates/balance/src/reach/tests.rs
@@ -91,6 +91,16 @@
     assert!(reach.has_none(&service(), Time(3_000_000)));
 }
 
+#[test]
+fn loss_is_told_after_some_time() {
+    let mut reach = Reach::default();
+    fail(&mut reach, 26, 0..3);
+    assert_eq!(reach.lost_for_long(Time(500_000)).count(), 0);
+    assert_eq!(reach.lost_for_long(Time(2_000_000)).count(), 1);
+    reach.record_contact(&service(), &target(0), || 26, Time(2_000_000));
+    assert_eq!(reach.lost_for_long(Time(9_000_000)).count(), 0);
+}
+
 fn addr(number: u8) -> std::net::SocketAddr {
     ([10, 0, 0, number], 7_660).into()
 }
--- a/crates/ctl/src/commands/route_text.rs
+++ b/crates/ctl/src/commands/route_text.rs
@@ -15,7 +15,7 @@
     }
     lines.extend(refusal(explanation, ""));
     for service in items(&explanation["services"]) {
-        let keys = ["service", "weight", "load", "urgency_rank"];
+        let keys = ["service", "weight", "load", "urgency_rank", "contact"];
         lines.push(pairs(service, &keys));
         if !service["rollout"].is_null() {
             lines.push(format!("  rollout {}", all_pairs(&service["rollout"])));
--- a/crates/gateway/src/explain/service.rs
+++ b/crates/gateway/src/explain/service.rs
@@ -68,6 +68,8 @@
         "weight": part.weight,
         "load": (hedging::mean_load(state, service) * 1_000.0).round() / 1_000.0,
         "urgency_rank": urgency_rank,
+        // Unless it is reached, requests go through another instance if one takes them.
+        "contact": state.reach.borrow().contact(service).name(),
         "rollout": rollout,
         "decisions": decisions.collect::<Value>(),
     })
--- a/crates/gateway/src/reach/record.rs
+++ b/crates/gateway/src/reach/record.rs
@@ -48,10 +48,12 @@
     }
 }
 
-/// Whether this instance is in contact with most targets. If there are none, nothing speaks against it.
+/// Whether this instance is in contact with most targets, or has lost it only a moment ago. If there are no
+/// targets, nothing speaks against it.
 pub fn has_targets(state: &State) -> bool {
     let (targets, reach) = (state.targets.borrow(), state.reach.borrow());
-    let lost: usize = reach.lost().map(|s| targets.of_service(s).count()).sum();
+    let lost = reach.lost_for_long(state.now());
+    let lost: usize = lost.map(|s| targets.of_service(s).count()).sum();
     lost == 0 || lost * 2 <= targets.len()
 }
 
@@ -89,10 +91,6 @@
             warn!(event = "targets_unreached", %service, unreachable, known);
         }
     }
-    if contact != Contact::Doubtful {
-        // Directories name the instance or leave it out.
-        state.request_report();
-    }
     if contact != Contact::Reached && state.reach_checks.borrow_mut().insert(service.clone()) {
         task::spawn_local(check_service(Rc::clone(state), service.clone()));
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -109,9 +109,9 @@
     active.end(request, &result);
     let id = request.headers.single_value(headers::REQUEST_ID);
     arrived.held.shrink(request.memory_bytes() as u64);
-    let reply = arrived.frame.map(|_| match &result {
+    let reply = arrived.frame.and_then(|_| match &result {
         Ok(served) => served.reply.clone(),
-        Err(refusal) => Reply::Refused(refusal.code),
+        Err(refusal) => Some(Reply::Refused(refusal.code)),
     });
     CallerResponse {
         keep_alive: request.keep_alive,
@@ -153,7 +153,7 @@
     response: Response,
     route: Arc<Route>,
     /// Names the target.
-    reply: Reply,
+    reply: Option<Reply>,
 }
 
 /// A request in progress. If it is dropped before `end` was called, the caller has disconnected.
@@ -380,7 +380,7 @@
         Ok(response) => Ok(ServedRequest {
             response,
             route: Arc::clone(&route),
-            reply: forwarder.reply.unwrap_or(Reply::Refused(Code::Served)),
+            reply: forwarder.reply,
         }),
         Err(Code::LimitReached) => {
             let rate = limited_rate(state, &chosen.service);
