Forwarded heads may be longer at the second instance

Callers within max_header_bytes would get 502 through an instance that is cut off. Cause: the first instance writes header lines with a space behind the colon; 1,750 short lines then exceed the limit at the second one, which ends the connection. Change: heads of other instances may be twice as long.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -408,8 +408,13 @@
 
     fn limits(&self) -> RequestLimits {
         let limits = self.state.config().map(|m| m.limits).unwrap_or_default();
+        // Another instance has checked the head, and may have written its lines longer.
+        let factor = match self.origin {
+            Origin::Caller => 1,
+            Origin::Peer => 2,
+        };
         RequestLimits {
-            head_bytes: limits.head_bytes,
+            head_bytes: limits.head_bytes * factor,
             body_bytes: limits.body_bytes,
         }
     }
--- a/crates/node/tests/gateway_reach.rs
+++ b/crates/node/tests/gateway_reach.rs
@@ -8,7 +8,7 @@
 use async_std::{future::timeout, task};
 use futures::future::{join, join_all};
 use testkit::fleet::{
-    FleetRequest, FleetResult, FleetRig, FleetTarget, OutageKind, Partition, RigSpec,
+    FleetRequest, FleetResult, FleetRig, FleetTarget, OutageKind, Partition, RigSpec, fetch,
     query_directory, send,
 };
 
@@ -196,8 +196,9 @@
         };
         let (rig, partitions) = start(spec).await;
         partitions[0].cut(OutageKind::Refuse, PARTITION);
-        // The first requests show that contact is lost.
-        send_for(&rig, Duration::from_secs(1)).await;
+        // The first requests show that contact is lost. Instances that have just started find each other
+        // meanwhile.
+        send_for(&rig, CONTACT_TIME).await;
         let before: u32 = rig.targets.iter().map(FleetTarget::cancelled).sum();
         let request = rig.request(false);
         let sending = send(rig.instances[0].caller_addr(), &request);
@@ -209,3 +210,24 @@
         assert_eq!(after, before + 1);
     });
 }
+
+// Guards against heads within the limit that are refused at the instance that they are forwarded through,
+// because their lines were written longer.
+#[test]
+fn large_heads_pass_through_peers() {
+    task::block_on(async {
+        let (rig, partitions) = start(SPEC).await;
+        partitions[0].cut(OutageKind::Refuse, PARTITION);
+        send_for(&rig, CONTACT_TIME).await;
+        let request = rig.request(false);
+        let mut bytes = request.bytes();
+        bytes.truncate(bytes.len() - 2);
+        for number in 0..1_750 {
+            bytes.extend_from_slice(format!("x{number:04}:y\r\n").as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        assert!(bytes.len() < 16_384);
+        let result = fetch(rig.instances[0].caller_addr(), "GET", &bytes).await;
+        assert!(result.is_served(&request.id), "{result:?}");
+    });
+}
