Reach checks keep their pace while a few targets accept

Callers pay for it in processor time, and targets in connections: with most targets of a service down and the rest up, an instance would open some 250 connections a second for as long as that lasts. Any accepted connection shortened the pause between two rounds to 20 ms, also one to a target that had been in reach all the time. Change: only a target that was unreachable shortens the pause, and one that has just accepted a connection isn't checked for half a second.

--- a/crates/gateway/src/reach/check.rs
+++ b/crates/gateway/src/reach/check.rs
@@ -1,11 +1,11 @@
 //! Checks on the targets of a service that seems cut off, until some accept connections again.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::task;
 use balance::Contact;
 use futures::future::join_all;
-use model::{ServiceName, TargetId};
+use model::{ServiceName, TargetId, Time};
 use rand::seq::IndexedRandom;
 
 use super::record::{record_contact, record_unreachable};
@@ -17,50 +17,78 @@
 const CHECKED_FIRST: usize = 4;
 /// Pause between two rounds of checks.
 const PAUSE: Duration = Duration::from_millis(250);
-/// Pause after a round in which a target accepted a connection.
+/// Pause after a round in which a target that was unreachable accepted a connection.
 const SHORT_PAUSE: Duration = Duration::from_millis(20);
+/// Time after which a target that has accepted a connection is checked again, in microseconds.
+const ACCEPTED_US: u64 = 500_000;
+
+/// A target to check.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DueTarget {
+    /// When it was last found unreachable, if it is.
+    failed_at: Option<Time>,
+    id: TargetId,
+    addr: SocketAddr,
+}
 
 /// Opens connections to a few targets of `service` at a time until it is reached.
 pub async fn check_service(state: Rc<State>, service: ServiceName) {
+    let mut accepted_at: HashMap<TargetId, Time> = HashMap::new();
     while state.reach.borrow().contact(&service) != Contact::Reached {
-        let due = due_targets(&state, &service);
-        if due.is_empty() {
+        let eligible = eligible_targets(&state, &service);
+        if eligible.is_empty() {
             // All its targets have left.
             state.reach.borrow_mut().retain(|other| *other != service);
             break;
         }
-        let checks = due.iter().map(|(id, addr)| check(&state, id, *addr));
-        let is_any = join_all(checks).await.contains(&true);
-        task::sleep(if is_any { SHORT_PAUSE } else { PAUSE }).await;
+        let now = state.now();
+        accepted_at.retain(|_, at| now.since_us(*at) < ACCEPTED_US);
+        let due = due_targets(eligible, |id| accepted_at.contains_key(id));
+        let checks = due.iter().map(|target| check(&state, target));
+        let results = join_all(checks).await;
+        let accepted = || due.iter().zip(&results).filter(|(_, accepts)| **accepts);
+        accepted_at.extend(accepted().map(|(target, _)| (target.id.clone(), state.now())));
+        let is_progress = accepted().any(|(target, _)| target.failed_at.is_some());
+        task::sleep(if is_progress { SHORT_PAUSE } else { PAUSE }).await;
     }
     state.reach_checks.borrow_mut().remove(&service);
 }
 
-/// Returns the targets to check next: those that were found unreachable longest ago, and some of which
-/// nothing is known.
-fn due_targets(state: &State, service: &ServiceName) -> Vec<(TargetId, SocketAddr)> {
+/// Returns the targets of `service` that may be used.
+fn eligible_targets(state: &State, service: &ServiceName) -> Vec<DueTarget> {
     let targets = state.targets.borrow();
     let reach = state.reach.borrow();
     let known = reach.get(service);
     let eligible = targets
         .of_service(service)
         .filter(|t| is_target_eligible(state, &t.entry.id));
-    let (mut again, mut first) = (Vec::new(), Vec::new());
-    for target in eligible {
-        let due = (target.entry.id.clone(), target.entry.addr);
-        match known.and_then(|reach| reach.failed_at(&target.entry.id)) {
-            Some(at) => again.push((at, due)),
-            None => first.push(due),
-        }
-    }
+    eligible
+        .map(|t| DueTarget {
+            failed_at: known.and_then(|reach| reach.failed_at(&t.entry.id)),
+            id: t.entry.id.clone(),
+            addr: t.entry.addr,
+        })
+        .collect()
+}
+
+/// Returns those of `eligible` to check next: the ones that were found unreachable longest ago, and some of
+/// the others that have not just accepted a connection.
+fn due_targets(
+    eligible: Vec<DueTarget>,
+    has_accepted: impl Fn(&TargetId) -> bool,
+) -> Vec<DueTarget> {
+    let (mut again, mut first): (Vec<_>, Vec<_>) =
+        eligible.into_iter().partition(|t| t.failed_at.is_some());
     again.sort_unstable();
-    let again = again.into_iter().map(|(_, due)| due).take(CHECKED_AGAIN);
+    again.truncate(CHECKED_AGAIN);
+    first.retain(|target| !has_accepted(&target.id));
     let first = first.choose_multiple(&mut rand::rng(), CHECKED_FIRST);
-    again.chain(first.cloned()).collect()
+    again.into_iter().chain(first.cloned()).collect()
 }
 
 /// Opens a connection to a target and keeps it for requests. Returns whether the target accepted it.
-async fn check(state: &Rc<State>, id: &TargetId, addr: SocketAddr) -> bool {
+async fn check(state: &Rc<State>, target: &DueTarget) -> bool {
+    let (id, addr) = (&target.id, target.addr);
     state.metrics.count("reach_checks", 1);
     match state.pool.connect(addr).await {
         Ok(stream) => {
--- a/crates/node/tests/gateway_reach.rs
+++ b/crates/node/tests/gateway_reach.rs
@@ -231,3 +231,35 @@
         assert!(result.is_served(&request.id), "{result:?}");
     });
 }
+
+// Guards against checks that go on without a pause because one target accepts connections while the others
+// refuse them.
+#[test]
+fn checks_are_paced_while_one_target_accepts() {
+    task::block_on(async {
+        let (rig, partitions) = start(SPEC).await;
+        partitions[0].cut_some(OutageKind::Refuse, PARTITION, SPEC.targets - 1);
+        let time = Duration::from_secs(4);
+        send_for(&rig, time).await;
+        // The design: up to eight every 250 ms.
+        let most = 8 * time.as_millis() / 250 + 8;
+        let checks = metric(&rig, "reach_checks_total").await;
+        assert!(
+            checks > 0 && checks <= most,
+            "{checks} checks, {most} allowed"
+        );
+    });
+}
+
+/// Returns a metric of the first instance; 0 if it has none of this name.
+async fn metric(rig: &FleetRig, name: &str) -> u128 {
+    let request = b"GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n";
+    let result = fetch(rig.instances[0].metrics_addr(), "GET", request).await;
+    let FleetResult::Response(response) = result else {
+        panic!("no metrics: {result:?}");
+    };
+    let text = String::from_utf8(response.body).unwrap();
+    let prefix = format!("hibiscusway_{name}{{");
+    let line = text.lines().find(|line| line.starts_with(&prefix));
+    line.map_or(0, |line| line.rsplit(' ').next().unwrap().parse().unwrap())
+}
