--- a/crates/gateway/src/peer_forward/reply.rs
+++ b/crates/gateway/src/peer_forward/reply.rs
@@ -4,7 +4,7 @@
 use model::{ALL_CODES, Code, TargetId};
 
 /// Header line of a response with the encoded reply.
-pub const REPLY_HEADER: &str = "X-Hibiscusway-Forward-Reply";
+pub const REPLY_HEADER: &str = "Forward-Reply";
 
 /// Where a response to a forwarded request comes from.
 #[derive(Clone, Debug, PartialEq, Eq)]
