Delay of the tasks that keep an instance up to date is measured and logged

The budget of warnings is for requests alone; failures of the instance itself share that of what it knows.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -40,6 +40,7 @@
 mod processing_times;
 mod reach;
 mod read_schedule;
+mod recent_peak;
 pub mod resources;
 mod response_sizes;
 mod returns;
@@ -96,6 +97,7 @@
     processing_times::ProcessingTimes,
     reach::{Contact, PeerChoice, Reach, ServiceReach},
     read_schedule::ReadSchedule,
+    recent_peak::RecentPeak,
     response_sizes::ResponseSizes,
     returns::{Ask, FirstDeadlines, Kind, PeerClaims, Promise, Room, ServiceReturns},
     rollout::{Rollout, Stage},
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -24,6 +24,7 @@
     resources::Connection,
     response::{encode_local, encode_relayed, without_body},
     roster::{ROSTER_PATH, encode_roster},
+    scheduling::control_delay_ms,
     snapshot::Snapshot,
     state::State,
 };
@@ -171,6 +172,7 @@
             "targets_age_ms",
             state.entries_as_of.get().map_or(0, age_ms),
         ),
+        ("control_delay_ms", control_delay_ms(state)),
         ("store_era", state.store_era.get().unwrap_or_default()),
         ("targets", targets.len() as u64),
         ("limited_targets", limited_targets as u64),
--- a/crates/gateway/src/entries.rs
+++ b/crates/gateway/src/entries.rs
@@ -15,6 +15,7 @@
     entries_apply::{apply_listing, apply_page, apply_read},
     listing_log::log_unreadable,
     reporting::send_report,
+    scheduling::control_delay_ms,
     state::State,
     store_era::{record_era, record_failed_era},
 };
@@ -119,7 +120,8 @@
     }
     if !state.entries_failed.replace(true) {
         let age_ms = state.entries_age_us().unwrap_or_default() / 1_000;
-        warn!(event = "store_lost", reader = "entries", %error, age_ms);
+        warn!(event = "store_lost", reader = "entries", %error, age_ms,
+            delay_ms = control_delay_ms(state));
     }
 }
 
--- a/crates/gateway/src/entries_wait.rs
+++ b/crates/gateway/src/entries_wait.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use tracing::warn;
 
-use crate::state::State;
+use crate::{line_class::REQUESTS, state::State};
 
 /// Time for a request from the check of the entries to its target, in microseconds.
 const SEND_US: u64 = 250_000;
@@ -31,7 +31,7 @@
         task::sleep(CHECK_INTERVAL).await;
     }
     let waited_ms = state.now().since_us(start) / 1_000;
-    warn!(event = "entries_awaited", age_ms, waited_ms);
+    warn!(target: REQUESTS, event = "entries_awaited", age_ms, waited_ms);
 }
 
 /// Whether the entries are too old to send a request, and a read of newer ones has not failed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -66,6 +66,7 @@
 mod rollouts;
 mod roster;
 mod run;
+mod scheduling;
 mod selection;
 mod send_limits;
 mod settings;
--- a/crates/gateway/src/line_class.rs
+++ b/crates/gateway/src/line_class.rs
@@ -2,7 +2,7 @@
 
 use tracing::{Level, Metadata};
 
-/// Target of the lines about single requests that went as expected.
+/// Target of the lines about single requests.
 pub const REQUESTS: &str = "request";
 
 /// Class of a log line.
@@ -10,9 +10,9 @@
 pub enum LineClass {
     /// A request that went as expected.
     Request,
-    /// A change of what the instance knows, or a phase of the process.
+    /// A change of what the instance knows, a phase of the process, or a failure of the instance.
     Belief,
-    /// A failure, of a request or of the instance.
+    /// A request that failed, was refused or late.
     Warning,
 }
 
@@ -22,12 +22,13 @@
 
     /// Returns the class of the lines from one place in the code.
     pub fn of(metadata: &Metadata<'_>) -> Self {
-        if *metadata.level() <= Level::WARN {
+        if metadata.target() != REQUESTS {
+            // Thousands of refusals in a second must not drop the reason for them.
+            Self::Belief
+        } else if *metadata.level() <= Level::WARN {
             Self::Warning
-        } else if metadata.target() == REQUESTS {
-            Self::Request
         } else {
-            Self::Belief
+            Self::Request
         }
     }
 
--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -17,6 +17,7 @@
     operator_age::{operator_age_ms, record_operator_as_of},
     orders_apply::{Source, apply_orders, apply_verdict},
     reporting::send_report,
+    scheduling::control_delay_ms,
     state::State,
     store_era::{REWRITE_US, record_era, record_failed_era},
 };
@@ -133,7 +134,8 @@
                 record_failed_era(&state, &error, "orders");
                 if failed_at.is_none() {
                     let age_ms = operator_age_ms(&state);
-                    warn!(event = "store_lost", reader = "orders", %error, age_ms);
+                    warn!(event = "store_lost", reader = "orders", %error, age_ms,
+                        delay_ms = control_delay_ms(&state));
                 }
                 failed_at = Some(state.now());
                 if state.has_store.replace(false) {
@@ -255,8 +257,10 @@
             info!(event = "config_passed_on", %peer, count = records.len());
             apply_orders(state, &records, Source::Read);
         }
-        Ok(Err(error)) => warn!(event = "config_not_passed_on", %peer, %error),
-        Err(_) => warn!(event = "config_not_passed_on", %peer, error = "timeout"),
+        Ok(Err(error)) => warn!(event = "config_not_passed_on", %peer, %error,
+            delay_ms = control_delay_ms(state)),
+        Err(_) => warn!(event = "config_not_passed_on", %peer, error = "timeout",
+            delay_ms = control_delay_ms(state)),
     }
 }
 
--- a/crates/gateway/src/orders_apply.rs
+++ b/crates/gateway/src/orders_apply.rs
@@ -7,7 +7,7 @@
 use platform::{ConfigFault, Listing, OperatorChange, Record, RecordedVerdict, Topic};
 use tracing::{error, info, warn};
 
-use crate::{operator_age::operator_age_ms, state::State};
+use crate::{operator_age::operator_age_ms, scheduling::control_delay_ms, state::State};
 
 /// Most unreadable parts of a configuration that are logged.
 const MAX_FAULTS: usize = 20;
@@ -109,7 +109,7 @@
     }
     info!(event = "config", version, old, offset = %position,
         keys = config.keys().map(balance::KeyIndex::len),
-        old_age_ms = operator_age_ms(state));
+        old_age_ms = operator_age_ms(state), delay_ms = control_delay_ms(state));
     for ConfigFault { part, error } in faults.iter().take(MAX_FAULTS) {
         error!(
             event = "config_part_malformed",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -220,6 +220,7 @@
         );
         if status >= 400 || is_late {
             warn!(
+                target: REQUESTS,
                 event = "answered",
                 id,
                 route = name,
@@ -250,6 +251,7 @@
         let age_ms = |at| state.now().since_us(at) / 1_000;
         let key = (code == Code::Quarantined).then(|| hex(self.attempt_log.hash));
         warn!(
+            target: REQUESTS,
             event = "refused",
             id = &*self.id,
             path = request.path(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -32,6 +32,7 @@
     resources::accept,
     rollouts::run_rollouts,
     roster::follow_roster,
+    scheduling::watch_control_delay,
     settings::Settings,
     state::State,
     usage::{hold_claim, send_reports as send_usage, send_tallies},
@@ -120,9 +121,14 @@
     task::spawn_local(send_digests(Rc::clone(&state), Rc::clone(&socket)));
     task::spawn_local(follow_roster(Rc::clone(&state)));
     task::spawn_local(join(Rc::clone(&state)));
+    let for_ahead = Rc::clone(&state);
     let on_peer_ahead = move |peer| {
+        for_ahead.metrics.count("peers_ahead", 1);
         // If the channel is full, a fetch from a peer is pending already.
-        let _ = Sender::try_send(&ahead_sender, peer);
+        let is_unused = Sender::try_send(&ahead_sender, peer).is_err();
+        for_ahead
+            .metrics
+            .count("peers_ahead_unused", is_unused.into());
     };
     task::spawn_local(receive_datagrams(
         Rc::clone(&state),
@@ -130,6 +136,7 @@
         on_peer_ahead,
     ));
     task::spawn_local(run_rollouts(Rc::clone(&state)));
+    task::spawn_local(watch_control_delay(Rc::clone(&state)));
     task::spawn_local(send_tallies(Rc::clone(&state), Rc::clone(&socket)));
     task::spawn_local(hold_claim(Rc::clone(&state)));
     task::spawn_local(send_usage(Rc::clone(&state)));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,8 +12,8 @@
 use balance::{
     Collector, CrashSuspects, EntryLog, FleetUsage, GatewayConfig, Member, Members, OutcomeLog,
     PeerChoice, PeerUsage, PlacementCandidate, Position, Presence, ProcessingTimes, Reach,
-    ResponseSizes, RetryBudget, Rollout, SendPace, Senders, StopPlan, Targets, ZoneRoom,
-    place_callers, resources::ResourceLimits,
+    RecentPeak, ResponseSizes, RetryBudget, Rollout, SendPace, Senders, StopPlan, Targets,
+    ZoneRoom, place_callers, resources::ResourceLimits,
 };
 use model::{InstanceId, ServiceName, Time, Version, Zone};
 use platform::Relay;
@@ -114,6 +114,8 @@
     pub reach_checks: RefCell<BTreeSet<ServiceName>>,
     /// Counters and histograms of the instance.
     pub metrics: Metrics,
+    /// Delay of the tasks that keep the instance up to date.
+    pub control_delay: RefCell<RecentPeak>,
     /// Phase of the instance.
     pub phase: Cell<Phase>,
     /// Number of open connections of callers.
@@ -236,6 +238,7 @@
             peer_choice: RefCell::default(),
             reach: RefCell::default(),
             reach_checks: RefCell::default(),
+            control_delay: RefCell::default(),
             phase: Cell::new(Phase::Starting),
             caller_connections: Cell::new(0),
             active_requests: Cell::new(0),
