--- a/crates/testkit/src/fleet/gateway.rs
+++ b/crates/testkit/src/fleet/gateway.rs
@@ -160,6 +160,12 @@
         SocketAddr::from((self.ip, METRICS_PORT))
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the number of file descriptors that the process has open.
     ///
     /// # Errors
@@ -227,6 +233,18 @@
     pub fn log_text(&self) -> io::Result<String> {
         fs::read_to_string(&self.log_path)
     }
+
+    /// Returns the latest version of a configuration that the process has logged as in force; 0 if none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log file cannot be read.
+    pub fn logged_config(&self) -> io::Result<u64> {
+        let text = self.log_text()?;
+        let lines = text.lines().filter(|line| line.contains("event=config "));
+        let versions = lines.filter_map(|line| line.split_once(" version=")?.1.split(' ').next());
+        Ok(versions.filter_map(|v| v.parse().ok()).max().unwrap_or(0))
+    }
 }
 
 impl Drop for GatewayProcess {
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod soak_series;
 mod store;
 mod target;
+mod throttle;
 
 pub use self::{
     client::{FleetRequest, FleetResult, fetch, query_directory, send},
@@ -27,4 +28,5 @@
     soak::{SMALL_SOAK, SoakReport, soak},
     store::{FleetStore, StoreCopy, StoreFault},
     target::{FleetTarget, TargetFault, TargetSpec},
+    throttle::Throttle,
 };
