Tasks of callers run in slices between those that keep the instance up to date

Cause: reads of the store, of peers and of datagrams stood in one queue with the tasks of hundreds of callers, and I/O events were taken once in 200 tasks. Each step of a call (connect, write, read) waited for a round of all tasks, half a second or more; its time limit measured that delay. The instance counted itself as without the store, and tried again seconds later.

Change: tasks of callers (accepting, requests, forwarded requests, address queries, checks of targets in their course) have an executor of their own, which runs for 5 ms at a time; then I/O events are taken and the control tasks run.

--- a/crates/gateway/src/peer_forward/listening.rs
+++ b/crates/gateway/src/peer_forward/listening.rs
@@ -17,7 +17,11 @@
     let mut first = [0];
     let peeked = timeout(FIRST_BYTE_LIMIT, stream.peek(&mut first)).await;
     match peeked {
-        Ok(Ok(1)) if first == [FIRST_BYTE] => serve_forwarded(state, stream, open).await,
+        // Forwarded requests are those of callers. Dropping the task, as this future may be, ends it.
+        Ok(Ok(1)) if first == [FIRST_BYTE] => {
+            let forwarded = serve_forwarded(Rc::clone(&state), stream, open);
+            state.caller_tasks.spawn(forwarded).await;
+        }
         Ok(Ok(1)) => serve_endpoints(state, stream, open).await,
         _ => {}
     }
--- a/crates/gateway/src/reach/record.rs
+++ b/crates/gateway/src/reach/record.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 
-use async_std::task;
 use balance::Contact;
 use model::{ServiceName, TargetId};
 use tracing::{info, warn};
@@ -92,6 +91,7 @@
         }
     }
     if contact != Contact::Reached && state.reach_checks.borrow_mut().insert(service.clone()) {
-        task::spawn_local(check_service(Rc::clone(state), service.clone()));
+        let check = check_service(Rc::clone(state), service.clone());
+        state.caller_tasks.spawn(check).detach();
     }
 }
--- a/crates/gateway/src/resources/listening.rs
+++ b/crates/gateway/src/resources/listening.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use async_executor::Task;
 use async_std::{
     net::{TcpListener, TcpStream},
     task,
@@ -16,6 +17,22 @@
 /// Pause after a failed accept, for example because no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Accepts connections as a task of callers and serves each with `serve`, until the returned task is dropped.
+pub fn accept_callers<F: Future<Output = ()> + 'static>(
+    state: &Rc<State>,
+    listener: TcpListener,
+    place: Listener,
+    serve: impl Fn(Rc<State>, TcpStream, Rc<Connection>) -> F + 'static,
+) -> Task<()> {
+    let accepting = accept(Rc::clone(state), listener, place, serve);
+    state.caller_tasks.spawn(accepting)
+}
+
+/// Whether callers connect there, for requests or for address queries.
+fn is_for_callers(place: Listener) -> bool {
+    matches!(place, Listener::Callers | Listener::Directory)
+}
+
 /// Accepts connections and serves each with `serve`, for ever.
 pub async fn accept<F: Future<Output = ()> + 'static>(
     state: Rc<State>,
@@ -34,7 +51,12 @@
         };
         if let Some(connection) = admit(&state, place).await {
             let served = serve(Rc::clone(&state), stream, Rc::clone(&connection));
-            task::spawn_local(until_closed(served, connection));
+            let served = until_closed(served, connection);
+            if is_for_callers(place) {
+                state.caller_tasks.spawn(served).detach();
+            } else {
+                task::spawn_local(served);
+            }
         }
     }
 }
--- a/crates/gateway/src/resources/mod.rs
+++ b/crates/gateway/src/resources/mod.rs
@@ -7,5 +7,8 @@
 mod listening;
 
 pub use self::{
-    account::Resources, connection::Connection, held_bytes::HeldBytes, listening::accept,
+    account::Resources,
+    connection::Connection,
+    held_bytes::HeldBytes,
+    listening::{accept, accept_callers},
 };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -2,9 +2,11 @@
 
 use std::{io, net::SocketAddr, path::Path, rc::Rc, time::Duration};
 
+use async_executor::Task;
 use async_std::{
     channel::{Receiver, Sender, bounded},
     net::{TcpListener, UdpSocket},
+    prelude::FutureExt,
     task,
 };
 use balance::resources::Listener;
@@ -29,7 +31,7 @@
     peers::receive_datagrams,
     phase::Phase,
     reporting::{send_report, send_reports},
-    resources::accept,
+    resources::{accept, accept_callers},
     rollouts::run_rollouts,
     roster::follow_roster,
     scheduling::watch_control_delay,
@@ -79,9 +81,9 @@
     let settings = &state.settings;
     let callers = listen(settings.callers).await?;
     let peer_addr = SocketAddr::from(settings.peer);
+    let directory = listen(settings.directory).await?;
     let endpoint_listeners = [
         (Listener::Ready, listen(settings.ready).await?),
-        (Listener::Directory, listen(settings.directory).await?),
         (Listener::Metrics, listen(settings.metrics).await?),
     ];
     let peers = listen(peer_addr).await?;
@@ -98,13 +100,8 @@
     }
     let for_peers = Rc::clone(&state);
     task::spawn_local(accept(for_peers, peers, Listener::Peer, serve_peer));
-    let for_callers = Rc::clone(&state);
-    let accepting = task::spawn_local(accept(
-        for_callers,
-        callers,
-        Listener::Callers,
-        serve_caller,
-    ));
+    accept_callers(&state, directory, Listener::Directory, serve_endpoints).detach();
+    let accepting = accept_callers(&state, callers, Listener::Callers, serve_caller);
     let (ahead_sender, peers_ahead) = bounded(1);
     task::spawn_local(after_join(
         Rc::clone(&state),
@@ -141,8 +138,11 @@
     task::spawn_local(hold_claim(Rc::clone(&state)));
     task::spawn_local(send_usage(Rc::clone(&state)));
     task::spawn_local(wait_until_ready(Rc::clone(&state), Rc::clone(&socket)));
-    wait_for_stop(&state, file, &signals).await;
-    stop(&state, &socket, accepting).await;
+    let until_stopped = async {
+        wait_for_stop(&state, file, &signals).await;
+        stop(&state, &socket, accepting).await;
+    };
+    until_stopped.race(state.caller_tasks.run()).await;
     Ok(())
 }
 
@@ -216,7 +216,7 @@
 
 /// Serves the requests that callers still send, within the time for a planned stop. Connections are
 /// taken until the last ones are closed or requests are no longer answered.
-async fn stop(state: &Rc<State>, socket: &UdpSocket, accepting: task::JoinHandle<()>) {
+async fn stop(state: &Rc<State>, socket: &UdpSocket, accepting: Task<()>) {
     let plan = state.begin_stop();
     info!(
         event = "stopping",
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,8 +22,8 @@
     buffer_share::ResponseBuffers, clock::Clock, crash_check::CrashChecks,
     entries_update::EntriesUpdate, hedging::Hedger, known_records::KnownRecords,
     limit_report::LimitReport, metrics::Metrics, notices::LeavingReport, phase::Phase, pool::Pool,
-    resources::Resources, returns::Returns, settings::Settings, start_progress::StartProgress,
-    stop_counts::StopCounts, usage::UsageState,
+    resources::Resources, returns::Returns, scheduling::CallerTasks, settings::Settings,
+    start_progress::StartProgress, stop_counts::StopCounts, usage::UsageState,
 };
 
 /// Shared state of one instance.
@@ -114,6 +114,8 @@
     pub reach_checks: RefCell<BTreeSet<ServiceName>>,
     /// Counters and histograms of the instance.
     pub metrics: Metrics,
+    /// Tasks that serve callers.
+    pub caller_tasks: CallerTasks,
     /// Delay of the tasks that keep the instance up to date.
     pub control_delay: RefCell<RecentPeak>,
     /// Phase of the instance.
@@ -238,6 +240,7 @@
             peer_choice: RefCell::default(),
             reach: RefCell::default(),
             reach_checks: RefCell::default(),
+            caller_tasks: CallerTasks::default(),
             control_delay: RefCell::default(),
             phase: Cell::new(Phase::Starting),
             caller_connections: Cell::new(0),
