Operator's records are asked of several peers and the store, the next one as soon as one is late

Callers of instances that the store turned away got older configurations, or 503 for routes that the instance did not know, for seconds after others had the newer ones.

Cause: what many had was asked of one, in series: a peer (300 ms), then the store (1 s, and it was known not to answer), then the same peer's configuration. Other announcements were dropped meanwhile.

Change: the latest word of each peer that is ahead is kept (balance::AheadPeers, failed ones last). An answer has all records from a position, or the latest of each key, with the position and the age, and the configuration that the store may have lost. An instance that is due to read the store for itself asks others in the same way.

--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,6 +7,7 @@
 )]
 
 mod admission;
+mod ahead_peers;
 mod budget;
 mod budget_usage;
 mod caller_limits;
@@ -64,6 +65,7 @@
 
 pub use crate::{
     admission::AdmissionLimits,
+    ahead_peers::{AheadPeers, PeerAhead},
     budget::RetryBudget,
     budget_usage::BudgetUsage,
     caller_limits::CallerLimits,
--- a/crates/gateway/src/digest_apply.rs
+++ b/crates/gateway/src/digest_apply.rs
@@ -2,14 +2,14 @@
 
 use std::net::{SocketAddr, SocketAddrV4};
 
-use balance::{Member, Position, ReportedOutcomes};
+use balance::{Member, PeerAhead, Position, ReportedOutcomes};
 use model::{InstanceId, Time};
 use tracing::{info, warn};
 
 use crate::{
     crashes::apply_crashes, digest::Digest, notices::apply_leaving,
-    operator_age::record_operator_as_of, operator_records::PeerAhead, report::RolloutReport,
-    reporting::is_running, returns::apply_claims, state::State, store_era::check_peer_era,
+    operator_age::record_operator_as_of, report::RolloutReport, reporting::is_running,
+    returns::apply_claims, state::State, store_era::check_peer_era,
     target_limits::apply_limit_reports,
 };
 
@@ -116,6 +116,7 @@
             has_records,
             next,
             as_of,
+            config_version,
         });
     }
 }
--- a/crates/gateway/src/endpoints.rs
+++ b/crates/gateway/src/endpoints.rs
@@ -20,6 +20,7 @@
     explain::{EXPLAIN_PATH, explain},
     join::{BUSY_STATUS, MAX_SENT, SNAPSHOT_PATH, encode_hints},
     operator_age::operator_age_ms,
+    peer_records::{self, RECORDS_PATH},
     phase::Phase,
     resources::Connection,
     response::{encode_local, encode_relayed, without_body},
@@ -220,6 +221,7 @@
             let response = state.relay.borrow().respond(request);
             encode_relayed(&response, close)
         }
+        RECORDS_PATH => peer_records::answer(state, request),
         ROSTER_PATH => {
             let body = encode_roster(state);
             encode_local(200, "OK", "application/octet-stream", &body, close)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod orders_apply;
 mod outcome;
 mod peer_forward;
+mod peer_records;
 mod peers;
 mod pending_outcome;
 mod phase;
--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -3,9 +3,9 @@
 //! fetch them from the collectors. Whoever does not learn in time that there are no newer ones reads
 //! the store.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use async_std::{channel::Receiver, future::timeout, net::UdpSocket, prelude::FutureExt};
+use async_std::{channel::Receiver, net::UdpSocket, prelude::FutureExt};
 use balance::{COLLECT, FollowSchedule, Position};
 use model::Time;
 use platform::{Change, Listing, Page, PlatformError, Store, Topic};
@@ -16,6 +16,7 @@
     listing_log::log_unreadable,
     operator_age::{operator_age_ms, record_operator_as_of},
     orders_apply::{Source, apply_orders, apply_verdict},
+    peer_records::ask_all,
     reporting::send_report,
     scheduling::control_delay_ms,
     state::State,
@@ -33,27 +34,8 @@
 const RETRY_INSTANCES: u64 = 50;
 /// Time between two checks of whether this instance is one of those that wait at the store.
 const DUTY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout for fetching records from a peer.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(300);
-/// Timeout for a read that does not wait for new records.
-const READ_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// A peer that knows more of the operator's records than this instance.
-#[derive(Clone, Copy, Debug)]
-pub struct PeerAhead {
-    /// Address for other instances.
-    pub addr: SocketAddr,
-    /// Whether it has read more records. Otherwise only its configuration in force is newer, which
-    /// the store may have lost.
-    pub has_records: bool,
-    /// Position of the next record that it reads.
-    pub next: Position,
-    /// Time as of which there was none.
-    pub as_of: Time,
-}
-
 /// Up to where this instance knows the operator's records.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct Progress {
     /// Position of the next record.
     next: Position,
@@ -61,90 +43,128 @@
     as_of: Time,
     /// Whether the store has answered.
     from_store: bool,
+    /// Error of the store, if others had to be asked.
+    store_error: Option<PlatformError>,
 }
 
-/// Applies the records of the operator until the process ends. `peers_ahead` yields peers that know
-/// more than this instance.
+/// Applies the records of the operator until the process ends. `peers_ahead` yields a value when a peer has said
+/// that it knows more than this instance.
 pub async fn follow_operator_records(
     state: Rc<State>,
     socket: Rc<UdpSocket>,
-    peers_ahead: Receiver<PeerAhead>,
+    peers_ahead: Receiver<()>,
 ) {
-    let mut store = Store::new(state.settings.store);
-    let mut next = state.joined_at.get();
-    let mut failed_at = None;
-    let mut retry_at = Time(0);
-    let mut backoff = Backoff::default();
+    let mut follower = Follower {
+        store: Store::new(state.settings.store),
+        next: state.joined_at.get(),
+        failed_at: None,
+        retry_at: Time(0),
+        backoff: Backoff::default(),
+        state: Rc::clone(&state),
+        socket,
+    };
     loop {
-        let next_peer = async {
-            // The channel closes only when the process ends.
-            peers_ahead.recv().await.ok()
-        };
-        let pause = Duration::from_micros(retry_at.since_us(state.now()));
-        let read = async {
-            // Peers that know more are heard during the pause.
-            async_std::task::sleep(pause).await;
-            Event::Read(read_records(&state, &mut store, next, failed_at).await)
-        };
-        let event = read
-            .race(async { next_peer.await.map_or(Event::Closed, Event::PeerAhead) })
-            .await;
-        let result = match event {
+        let result = match follower.next_event(&peers_ahead).await {
             Event::Read(result) => result,
             Event::Closed => return,
-            Event::PeerAhead(peer) => {
+            Event::PeerAhead => {
                 // The pending read may hang on a dead connection.
-                store = Store::new(state.settings.store);
-                let result = fetch_from_peer(&state, &mut store, peer, next).await;
-                fetch_config(&state, peer.addr).await;
-                while peers_ahead.try_recv().is_ok() {}
-                result
+                follower.store = Store::new(state.settings.store);
+                fetch_from_peers(&state, &mut follower.store, follower.next).await
             }
         };
         match result {
-            Ok(Progress {
-                next: position,
-                as_of,
-                from_store,
-            }) => {
-                if from_store {
-                    if failed_at.take().is_some() {
-                        info!(event = "store_regained", reader = "orders");
-                    }
-                    backoff.reset();
-                    state.has_store.set(true);
-                }
-                let has_new_records = next != Some(position);
-                next = Some(position);
-                state.operator_next.set(position);
-                record_operator_as_of(&state, position, as_of);
-                if has_new_records && schedule(&state).is_waiting() {
-                    state.request_digest();
-                }
-            }
+            Ok(progress) => follower.record_progress(progress).await,
             Err(PlatformError::NotRetained { first }) => {
                 info!(event = "orders_dropped", first, from = %state.operator_next.get());
-                next = None;
+                follower.next = None;
             }
             Err(PlatformError::OtherEra { era, expected }) if era > expected => {
                 record_era(&state, era, "orders");
-                next = None;
+                follower.next = None;
             }
             Err(error) => {
-                record_failed_era(&state, &error, "orders");
-                if failed_at.is_none() {
-                    let age_ms = operator_age_ms(&state);
-                    warn!(event = "store_lost", reader = "orders", %error, age_ms,
-                        delay_ms = control_delay_ms(&state));
+                follower.record_failure(&error).await;
+                let pause = follower.backoff.pause();
+                let pause_us = u64::try_from(pause.as_micros()).unwrap_or(u64::MAX);
+                follower.retry_at = state.now().plus_us(pause_us);
+            }
+        }
+    }
+}
+
+/// Where reading the operator's records stands.
+struct Follower {
+    state: Rc<State>,
+    socket: Rc<UdpSocket>,
+    store: Store,
+    /// Position of the next record; `None` if all have to be listed.
+    next: Option<Position>,
+    /// Time of the latest call to the store if that failed.
+    failed_at: Option<Time>,
+    /// Time before which the store is not read.
+    retry_at: Time,
+    backoff: Backoff,
+}
+
+impl Follower {
+    /// Reads records when it is time to, unless a peer knows more before. Peers are heard during a pause.
+    async fn next_event(&mut self, peers_ahead: &Receiver<()>) -> Event {
+        let (state, next, failed_at) = (&self.state, self.next, self.failed_at);
+        let pause = Duration::from_micros(self.retry_at.since_us(state.now()));
+        let store = &mut self.store;
+        let read = async {
+            async_std::task::sleep(pause).await;
+            Event::Read(read_records(state, store, next, failed_at).await)
+        };
+        let next_peer = async {
+            loop {
+                if peers_ahead.recv().await.is_err() {
+                    return Event::Closed;
                 }
-                failed_at = Some(state.now());
-                if state.has_store.replace(false) {
-                    // The others take over the duty once they know.
-                    send_report(&state, &socket).await;
+                // What the peer has said may have been fetched since.
+                if is_behind(state, next) {
+                    return Event::PeerAhead;
                 }
-                let pause_us = u64::try_from(backoff.pause().as_micros()).unwrap_or(u64::MAX);
-                retry_at = state.now().plus_us(pause_us);
             }
+        };
+        read.race(next_peer).await
+    }
+
+    async fn record_progress(&mut self, progress: Progress) {
+        let state = Rc::clone(&self.state);
+        if progress.from_store {
+            if self.failed_at.take().is_some() {
+                info!(event = "store_regained", reader = "orders");
+            }
+            self.backoff.reset();
+            state.has_store.set(true);
+        }
+        let has_new_records = self.next != Some(progress.next);
+        self.next = Some(progress.next);
+        state.operator_next.set(progress.next);
+        record_operator_as_of(&state, progress.next, progress.as_of);
+        if has_new_records && schedule(&state).is_waiting() {
+            state.request_digest();
+        }
+        if let Some(error) = progress.store_error {
+            self.record_failure(&error).await;
+        }
+    }
+
+    /// Records that a call to the store has failed.
+    async fn record_failure(&mut self, error: &PlatformError) {
+        let state = &self.state;
+        record_failed_era(state, error, "orders");
+        if self.failed_at.is_none() {
+            let age_ms = operator_age_ms(state);
+            let delay_ms = control_delay_ms(state);
+            warn!(event = "store_lost", reader = "orders", %error, age_ms, delay_ms);
+        }
+        self.failed_at = Some(state.now());
+        if state.has_store.replace(false) {
+            // The others take over the duty once they know.
+            send_report(state, &self.socket).await;
         }
     }
 }
@@ -152,7 +172,7 @@
 /// Event that ends a wait for records.
 enum Event {
     Read(Result<Progress, PlatformError>),
-    PeerAhead(PeerAhead),
+    PeerAhead,
     Closed,
 }
 
@@ -205,63 +225,43 @@
     read_at.min(start.plus_ms(RETRY_INTERVAL_MS * factor))
 }
 
-/// Fetches records from a peer that has them, or from the store if that fails.
-async fn fetch_from_peer(
+/// Whether a peer knows more than this instance. If `next` is unknown, only a listing helps.
+fn is_behind(state: &State, next: Option<Position>) -> bool {
+    let peers = state.ahead_peers.borrow();
+    next.is_some_and(|from| {
+        let ahead = peers.to_ask(from, state.config_version(), state.now());
+        !ahead.is_empty()
+    })
+}
+
+/// Fetches records from the peers that have them, or from the store.
+async fn fetch_from_peers(
     state: &Rc<State>,
     store: &mut Store,
-    ahead: PeerAhead,
     next: Option<Position>,
 ) -> Result<Progress, PlatformError> {
     let Some(from) = next.filter(|from| !must_list(state, *from)) else {
         return read_records(state, store, None, None).await;
     };
-    if !ahead.has_records {
-        let as_of = state.operator_as_of.get();
-        return Ok(Progress {
-            next: from,
-            as_of,
-            from_store: false,
-        });
-    }
-    let peer = ahead.addr;
-    let mut relay = Store::new(peer);
-    let relayed = timeout(RELAY_TIMEOUT, relay.read(Topic::Operator, from, 0)).await;
-    if let Ok(Ok(page)) = relayed
-        && page.next > from
-    {
-        info!(event = "orders_passed_on", %peer, %from, next = %page.next);
-        // A relay may give only a part of what its instance has read.
-        let is_whole = page.next >= ahead.next;
-        let as_of = if is_whole { ahead.as_of } else { Time(0) };
-        let progress = take_page(state, &page, as_of);
-        return Ok(Progress {
-            from_store: false,
-            ..progress
-        });
-    }
-    state.metrics.count("store_calls", 1);
-    let asked = state.now();
-    let read = timeout(READ_TIMEOUT, store.read(Topic::Operator, from, 0)).await;
-    let page = read.map_err(|_| PlatformError::Timeout { limit_ms: 1_000 })??;
-    Ok(take_page(state, &page, asked))
+    ask_others(state, from).await
 }
 
-/// Fetches the configuration in force at a peer, unless the records have brought it.
-async fn fetch_config(state: &State, peer: SocketAddr) {
-    if state.config_version() >= state.peer_config.get() {
-        return;
-    }
-    let mut relay = Store::new(peer);
-    match timeout(RELAY_TIMEOUT, relay.config_of_peer()).await {
-        Ok(Ok(records)) => {
-            info!(event = "config_passed_on", %peer, count = records.len());
-            apply_orders(state, &records, Source::Read);
-        }
-        Ok(Err(error)) => warn!(event = "config_not_passed_on", %peer, %error,
-            delay_ms = control_delay_ms(state)),
-        Err(_) => warn!(event = "config_not_passed_on", %peer, error = "timeout",
-            delay_ms = control_delay_ms(state)),
+/// Asks peers and the store for the records from `from` on, and applies them.
+async fn ask_others(state: &State, from: Position) -> Result<Progress, PlatformError> {
+    let found = ask_all(state, from).await?;
+    if found.is_listing {
+        apply_orders(state, &found.records, Source::Listing);
+    } else {
+        state.relay.borrow_mut().append(&found.records);
+        apply_orders(state, &found.records, Source::Read);
     }
+    apply_orders(state, found.config.as_slice(), Source::Read);
+    Ok(Progress {
+        next: found.next,
+        as_of: found.as_of,
+        from_store: found.peer.is_none(),
+        store_error: found.store_error,
+    })
 }
 
 /// Applies a page of records, after which there were no more as of `as_of`, and keeps it for peers that
@@ -273,6 +273,7 @@
         next: page.next,
         as_of,
         from_store: true,
+        store_error: None,
     }
 }
 
@@ -291,13 +292,12 @@
     if must_list(state, from) {
         return list_records(state, store).await;
     }
-    let wait_ms = if is_waiting {
-        // The read ends when the records may be as old as one whole wait.
-        FollowSchedule::WAIT_MS.saturating_sub(operator_age_ms(state))
-    } else {
+    if !is_waiting {
         info!(event = "orders_outdated", age_ms = operator_age_ms(state), %from);
-        0
-    };
+        return ask_others(state, from).await;
+    }
+    // The read ends when the records may be as old as one whole wait.
+    let wait_ms = FollowSchedule::WAIT_MS.saturating_sub(operator_age_ms(state));
     state.metrics.count("store_calls", 1);
     let asked = state.now();
     let page = store.read(Topic::Operator, from, wait_ms).await?;
@@ -334,6 +334,7 @@
         next: newest.end,
         as_of: asked,
         from_store: true,
+        store_error: None,
     };
     if state.rollouts.borrow().is_empty() {
         return Ok(progress);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, task::Poll, time::Duration};
 
 use async_std::{net::UdpSocket, task};
-use balance::Presence;
+use balance::{PeerAhead, Presence};
 use futures::{pin_mut, poll};
 use model::Time;
 use tracing::{debug, warn};
@@ -16,7 +16,6 @@
     entries_apply::apply_update,
     entries_sender::forward,
     entries_update::EntriesUpdate,
-    operator_records::PeerAhead,
     report::Report,
     state::State,
     store_era::check_peer_era,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -121,11 +121,10 @@
     let for_ahead = Rc::clone(&state);
     let on_peer_ahead = move |peer| {
         for_ahead.metrics.count("peers_ahead", 1);
-        // If the channel is full, a fetch from a peer is pending already.
-        let is_unused = Sender::try_send(&ahead_sender, peer).is_err();
-        for_ahead
-            .metrics
-            .count("peers_ahead_unused", is_unused.into());
+        let now = for_ahead.now();
+        for_ahead.ahead_peers.borrow_mut().record(peer, now);
+        // If the channel is full, the peers are asked next.
+        let _ = Sender::try_send(&ahead_sender, ());
     };
     task::spawn_local(receive_datagrams(
         Rc::clone(&state),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,9 +10,9 @@
 
 use async_std::channel::{Receiver, Sender, bounded};
 use balance::{
-    Collector, CrashSuspects, EntryLog, FleetUsage, GatewayConfig, Member, Members, OutcomeLog,
-    PeerChoice, PeerUsage, PlacementCandidate, Position, Presence, ProcessingTimes, Reach,
-    RecentPeak, ResponseSizes, RetryBudget, Rollout, SendPace, Senders, StopPlan, Targets,
+    AheadPeers, Collector, CrashSuspects, EntryLog, FleetUsage, GatewayConfig, Member, Members,
+    OutcomeLog, PeerChoice, PeerUsage, PlacementCandidate, Position, Presence, ProcessingTimes,
+    Reach, RecentPeak, ResponseSizes, RetryBudget, Rollout, SendPace, Senders, StopPlan, Targets,
     ZoneRoom, place_callers, resources::ResourceLimits,
 };
 use model::{InstanceId, ServiceName, Time, Version, Zone};
@@ -130,6 +130,8 @@
     pub operator_next: Cell<Position>,
     /// Newest version of a configuration that is in force at any other instance.
     pub peer_config: Cell<u64>,
+    /// Peers that know more of the operator's records than this instance.
+    pub ahead_peers: RefCell<AheadPeers>,
     /// When a configuration was last fetched from a peer.
     pub config_asked: Cell<Option<Time>>,
     /// Latest known era of the store; `None` until a response of the store stated one.
@@ -248,6 +250,7 @@
             operator_as_of: Cell::new(Time(0)),
             operator_next: Cell::default(),
             peer_config: Cell::new(0),
+            ahead_peers: RefCell::default(),
             config_asked: Cell::new(None),
             store_era: Cell::new(None),
             era_checked: Cell::new(None),
