Messages between instances keep their layout; sections of later releases are skipped

Callers of a system that is being upgraded met two systems, each with collectors, retry budgets, stated limits and addresses of its own.

--- a/crates/gateway/src/digest.rs
+++ b/crates/gateway/src/digest.rs
@@ -4,10 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 use balance::{BudgetUsage, CrashReport, LiveView, Member, Position, ReportedOutcomes};
-use bincode::{
-    config::standard,
-    serde::{decode_from_slice, encode_to_vec},
-};
+use bincode::{config::standard, serde::encode_to_vec};
 use model::ServiceName;
 use serde::{Deserialize, Serialize};
 
@@ -16,9 +13,10 @@
     notices::LeavingReport,
     report::{MAX_BYTES, RolloutReport},
     returns::ServiceClaims,
+    wire_format,
 };
 
-/// First byte of a datagram. It changes whenever the layout does.
+/// First byte of a datagram. It stays, like the layout (`wire_format.rs`).
 const FORMAT: u8 = 24;
 /// Encoded size of an address to forward a datagram to, in bytes.
 const ADDR_BYTES: usize = 6;
@@ -126,8 +124,7 @@
 
     /// Decodes what [`Self::encode`] returns. Returns `None` if it is not a digest of this layout.
     fn decode(bytes: &[u8]) -> Option<Self> {
-        let (digest, used) = decode_from_slice::<Self, _>(bytes, standard()).ok()?;
-        (used == bytes.len()).then_some(digest)
+        wire_format::decode(bytes)
     }
 }
 
--- a/crates/gateway/src/entries_update.rs
+++ b/crates/gateway/src/entries_update.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 
 use balance::EntryChange;
-use bincode::{
-    config::standard,
-    serde::{decode_from_slice, encode_to_vec},
-};
+use bincode::{config::standard, serde::encode_to_vec};
 use serde::{Deserialize, Serialize};
 
-use crate::report::MAX_BYTES;
+use crate::{report::MAX_BYTES, wire_format};
 
-/// First byte of a datagram, different from those of other datagrams. It changes whenever the layout does.
+/// First byte of a datagram, different from those of other datagrams. It stays, like
+/// the layout (`wire_format.rs`).
 const FORMAT: u8 = 8;
 /// Largest encoded size of an address to forward a datagram to, in bytes.
 const ADDR_BYTES: usize = 10;
@@ -82,9 +80,9 @@
         if *format != FORMAT {
             return None;
         }
-        let (update, used) = decode_from_slice::<Self, _>(rest, standard()).ok()?;
+        let update: Self = wire_format::decode(rest)?;
         let is_ordered = update.from <= update.next && update.next <= update.end;
-        (used == rest.len() && is_ordered).then_some(update)
+        is_ordered.then_some(update)
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -81,6 +81,7 @@
 mod target_stream;
 mod usage;
 mod version_filter;
+mod wire_format;
 mod workspaces;
 
 pub use crate::{
--- a/crates/gateway/src/peer_records/answer.rs
+++ b/crates/gateway/src/peer_records/answer.rs
@@ -1,15 +1,12 @@
 //! What an instance tells another one of the operator's records.
 
 use balance::Position;
-use bincode::{
-    config::standard,
-    serde::{decode_from_slice, encode_to_vec},
-};
+use bincode::{config::standard, serde::encode_to_vec};
 use h1::Request;
 use platform::Record;
 use serde::{Deserialize, Serialize};
 
-use crate::{operator_age::operator_age_ms, response::encode_local, state::State};
+use crate::{operator_age::operator_age_ms, response::encode_local, state::State, wire_format};
 
 /// Path of the request for records. Its query has the position of the next record that the asking instance
 /// reads (`era`, `from`) and the version of its configuration (`config`).
@@ -19,7 +16,7 @@
 type RawRecord = (Position, String, Vec<u8>);
 
 /// What an instance knows of the operator's records beyond a position. The order and the types of the fields are the
-/// wire format; readers ignore what follows them.
+/// wire format.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerRecords {
     /// Position of the next record that the instance reads.
@@ -61,8 +58,7 @@
 
     /// Decodes the body of a response. Returns `None` if it is none of this layout.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let (records, _) = decode_from_slice::<Self, _>(bytes, standard()).ok()?;
-        Some(records)
+        wire_format::decode(bytes)
     }
 
     /// Returns the records, and the configuration.
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -1,18 +1,17 @@
 //! Datagram by which an instance tells the collectors of its state and its recent data.
 
 use balance::{BudgetUsage, CrashReport, Evidence, Member, Position, ReportedOutcomes, Stage};
-use bincode::{
-    config::standard,
-    serde::{decode_from_slice, encode_to_vec},
-};
+use bincode::{config::standard, serde::encode_to_vec};
 use model::ServiceName;
 use serde::{Deserialize, Serialize};
 
-use crate::{limit_report::LimitReport, notices::LeavingReport, returns::ServiceClaims};
+use crate::{
+    limit_report::LimitReport, notices::LeavingReport, returns::ServiceClaims, wire_format,
+};
 
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const MAX_BYTES: usize = 1_400;
-/// First byte of a datagram. It changes whenever the layout does.
+/// First byte of a datagram. It stays, like the layout (`wire_format.rs`).
 const FORMAT: u8 = 25;
 
 /// Report of an instance to the collectors. The order and the types of the fields are the wire
@@ -98,8 +97,7 @@
         if *format != FORMAT {
             return None;
         }
-        let (report, used) = decode_from_slice::<Self, _>(rest, standard()).ok()?;
-        (used == rest.len()).then_some(report)
+        wire_format::decode(rest)
     }
 }
 
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,15 +5,12 @@
 
 use async_std::task;
 use balance::Member;
-use bincode::{
-    config::standard,
-    serde::{decode_from_slice, encode_to_vec},
-};
+use bincode::{config::standard, serde::encode_to_vec};
 use platform::PeerClient;
 use rand::Rng;
 use tracing::{info, warn};
 
-use crate::{digest_apply::log_members, state::State};
+use crate::{digest_apply::log_members, state::State, wire_format};
 
 /// Path of the request for the descriptions.
 pub const ROSTER_PATH: &str = "/roster";
@@ -120,8 +117,7 @@
 }
 
 fn decode(bytes: &[u8]) -> Option<Vec<Listed>> {
-    let (listed, used) = decode_from_slice(bytes, standard()).ok()?;
-    (used == bytes.len()).then_some(listed)
+    wire_format::decode(bytes)
 }
 
 #[cfg(test)]
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -1,10 +1,7 @@
 //! What a starting instance gets from one that runs, so that it need not read it from the store.
 
 use balance::{CrashReport, Position, TargetEntry};
-use bincode::{
-    config::standard,
-    serde::{decode_from_slice, encode_to_vec},
-};
+use bincode::{config::standard, serde::encode_to_vec};
 use model::Time;
 use platform::{Change, Listing, Record, redact};
 use serde::{Deserialize, Serialize};
@@ -21,6 +18,7 @@
     reporting::rollout_reports,
     state::State,
     store_era::record_era,
+    wire_format,
 };
 
 /// Age of the entries up to which an instance gives them to others, in milliseconds. Older ones would
@@ -95,8 +93,7 @@
 
     /// Decodes a snapshot. Returns `None` if it is not one of this layout.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let (snapshot, used) = decode_from_slice::<Self, _>(bytes, standard()).ok()?;
-        (used == bytes.len()).then_some(snapshot)
+        wire_format::decode(bytes)
     }
 
     /// Applies the snapshot of another instance, which was asked for at `asked`, in an instance that
--- a/crates/gateway/src/usage/datagram.rs
+++ b/crates/gateway/src/usage/datagram.rs
@@ -1,15 +1,14 @@
 //! Datagram by which an instance tells the collectors how many requests targets began.
 
 use balance::usage::WindowTally;
-use bincode::{
-    config::standard,
-    serde::{decode_from_slice, encode_to_vec},
-};
+use bincode::{config::standard, serde::encode_to_vec};
 use model::InstanceId;
 use serde::{Deserialize, Serialize};
 
-/// First byte of a datagram, different from those of other datagrams. It changes whenever the layout
-/// does.
+use crate::wire_format;
+
+/// First byte of a datagram, different from those of other datagrams. It stays, like the
+/// layout (`wire_format.rs`).
 const FORMAT: u8 = 64;
 /// Most totals in a datagram. Each takes up to 10 bytes, so that it stays below 1,400 bytes.
 const MAX_TOTALS: usize = 110;
@@ -59,8 +58,8 @@
         if *format != FORMAT {
             return None;
         }
-        let (datagram, used) = decode_from_slice::<Self, _>(rest, standard()).ok()?;
-        (used == rest.len() && datagram.instance.is_valid()).then_some(datagram)
+        let datagram: Self = wire_format::decode(rest)?;
+        datagram.instance.is_valid().then_some(datagram)
     }
 }
 
