The end of a caller's connection is noticed before its request takes the next step

Cause: at an instance that is short of processor time, the next step of a request and the end of its connection are ready at the same time, and the request went first: it was sent to a target, and then given up.

Change: while a response is awaited, the connection is read before the request goes on. Memory is still given back first while a body arrives.

Result: next_event_notices_end_before_requests_go_on failed before and passes; gateway_crowds, gateway_answers, gateway_fleet, gateway_overload and gateway_config pass.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -428,6 +428,8 @@
         let is_new = self.requests == 0 && self.state.is_leaving();
         let may_read = self.may_read();
         let waits_response = self.unanswered() > 0;
+        // A caller that sends fast always has the next bytes of a body ready.
+        let yields_first = !waits_response || self.decoder.in_body();
         let idle_closed = (is_idle && !is_new).then(|| self.state.idle_closed.clone());
         let mut stream = &self.stream;
         let read = async {
@@ -439,17 +441,20 @@
         };
         let open = Rc::clone(&self.open);
         let (finished, responses) = (&mut self.finished, &mut self.responses);
-        let response = async {
-            if let Some(response) = finished.pop_front() {
-                return response;
+        let finished = async {
+            match finished.pop_front() {
+                Some(response) => response,
+                None => std::future::pending().await,
             }
+        };
+        let response = async {
             match responses.next().await {
                 Some(response) => response,
                 None => std::future::pending().await,
             }
         };
         let event = async {
-            let (read, response) = (read.fuse(), response.fuse());
+            let (finished, read, response) = (finished.fuse(), read.fuse(), response.fuse());
             let ended = async {
                 match idle_closed {
                     // Fails when the sender is dropped, which is the signal.
@@ -458,12 +463,23 @@
                 }
             }
             .fuse();
+            let yielded_first = async {
+                if yields_first {
+                    open.yielded().await;
+                } else {
+                    std::future::pending::<()>().await;
+                }
+            }
+            .fuse();
             let yielded = open.yielded().fuse();
-            futures::pin_mut!(read, response, ended, yielded);
+            futures::pin_mut!(finished, yielded_first, read, response, yielded, ended);
+            // Waiting for a response takes the next step of a request, which is in vain once the caller has left.
             select_biased! {
+                response = finished => Event::Response(response),
+                () = yielded_first => Event::Yielded,
+                read = read => Event::Read(read),
                 response = response => Event::Response(response),
                 () = yielded => Event::Yielded,
-                read = read => Event::Read(read),
                 () = ended => Event::IdleClosed,
             }
         };
--- a/crates/gateway/src/caller/tests.rs
+++ b/crates/gateway/src/caller/tests.rs
@@ -108,3 +108,40 @@
         drop(client);
     });
 }
+
+/// Guards against requests that are sent to a target after their caller has left, because the instance was busy
+/// when both the next step of the request and the end of the connection became ready.
+#[test]
+fn next_event_notices_end_before_requests_go_on() {
+    let state = state(1_000.0);
+    let open = Rc::new(
+        state
+            .resources
+            .open(Listener::Callers, state.now())
+            .unwrap(),
+    );
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = TcpStream::connect(listener.local_addr().unwrap()).await;
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut connection = Connection::new(Rc::clone(&state), stream, open, Origin::Caller);
+        let (go_on, waiting) = async_std::channel::bounded::<()>(1);
+        let goes_on = Rc::new(Cell::new(false));
+        let flag = Rc::clone(&goes_on);
+        let request = async move {
+            waiting.recv().await.unwrap();
+            flag.set(true);
+            std::future::pending().await
+        };
+        connection.responses.push_back(request.boxed_local());
+        let mut chunk = vec![0; READ_BYTES];
+        let event = connection.next_event(&mut chunk);
+        futures::pin_mut!(event);
+        assert!(futures::poll!(&mut event).is_pending());
+        drop(client);
+        go_on.send(()).await.unwrap();
+        task::sleep(Duration::from_millis(50)).await;
+        assert!(matches!(event.await, Event::Read(Ok(0))));
+        assert!(!goes_on.get());
+    });
+}
