Time limits that are noticed late are no evidence against targets

The time limits of probes (30 ms), connections (250 ms) and requests measured the instance's own delay; three silent targets in a row, all those of one probe, made contact doubtful.

Change: the end of a time limit that is noticed 15 ms late or later, half of the shortest limit, says nothing of whether targets are reached. Ends of connections and refusals are evidence as before.

Result: probe_noticed_late_is_no_silence passes; with the check turned off it fails (contact is doubtful after 80 ms of own delay).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -1,6 +1,6 @@
 //! Sends one request over a connection to a target, or to another instance, and reads the response.
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, time::Duration};
 
 use async_std::{
     future::timeout,
@@ -17,10 +17,11 @@
 use platform::headers;
 
 use crate::{
-    pool::{ConnectError, await_slow_reader, may_fill_buffers},
+    pool::{CONNECT_LIMIT_US, ConnectError, await_slow_reader, may_fill_buffers},
     reach::{record_contact, record_silent, record_unreachable},
     resources::HeldBytes,
     response_bytes::ResponseBytes,
+    scheduling::is_noticed_late,
     state::State,
 };
 
@@ -134,7 +135,11 @@
             }
             Err(ConnectError::NoRoom) => return SendResult::NoRoom,
             Err(ConnectError::System(error)) => {
-                if let Some(id) = request.target {
+                let due = now.plus_us(CONNECT_LIMIT_US);
+                let is_late = is_noticed_late(due, state.now());
+                if let Some(id) = request.target
+                    && !(error.kind() == ErrorKind::TimedOut && is_late)
+                {
                     record_unreachable(state, id);
                 }
                 return SendResult::NotSent(error);
@@ -164,7 +169,12 @@
             SendResult::Response(Box::new(response))
         }
         Err(error) => {
-            if matches!(error, ResponseError::Closed | ResponseError::Timeout) {
+            let is_evidence = match error {
+                ResponseError::Closed => true,
+                ResponseError::Timeout => !is_noticed_late(deadline, state.now()),
+                _ => false,
+            };
+            if is_evidence {
                 record_silent(state, request.target.into_iter());
             }
             if is_pooled {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -24,7 +24,7 @@
 /// Most idle connections to one target.
 const MAX_IDLE: usize = 4;
 /// Timeout for opening a connection. Targets accept within a few milliseconds.
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+pub const CONNECT_LIMIT_US: u64 = 250_000;
 /// Timeout for the acknowledgement of sent bytes, and interval of TCP keepalive probes. Finds targets
 /// whose machine is gone.
 const ACK_LIMIT: Duration = Duration::from_secs(1);
@@ -134,9 +134,13 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the system, or a timeout after [`CONNECT_LIMIT`]. Nothing was sent.
+/// Returns the error of the system, or a timeout after [`CONNECT_LIMIT_US`]. Nothing was sent.
 async fn connect(addr: SocketAddr) -> std::io::Result<TcpStream> {
-    let stream = async_std::io::timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await?;
+    let stream = async_std::io::timeout(
+        Duration::from_micros(CONNECT_LIMIT_US),
+        TcpStream::connect(addr),
+    )
+    .await?;
     let socket = SockRef::from(&stream);
     let keepalive = TcpKeepalive::new()
         .with_time(ACK_LIMIT)
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -13,6 +13,7 @@
     exchange::{EncodedRequest, Identity, SendResult, exchange},
     notices::record_notices,
     reach::record_silent,
+    scheduling::is_noticed_late,
     state::State,
     target_limits::record_stated_limit,
 };
@@ -50,7 +51,7 @@
             Ok(None) => return,
             Err(_) => {
                 drop(probes);
-                if first.is_none() {
+                if first.is_none() && !is_noticed_late(limit, state.now()) {
                     record_silent(state, targets.iter());
                 }
                 return;
@@ -161,3 +162,6 @@
         entry.born,
     ))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway/src/scheduling.rs
+++ b/crates/gateway/src/scheduling.rs
@@ -5,4 +5,4 @@
 mod delay;
 
 pub use caller_tasks::CallerTasks;
-pub use delay::{control_delay_ms, watch_control_delay};
+pub use delay::{control_delay_ms, is_noticed_late, watch_control_delay};
--- a/crates/gateway/src/scheduling/delay.rs
+++ b/crates/gateway/src/scheduling/delay.rs
@@ -4,6 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use async_std::task;
+use model::Time;
 use tracing::warn;
 
 use crate::state::State;
@@ -13,6 +14,16 @@
 /// Delay from which it is logged, in milliseconds: the time limit of a call to another instance.
 const LOGGED_MS: u64 = 300;
 
+/// Delay from which the instance itself may be why a time limit has passed, in microseconds: half of the shortest
+/// limit of a call to a target.
+const OWN_DELAY_US: u64 = 15_000;
+
+/// Whether the end of a time limit, at `due`, is noticed so late that the answer may have come in time. Then it
+/// says nothing of the other side.
+pub fn is_noticed_late(due: Time, now: Time) -> bool {
+    now.since_us(due) >= OWN_DELAY_US
+}
+
 /// Measures the delay until the process ends.
 pub async fn watch_control_delay(state: Rc<State>) {
     let mut is_delayed = false;
