--- a/crates/node/tests/gateway_overload.rs
+++ b/crates/node/tests/gateway_overload.rs
@@ -1,17 +1,12 @@
 //! Instances with little processor time whose callers send more than they can answer.
 
 use std::{
-    net::SocketAddr,
     path::Path,
     time::{Duration, Instant},
 };
 
-use async_std::{
-    io::{ReadExt, WriteExt},
-    net::TcpStream,
-    task,
-};
-use testkit::fleet::{FleetRig, RigSpec, Throttle};
+use async_std::task;
+use testkit::fleet::{Crowd, FleetRig, RigSpec, Throttle};
 
 /// Time within which the platform requires a configuration to be in force.
 const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -21,30 +16,10 @@
 const CPU_SHARE: f64 = 0.1;
 /// Connections of callers that send all the time.
 const CALLERS: usize = 400;
-/// Requests that a caller sends at once.
-const PIPELINED: usize = 8;
 /// Time for which configurations follow one another, and the time between two of them.
 const STORM_TIME: Duration = Duration::from_secs(9);
 const STORM_INTERVAL: Duration = Duration::from_millis(600);
 
-/// Sends requests that match no route on one connection, as fast as they are answered.
-async fn press(instance: SocketAddr) {
-    let request = "GET /none/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n".repeat(PIPELINED);
-    let mut chunk = vec![0; 16 * 1_024];
-    loop {
-        let Ok(mut stream) = TcpStream::connect(instance).await else {
-            task::sleep(Duration::from_millis(100)).await;
-            continue;
-        };
-        while stream.write_all(request.as_bytes()).await.is_ok() {
-            match stream.read(&mut chunk).await {
-                Ok(count) if count > 0 => {}
-                _ => break,
-            }
-        }
-    }
-}
-
 /// Guards against an instance whose reads of the store and of other instances end by their time limits
 /// because they wait behind the requests of callers.
 #[test]
@@ -60,9 +35,7 @@
         task::sleep(SETTLE_TIME).await;
         let pressed = &rig.instances[5];
         let _throttle = Throttle::start(pressed.id(), CPU_SHARE);
-        let callers: Vec<_> = (0..CALLERS)
-            .map(|_| task::spawn(press(pressed.caller_addr())))
-            .collect();
+        let crowd = Crowd::start(pressed.caller_addr(), CALLERS);
         let mut published = Vec::new();
         let mut longest = Duration::ZERO;
         let start = Instant::now();
@@ -76,9 +49,7 @@
             longest = longest.max(oldest.map_or(Duration::ZERO, |(_, at)| at.elapsed()));
             task::sleep(Duration::from_millis(20)).await;
         }
-        for caller in callers {
-            caller.cancel().await;
-        }
+        crowd.end().await;
         assert!(longest < APPLY_TIMEOUT, "{longest:?}");
     });
 }
--- a/crates/node/tests/gateway_soak.rs
+++ b/crates/node/tests/gateway_soak.rs
@@ -5,7 +5,7 @@
 use std::{path::Path, time::Duration};
 
 use async_std::task;
-use testkit::fleet::{SMALL_SOAK, soak};
+use testkit::fleet::{SMALL_SOAK, SoakBuilds, soak};
 
 /// Time for which one run injects faults.
 const FAULT_DURATION: Duration = Duration::from_secs(5);
@@ -14,14 +14,19 @@
 /// requests with valid keys are served.
 fn check_seed(seed: u64) {
     let binary = Path::new(env!("CARGO_BIN_EXE_hibiscusway"));
-    let report = task::block_on(soak(binary, SMALL_SOAK, seed, FAULT_DURATION)).unwrap();
+    let builds = SoakBuilds {
+        current: binary,
+        earlier: None,
+    };
+    let report = task::block_on(soak(builds, SMALL_SOAK, seed, FAULT_DURATION)).unwrap();
     assert!(report.violations.is_empty(), "seed {seed}: {report:#?}");
     assert!(
         report.served * 2 > report.requests,
         "seed {seed}: {report:#?}"
     );
-    // Guards against runs that do not test keys, odd callers or partitions.
+    // Guards against runs that do not test keys, odd callers, partitions or crowds.
     assert!(report.refused_keys > 0 && report.odd_callers > 0 && report.cuts > 0);
+    assert!(report.crowds > 0);
 }
 
 #[test]
--- a/crates/testkit/examples/soak.rs
+++ b/crates/testkit/examples/soak.rs
@@ -6,7 +6,7 @@
 use async_std::task;
 use testkit::{
     built_binary,
-    fleet::{RigSpec, SMALL_SOAK, soak},
+    fleet::{RigSpec, SMALL_SOAK, SoakBuilds, soak},
 };
 
 /// Plays random faults on gateway processes and checks what callers and targets see. Exit status 1 if a
@@ -36,6 +36,10 @@
     /// binary of the gateway. Default: the one built beside this example
     #[argh(option)]
     binary: Option<PathBuf>,
+
+    /// binary of an earlier release that the instances start with. Each later start is of the other one
+    #[argh(option)]
+    earlier: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -62,7 +66,11 @@
     let mut failed = 0;
     for seed in args.seed..args.seed.saturating_add(args.seeds) {
         let length = Duration::from_secs(args.seconds);
-        match task::block_on(soak(&binary, spec, seed, length)) {
+        let builds = SoakBuilds {
+            current: &binary,
+            earlier: args.earlier.as_deref(),
+        };
+        match task::block_on(soak(builds, spec, seed, length)) {
             Ok(report) => {
                 let (served, requests) = (report.served, report.requests);
                 println!(
--- a/crates/testkit/src/fleet/gateway.rs
+++ b/crates/testkit/src/fleet/gateway.rs
@@ -119,6 +119,11 @@
         fs::write(&self.settings, settings)
     }
 
+    /// Lets the next start run the program at `binary`.
+    pub fn set_binary(&mut self, binary: &Path) {
+        binary.clone_into(&mut self.binary);
+    }
+
     /// Waits until the process has ended and starts it again.
     ///
     /// # Errors
--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod cloud;
+mod crowd;
 mod gateway;
 mod http;
 mod odd_caller;
@@ -12,6 +13,7 @@
 mod rig;
 mod soak;
 mod soak_call;
+mod soak_crowds;
 mod soak_keys;
 mod soak_series;
 mod store;
@@ -21,11 +23,12 @@
 pub use self::{
     client::{FleetRequest, FleetResult, fetch, query_directory, send},
     cloud::{FleetCloud, UsageCall},
+    crowd::Crowd,
     gateway::GatewayProcess,
     partition::Partition,
     proxy::{FleetProxy, OutageKind, ProxyMode},
     rig::{FleetRig, RigSpec},
-    soak::{SMALL_SOAK, SoakReport, soak},
+    soak::{SMALL_SOAK, SoakBuilds, SoakReport, soak},
     store::{FleetStore, StoreCopy, StoreFault},
     target::{FleetTarget, TargetFault, TargetSpec},
     throttle::Throttle,
--- a/crates/testkit/src/fleet/soak.rs
+++ b/crates/testkit/src/fleet/soak.rs
@@ -17,10 +17,12 @@
 use super::{
     FleetResult, FleetRig, ProxyMode, RigSpec, StoreCopy, StoreFault, TargetFault,
     client::send_keeping,
+    crowd::Crowd,
     odd_caller::OddCaller,
     partition::Partition,
     send,
     soak_call::Call,
+    soak_crowds::{Replacement, Visit, Visits},
     soak_keys::KeyHistory,
     soak_series::{Series, Step},
     target::LARGE,
@@ -47,6 +49,8 @@
 const SERIES_SEED: u64 = 0x7365_7269;
 /// Added to the seed for the choice of kept connections.
 const KEPT_SEED: u64 = 0x6b65_7074;
+/// Added to the seed for crowds, reloads and replacements of instances.
+const VISIT_SEED: u64 = 0x7669_7369;
 /// Most instances that can be cut off from targets. Each takes a listener for each target.
 const MAX_PARTITIONS: usize = 8;
 /// Share of the requests that are sent on connections which clients keep until they end.
@@ -138,12 +142,26 @@
     pub odd_callers: usize,
     /// Number of times that an instance was cut off from targets.
     pub cuts: usize,
+    /// Number of crowds of callers.
+    pub crowds: usize,
+    /// Number of instances that were replaced by the current build.
+    pub replaced: usize,
     /// Injected faults in order, each with its start and its duration in milliseconds.
     pub faults: Vec<String>,
     /// Checks that failed, one description each.
     pub violations: Vec<String>,
 }
 
+/// Programs of the instances.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakBuilds<'a> {
+    /// The program under test.
+    pub current: &'a Path,
+    /// Program of an earlier release with which all instances start. Each start after that is of the current one,
+    /// and half of the instances are replaced one after the other.
+    pub earlier: Option<&'a Path>,
+}
+
 /// Runs a soak test with faults for `duration`, then checks that the system recovers. All random
 /// choices come from `seed`.
 ///
@@ -151,7 +169,7 @@
 ///
 /// Returns an error if the deployment cannot be started.
 pub async fn soak(
-    binary: &Path,
+    builds: SoakBuilds<'_>,
     spec: RigSpec,
     seed: u64,
     duration: Duration,
@@ -160,11 +178,22 @@
     let start = Instant::now();
     // The others ask the first ones for what they have read, as usual.
     let count = spec.instances.div_ceil(2).min(MAX_PARTITIONS);
-    let (rig, partitions) =
-        FleetRig::start_partly_partitioned(binary, spec, count, settings).await?;
+    let (rig, partitions) = FleetRig::start_partly_partitioned(
+        builds.earlier.unwrap_or(builds.current),
+        spec,
+        count,
+        settings,
+    )
+    .await?;
+    let visit_rng = StdRng::seed_from_u64(seed ^ VISIT_SEED);
     let mut soak = Soak {
         rig,
         partitions,
+        crowds: Vec::new(),
+        replacement: builds
+            .earlier
+            .map(|_| Replacement::new(visit_rng.clone(), spec.instances, duration)),
+        visits: Visits::new(visit_rng),
         series: Series::new(StdRng::seed_from_u64(seed ^ SERIES_SEED)),
         kept_rng: StdRng::seed_from_u64(seed ^ KEPT_SEED),
         kept: (0..spec.instances).map(|_| Arc::default()).collect(),
@@ -180,6 +209,9 @@
         report: SoakReport::default(),
         start,
     };
+    for instance in &mut soak.rig.instances {
+        instance.set_binary(builds.current);
+    }
     soak.start_keys().await?;
     soak.start = Instant::now();
     soak.run_faults(duration).await;
@@ -192,6 +224,11 @@
     /// Paths of the first instances to all targets.
     partitions: Vec<Partition>,
     series: Series,
+    visits: Visits,
+    /// Crowds that are there, each with the time at which it goes.
+    crowds: Vec<(Instant, Crowd)>,
+    /// Replacement of an earlier build, if the instances started with one.
+    replacement: Option<Replacement>,
     /// Random numbers of the choice of kept connections.
     kept_rng: StdRng,
     /// Connection that clients keep to each instance while no request uses it.
@@ -230,9 +267,14 @@
             }
             self.end_faults(Instant::now());
             self.run_series();
+            self.run_visits().await;
+            self.replace_due();
             self.send_next(&mut sent);
             task::sleep(REQUEST_INTERVAL).await;
         }
+        for (_, crowd) in std::mem::take(&mut self.crowds) {
+            crowd.end().await;
+        }
         // Ends all faults, including those whose duration has not passed.
         let longest = Duration::from_millis(STORE_FAULT_FACTOR * MAX_FAULT_MS);
         self.end_faults(Instant::now() + longest.max(STOP_TIME));
@@ -290,6 +332,49 @@
         }
     }
 
+    /// Starts the crowd or the reload that is due, and ends crowds whose time is over.
+    async fn run_visits(&mut self) {
+        let now = Instant::now();
+        let (ended, staying): (Vec<_>, Vec<_>) = std::mem::take(&mut self.crowds)
+            .into_iter()
+            .partition(|(until, _)| *until <= now);
+        self.crowds = staying;
+        for (_, crowd) in ended {
+            crowd.end().await;
+        }
+        let Some(visit) = self.visits.due(self.rig.instances.len()) else {
+            return;
+        };
+        let at_ms = self.start.elapsed().as_millis();
+        self.report.faults.push(format!("{at_ms} {visit:?}"));
+        match visit {
+            Visit::Crowd {
+                index,
+                callers,
+                length,
+            } => {
+                self.report.crowds += 1;
+                let crowd = Crowd::start(self.rig.instances[index].caller_addr(), callers);
+                self.crowds.push((now + length, crowd));
+            }
+            Visit::Reload { index } => self.signal(index, "HUP"),
+        }
+    }
+
+    /// Kills the instance that is to be replaced now, and starts the current build in its place.
+    fn replace_due(&mut self) {
+        let Some(index) = self.replacement.as_mut().and_then(Replacement::due) else {
+            return;
+        };
+        let at_ms = self.start.elapsed().as_millis();
+        self.report
+            .faults
+            .push(format!("{at_ms} instance {index} replaced"));
+        self.report.replaced += 1;
+        self.signal(index, "KILL");
+        self.restart(index);
+    }
+
     /// Sends a request. Before that, changes a key and starts odd callers if it is time.
     fn send_next(&mut self, sent: &mut Vec<task::JoinHandle<Call>>) {
         if Instant::now() >= self.next_change {
