--- a/crates/gateway/src/peer_records/answer.rs
+++ b/crates/gateway/src/peer_records/answer.rs
@@ -106,3 +106,6 @@
     state.metrics.count("records_passed_on", 1);
     encode_local(200, "OK", "application/octet-stream", &body, close)
 }
+
+#[cfg(test)]
+mod tests;
