An outdated answer of a peer does not end the wait for the store

Cause: found while reading. An instance that is due to read the operator's records for itself took any answer of a peer that knew no more, however old.

Change: without more records, an answer counts only if it holds as of a time at which the instance is not due again.

--- a/crates/gateway/src/operator_records.rs
+++ b/crates/gateway/src/operator_records.rs
@@ -248,7 +248,9 @@
 
 /// Asks peers and the store for the records from `from` on, and applies them.
 async fn ask_others(state: &State, from: Position) -> Result<Progress, PlatformError> {
-    let found = ask_all(state, from).await?;
+    // Otherwise the records would be due to be read again at once.
+    let current_since = state.now().minus_ms(schedule(state).read_age_ms());
+    let found = ask_all(state, from, current_since).await?;
     if found.is_listing {
         apply_orders(state, &found.records, Source::Listing);
     } else {
--- a/crates/gateway/src/peer_records/answer.rs
+++ b/crates/gateway/src/peer_records/answer.rs
@@ -13,7 +13,7 @@
 pub const RECORDS_PATH: &str = "/operator-records";
 
 /// Position, key and value of a record.
-type RawRecord = (Position, String, Vec<u8>);
+pub type RawRecord = (Position, String, Vec<u8>);
 
 /// What an instance knows of the operator's records beyond a position. The order and the types of the fields are the
 /// wire format.
@@ -27,9 +27,9 @@
     /// position on.
     pub is_listing: bool,
     /// Records before `next`.
-    records: Vec<RawRecord>,
+    pub records: Vec<RawRecord>,
     /// Configuration in force, if it is newer than the one of the asking instance. The store may have lost it.
-    config: Option<RawRecord>,
+    pub config: Option<RawRecord>,
 }
 
 impl PeerRecords {
--- a/crates/gateway/src/peer_records/ask.rs
+++ b/crates/gateway/src/peer_records/ask.rs
@@ -85,8 +85,13 @@
     }
 }
 
-/// Asks for the records from `from` on. Fails with the error of the store if nobody has a usable answer.
-pub async fn ask_all(state: &State, from: Position) -> Result<Found, PlatformError> {
+/// Asks for the records from `from` on. If no peer is known to have any, the answer that there are none must hold as
+/// of `current_since` or later. Fails with the error of the store if nobody has a usable answer.
+pub async fn ask_all(
+    state: &State,
+    from: Position,
+    current_since: Time,
+) -> Result<Found, PlatformError> {
     let mut sources = sources(state, from).into_iter();
     let wants_more = sources.as_slice().iter().any(Source::is_ahead);
     let mut asked = FuturesUnordered::new();
@@ -112,7 +117,9 @@
             Some((Source::Store, Ok(found))) if wants_more && !found.is_beyond(from) => {
                 of_store = Some(Ok(found));
             }
-            Some((_, Ok(found))) if found.is_beyond(from) || !wants_more => {
+            Some((_, Ok(found)))
+                if found.is_beyond(from) || !wants_more && found.as_of >= current_since =>
+            {
                 let store_error = of_store.and_then(Result::err);
                 return Ok(Found {
                     store_error,
@@ -267,3 +274,6 @@
     let as_of = is_whole.map_or(Time(0), |peer| peer.as_of);
     Ok(Found::of_peer(peer, page.next, as_of, page.records, config))
 }
+
+#[cfg(test)]
+mod tests;
