A stray CR in a head is found however the bytes arrive

Heads are parsed when their end has arrived or their size has doubled; CR CR LF is no end, so that it was refused at once or awaited until the timeout, by the size of the reads.

Change: a CR after a line end that doesn't end an empty line makes the head due to be parsed.

Result: decode_stray_cr_is_error_in_any_reads failed before and passes. With 20,000 cases, decode_does_not_depend_on_reads still fails: other malformed heads that have not ended are found late as well, by design of the scan.

--- a/crates/h1/src/head_scan.rs
+++ b/crates/h1/src/head_scan.rs
@@ -25,13 +25,13 @@
     }
 }
 
-/// Returns whether `bytes` contain a line end that is followed by an empty line. Stops there: the rest
-/// may be many pipelined requests.
+/// Returns whether `bytes` contain a line end that is followed by an empty line, or by a CR that ends none, which is
+/// an error. Stops there: the rest may be many pipelined requests.
 fn has_end(bytes: &[u8]) -> bool {
     let mut rest = bytes;
     while let Some(end) = rest.iter().position(|b| *b == b'\n') {
         rest = &rest[end + 1..];
-        if rest.starts_with(b"\n") || rest.starts_with(b"\r\n") {
+        if matches!(rest, [b'\n', ..] | [b'\r', _, ..]) {
             return true;
         }
     }
--- a/crates/h1/src/request/tests.rs
+++ b/crates/h1/src/request/tests.rs
@@ -167,6 +167,16 @@
     (requests, None)
 }
 
+/// Guards against a malformed head that is refused at once or awaited until a timeout, depending on the reads.
+#[test]
+fn decode_stray_cr_is_error_in_any_reads() {
+    let stream = b"GET /j HTTP/1.1\r\n\r\r\n";
+    for size in 1..=stream.len() {
+        let (requests, error) = decode_in_pieces(stream, &[size]);
+        assert!(requests.is_empty() && error.is_some(), "reads of {size}");
+    }
+}
+
 /// Parts of requests, well-formed and not, that recipients tend to read differently.
 const PARTS: &[&str] = &[
     "GET /a HTTP/1.1\r\n\r\n",
