--- a/crates/node/tests/gateway_config.rs
+++ b/crates/node/tests/gateway_config.rs
@@ -15,9 +15,6 @@
 const APPLY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after a disturbance from which the platform requires that.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
-/// Time for which configurations follow one another, and the time between two of them.
-const STORM_TIME: Duration = Duration::from_secs(9);
-const STORM_INTERVAL: Duration = Duration::from_millis(600);
 /// Time in which the instances of a rig find each other.
 const SETTLE_TIME: Duration = Duration::from_secs(4);
 
@@ -218,19 +215,9 @@
         task::sleep(SETTLE_TIME).await;
         rig.instances[cut_off].signal("CONT").unwrap();
         task::sleep(CONTACT_TIME).await;
-        let mut published = Vec::new();
-        let mut longest = Duration::ZERO;
-        let start = Instant::now();
-        while start.elapsed() < STORM_TIME + APPLY_TIMEOUT {
-            let due = STORM_INTERVAL * u32::try_from(published.len()).unwrap();
-            if due < STORM_TIME && start.elapsed() > due {
-                published.push((rig.publish(&[extra_route("new")]), Instant::now()));
-            }
-            let version = rig.instances[cut_off].logged_config().unwrap();
-            let oldest = published.iter().find(|(v, _)| *v > version);
-            longest = longest.max(oldest.map_or(Duration::ZERO, |(_, at)| at.elapsed()));
-            task::sleep(Duration::from_millis(20)).await;
-        }
+        let routes = [extra_route("new")];
+        let applying = rig.longest_apply(&rig.instances[cut_off], &routes, APPLY_TIMEOUT);
+        let longest = applying.await.unwrap();
         assert!(longest < APPLY_TIMEOUT, "{longest:?}");
         let status = status_of(&rig, &rig.instances[cut_off], "unknown").await;
         assert_eq!(status, 404, "the configuration is known to be current");
--- a/crates/node/tests/gateway_overload.rs
+++ b/crates/node/tests/gateway_overload.rs
@@ -1,9 +1,6 @@
 //! Instances with little processor time whose callers send more than they can answer.
 
-use std::{
-    path::Path,
-    time::{Duration, Instant},
-};
+use std::{path::Path, time::Duration};
 
 use async_std::task;
 use testkit::fleet::{Crowd, FleetRig, RigSpec, Throttle};
@@ -16,9 +13,6 @@
 const CPU_SHARE: f64 = 0.1;
 /// Connections of callers that send all the time.
 const CALLERS: usize = 400;
-/// Time for which configurations follow one another, and the time between two of them.
-const STORM_TIME: Duration = Duration::from_secs(9);
-const STORM_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Guards against an instance whose reads of the store and of other instances end by their time limits
 /// because they wait behind the requests of callers.
@@ -36,19 +30,10 @@
         let pressed = &rig.instances[5];
         let _throttle = Throttle::start(pressed.id(), CPU_SHARE);
         let crowd = Crowd::start(pressed.caller_addr(), CALLERS);
-        let mut published = Vec::new();
-        let mut longest = Duration::ZERO;
-        let start = Instant::now();
-        while start.elapsed() < STORM_TIME + APPLY_TIMEOUT {
-            let due = STORM_INTERVAL * u32::try_from(published.len()).unwrap();
-            if due < STORM_TIME && start.elapsed() > due {
-                published.push((rig.publish(&[]), Instant::now()));
-            }
-            let version = pressed.logged_config().unwrap();
-            let oldest = published.iter().find(|(v, _)| *v > version);
-            longest = longest.max(oldest.map_or(Duration::ZERO, |(_, at)| at.elapsed()));
-            task::sleep(Duration::from_millis(20)).await;
-        }
+        let longest = rig
+            .longest_apply(pressed, &[], APPLY_TIMEOUT)
+            .await
+            .unwrap();
         crowd.end().await;
         assert!(longest < APPLY_TIMEOUT, "{longest:?}");
     });
--- a/crates/testkit/src/fleet/rig.rs
+++ b/crates/testkit/src/fleet/rig.rs
@@ -22,6 +22,9 @@
 
 /// Host name that all routes match.
 const HOST: &str = "shop.example";
+/// Time for which configurations follow one another, and the time between two of them.
+const STORM_TIME: Duration = Duration::from_secs(9);
+const STORM_INTERVAL: Duration = Duration::from_millis(600);
 /// Maximum time for all instances to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -285,6 +288,35 @@
         version
     }
 
+    /// Publishes configurations with `extra_routes`, one after the other for some seconds, and returns the longest time
+    /// until one was in force at an instance. Waits for `limit` after the last one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the log file of the instance cannot be read.
+    pub async fn longest_apply(
+        &self,
+        instance: &GatewayProcess,
+        extra_routes: &[Value],
+        limit: Duration,
+    ) -> io::Result<Duration> {
+        let mut published: Vec<(u64, Instant)> = Vec::new();
+        let mut longest = Duration::ZERO;
+        let start = Instant::now();
+        while start.elapsed() < STORM_TIME + limit {
+            let next =
+                STORM_INTERVAL.saturating_mul(u32::try_from(published.len()).unwrap_or(u32::MAX));
+            if next < STORM_TIME && start.elapsed() > next {
+                published.push((self.publish(extra_routes), Instant::now()));
+            }
+            let version = instance.logged_config()?;
+            let missing = published.iter().find(|(published, _)| *published > version);
+            longest = longest.max(missing.map_or(Duration::ZERO, |(_, at)| at.elapsed()));
+            task::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(longest)
+    }
+
     /// Writes the latest configuration again.
     pub fn republish(&self) {
         let config = lock(&self.config).clone();
