An instance that lost the store asks it first when no peer is ahead

An instance that counts as without the store asked two other instances before it. They answer at once, so that the store was not asked again, and the instance stayed at the end of the order of duties after the store was back.

Change: the store comes last only if a peer is ahead.

Result: ask_all_notices_that_store_answers_again failed before and passes.

--- a/crates/gateway/src/peer_records/ask.rs
+++ b/crates/gateway/src/peer_records/ask.rs
@@ -148,7 +148,7 @@
 }
 
 /// Returns whom to ask, in this order. The store comes before instances that have said nothing, unless it failed
-/// lately.
+/// lately and a peer is ahead: otherwise nothing would show that it answers again.
 fn sources(state: &State, from: Position) -> Vec<Source> {
     let peers = state.ahead_peers.borrow();
     let ahead = peers.to_ask(from, state.config_version(), state.now());
@@ -157,12 +157,13 @@
     let ready = members.live().filter(|m| m.presence == Presence::Ready);
     let others = ready.map(|m| m.peer_addr).filter(is_silent);
     let others = others.choose_multiple(&mut rand::rng(), OTHERS).into_iter();
+    let is_store_last = !state.has_store.get() && !ahead.is_empty();
     let mut sources: Vec<Source> = ahead.iter().copied().map(Source::Ahead).collect();
-    if state.has_store.get() {
+    if !is_store_last {
         sources.push(Source::Store);
     }
     sources.extend(others.map(Source::Other));
-    if !state.has_store.get() {
+    if is_store_last {
         sources.push(Source::Store);
     }
     sources
@@ -205,7 +206,7 @@
     })
 }
 
-/// Asks a peer, which must know more than this instance. `ahead` is what it has said.
+/// Asks a peer. `ahead` is what it has said, if it knows more than this instance.
 async fn ask_peer(
     state: &State,
     peer: SocketAddr,
