--- a/crates/gateway/src/peer_records/answer.rs
+++ b/crates/gateway/src/peer_records/answer.rs
@@ -103,7 +103,6 @@
         return encode_local(503, "Service Unavailable", "text/plain", b"", close);
     };
     let body = encode_to_vec(&records, standard()).unwrap_or_default();
-    state.metrics.count("records_passed_on", 1);
     encode_local(200, "OK", "application/octet-stream", &body, close)
 }
 
