--- a/crates/gateway/src/caller/tests.rs
+++ b/crates/gateway/src/caller/tests.rs
@@ -69,20 +69,27 @@
     serve(state, arrived).await
 }
 
+/// Returns the account of a caller's connection.
+fn open_connection(state: &State) -> Rc<OpenConnection> {
+    let open = state.resources.open(Listener::Callers, state.now());
+    Rc::new(open.unwrap())
+}
+
+/// Returns both ends of a connection, the caller's first.
+async fn connect() -> (TcpStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = TcpStream::connect(listener.local_addr().unwrap());
+    let client = client.await.unwrap();
+    (client, listener.accept().await.unwrap().0)
+}
+
 /// Guards against requests whose deadline is not noticed while the caller does not read an earlier response.
 #[test]
 fn requests_go_on_during_write() {
     let state = state(1_000.0);
-    let open = Rc::new(
-        state
-            .resources
-            .open(Listener::Callers, state.now())
-            .unwrap(),
-    );
+    let open = open_connection(&state);
     task::block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let client = TcpStream::connect(listener.local_addr().unwrap()).await;
-        let (mut stream, _) = listener.accept().await.unwrap();
+        let (client, mut stream) = connect().await;
         // What the system takes at once, until both buffers are full.
         let filler = vec![0; 1_024 * 1_024];
         let filling = async { while stream.write(&filler).await.is_ok() {} };
@@ -114,16 +121,9 @@
 #[test]
 fn next_event_notices_end_before_requests_go_on() {
     let state = state(1_000.0);
-    let open = Rc::new(
-        state
-            .resources
-            .open(Listener::Callers, state.now())
-            .unwrap(),
-    );
+    let open = open_connection(&state);
     task::block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let client = TcpStream::connect(listener.local_addr().unwrap()).await;
-        let (stream, _) = listener.accept().await.unwrap();
+        let (client, stream) = connect().await;
         let mut connection = Connection::new(Rc::clone(&state), stream, open, Origin::Caller);
         let (go_on, waiting) = async_std::channel::bounded::<()>(1);
         let goes_on = Rc::new(Cell::new(false));
--- a/crates/gateway/src/peer_records/ask/tests.rs
+++ b/crates/gateway/src/peer_records/ask/tests.rs
@@ -13,14 +13,24 @@
 
 /// Serves one request with `body`.
 fn serve(body: Vec<u8>) -> SocketAddr {
+    serve_each(vec![("200 OK", body)])
+}
+
+/// Serves one request on each connection with a status and a body, then closes it.
+fn serve_each(responses: Vec<(&'static str, Vec<u8>)>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let addr = listener.local_addr().unwrap();
     thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let _ = stream.read(&mut [0; 4_096]).unwrap();
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        let response = [head.as_bytes(), &body].concat();
-        stream.write_all(&response).unwrap();
+        for (status, body) in responses {
+            let (mut stream, _) = listener.accept().unwrap();
+            let _ = stream.read(&mut [0; 4_096]).unwrap();
+            let head = format!(
+                "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
+            let response = [head.as_bytes(), &body].concat();
+            stream.write_all(&response).unwrap();
+        }
     });
     addr
 }
@@ -69,3 +79,23 @@
     let found = ask_beside_peer(serve(page), 100, false).unwrap();
     assert_eq!((found.peer, found.next), (None, NEXT));
 }
+
+/// Guards against an instance that learns nothing from those of release 8d2dfa1, which do not know the request.
+#[test]
+fn ask_peer_asks_relay_of_earlier_release() {
+    let record = [0, 0, 0, 3, 1, b'k', b'v'];
+    let page = [&9_u64.to_be_bytes()[..], &0_u64.to_be_bytes(), &record[..]].concat();
+    let state = example::state(20.0);
+    let addr = serve_each(vec![("404 Not Found", Vec::new()), ("200 OK", page)]);
+    let ahead = PeerAhead {
+        addr,
+        has_records: true,
+        next: Position { era: 0, offset: 9 },
+        as_of: state.now(),
+        config_version: 0,
+    };
+    let found = task::block_on(ask_peer(&state, addr, NEXT, Some(ahead))).unwrap();
+    assert_eq!((found.next, found.as_of), (ahead.next, ahead.as_of));
+    assert_eq!(found.records[0].key, "k");
+    assert!(!found.is_listing);
+}
